--- /dev/null
+++ b/wire/reader.go
@@ -0,0 +1,403 @@
+// Package wire reads and writes the bench's wire: lines of tab-separated name=value parts. Its words
+// stay here; what leaves are types of package port and raw ids.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"dapplerouter/port"
+)
+
+// Kind tells the events apart.
+type Kind uint8
+
+const (
+	Mark Kind = iota
+	YourTurn
+	Born
+	CrashNow
+	Catalog
+	Targets
+	Order
+	Opened
+	Resolved
+	Aborted
+	Alarm
+	PingResult
+	NeighbourSays
+)
+
+var kinds = map[string]Kind{
+	"mark": Mark, "your_turn": YourTurn, "born": Born, "crash_now": CrashNow, "catalog": Catalog,
+	"targets": Targets, "order": Order, "opened": Opened, "resolved": Resolved, "aborted": Aborted,
+	"alarm": Alarm, "ping_result": PingResult, "neighbour_says": NeighbourSays,
+}
+
+// Entry is a catalog line, with the ids as they came.
+type Entry struct {
+	Store, Db   int64
+	Zone, Model string
+	Primary     bool
+	State       port.State
+	Weight      float64
+	Born        int64
+}
+
+// Event is one line. Byte slices are valid until the next call of Next.
+type Event struct {
+	Kind                Kind
+	Clock               int64
+	Batch               []byte
+	Front               int
+	Rid                 []byte
+	Qos, Customer, User []byte
+	Group, Store        int64
+	Txn                 port.Txn     // spans and flags only
+	Outcome             port.Outcome // all but ids and position
+	Stamp               int64        // role is in Outcome; this is the position in milliseconds
+	Load                port.Load    // Position in X0, seconds
+	X0                  float64
+	Page                int
+	Entries             []Entry
+	ListKind            port.ListKind
+	Epoch               int64
+	Token, Contents     []byte
+	Peer                int
+	Seed                uint64
+	Site                *Site
+}
+
+// Reader reads events.
+type Reader struct {
+	r      *bufio.Reader
+	line   int
+	long   []byte
+	name   []byte
+	fields [][2][]byte
+	err    error
+}
+
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, 1<<20)} }
+
+// Next reads one event into e; io.EOF at the end of the input, between lines.
+func (r *Reader) Next(e *Event) error {
+	if err := r.read(); err != nil {
+		return err
+	}
+	kind, ok := kinds[string(r.name)]
+	if !ok {
+		return fmt.Errorf("line %d: unknown message %q", r.line, r.name)
+	}
+	e.Kind = kind
+	switch kind {
+	case Mark:
+		e.Clock, e.Batch = r.integer("Clock"), r.need("batch")
+	case YourTurn:
+	case Catalog:
+		r.catalog(e)
+	default:
+		e.Front = r.front()
+		r.event(e)
+	}
+	return r.err
+}
+
+func (r *Reader) event(e *Event) {
+	switch e.Kind {
+	case Born:
+		e.Seed = uint64(r.integer("Entropy"))
+		e.Site = r.site()
+	case Targets:
+		e.ListKind = choice(r, "Kind", r.need("Kind"), listKinds)
+		e.Page = -1
+		if e.ListKind != port.Failed {
+			e.Page, e.Epoch = int(r.integer("Page")), r.integer("Epoch")
+		}
+	case Order:
+		e.Rid, e.Qos, e.Customer, e.User = r.need("Rid"), r.need("Qos"), r.get("Customer"), r.get("User")
+		e.Group = r.integer("PartitionNo")
+		e.Txn = port.Txn{Budget: r.span("Budget"), Hint: time.Duration(r.optional("Hint")),
+			Retry: r.flag("IsRetry"), Write: r.flag("Write")}
+		if v := r.get("TokenAgeMs"); v != nil {
+			e.Txn.TokenAge = time.Duration(math.Ceil(r.number("TokenAgeMs", v) * float64(time.Millisecond)))
+		}
+	case Opened:
+		e.Rid, e.Store = r.need("Rid"), r.integer("Store")
+		e.Outcome = port.Outcome{Hop: int(r.integer("Hop")), Latency: r.span("Latency")}
+	case Resolved:
+		e.Rid, e.Store = r.need("Rid"), r.integer("Store")
+		e.Outcome = port.Outcome{Ending: choice(r, "Ending", r.need("Ending"), endings), Closed: r.flag("Closed"),
+			Hop: int(r.integer("Hop")), Latency: time.Duration(r.optional("Latency"))}
+		stamp := r.optional("Stamp")
+		e.Stamp, e.Outcome.Role = stamp>>2, port.Role(stamp&3)
+		if e.Outcome.Role > port.Replica {
+			r.fail("Stamp", "names no role")
+		}
+		r.load(e)
+		e.Outcome.Load = e.Load
+	case Aborted:
+		e.Rid = r.need("Rid")
+	case Alarm:
+		e.Token = r.need("Token")
+	case PingResult:
+		e.Store = r.integer("Store")
+		e.Outcome = port.Outcome{Ending: choice(r, "Ending", r.need("Ending"), endings),
+			Latency: time.Duration(r.optional("Latency"))}
+		r.load(e)
+	case NeighbourSays:
+		e.Peer = int(r.integer("OriginPeer"))
+		e.Contents = unhex(r, r.need("Contents"))
+	}
+}
+
+func (r *Reader) catalog(e *Event) {
+	e.Page = int(r.integer("Page"))
+	n := r.integer("Elements")
+	if e.Page < 0 || e.Page > 15 {
+		r.fail("Page", "is not within 0 to 15")
+	}
+	e.Entries = e.Entries[:0]
+	for ; n > 0 && r.err == nil; n-- {
+		if err := r.read(); err != nil {
+			r.err = fmt.Errorf("line %d: catalog ends early: %w", r.line, noEOF(err))
+			return
+		}
+		if string(r.name) != "entry" {
+			r.err = fmt.Errorf("line %d: want entry, have %q", r.line, r.name)
+			return
+		}
+		en := Entry{Store: r.integer("Store"), Db: r.integer("Db"), Zone: string(r.need("RegionPart")),
+			Model: string(r.need("Model")), State: choice(r, "State", r.need("State"), states), Weight: 1,
+			Born: r.optional("Born")}
+		if v := r.get("Nominal"); v != nil {
+			en.Weight = r.number("Nominal", v)
+		}
+		if v := r.get("Primary"); v != nil {
+			en.Primary = r.number("Primary", v) == 1
+		}
+		e.Entries = append(e.Entries, en)
+	}
+}
+
+func (r *Reader) load(e *Event) {
+	l := port.Load{Held: port.None, Waiting: port.None, Busy: port.None, Service: port.None,
+		Rate: port.None, ErrsRate: port.None}
+	rest := r.get("Pressure")
+	for len(rest) > 0 {
+		var part []byte
+		part, rest, _ = bytes.Cut(rest, []byte(","))
+		name, value, ok := bytes.Cut(part, []byte(":"))
+		if !ok {
+			r.fail("Pressure", fmt.Sprintf("has no value in %q", part))
+			return
+		}
+		v := r.number("Pressure", value)
+		switch string(name) {
+		case "active":
+			l.Held = v
+		case "waiting":
+			l.Waiting = v
+		case "cpu":
+			l.Busy = v
+		case "avg_ms":
+			l.Service = v
+		case "rps":
+			l.Rate = v
+		case "err_rps":
+			l.ErrsRate = v
+		case "x0":
+			e.X0, l.HasPosition = v, true
+		case "x1":
+			l.Role = port.Replica
+			if v == 1 {
+				l.Role = port.Primary
+			}
+		}
+	}
+	e.Load = l
+}
+
+// read takes the next line apart.
+func (r *Reader) read() error {
+	r.line++
+	line, err := r.r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		r.long = append(r.long[:0], line...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			line, err = r.r.ReadSlice('\n')
+			r.long = append(r.long, line...)
+		}
+		line = r.long
+	}
+	if err != nil {
+		if err == io.EOF && len(line) > 0 {
+			return fmt.Errorf("line %d: cut off", r.line)
+		}
+		return err
+	}
+	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+	name, rest, _ := bytes.Cut(line, []byte("\t"))
+	r.name, r.fields, r.err = name, r.fields[:0], nil
+	for len(rest) > 0 {
+		part := rest
+		if i := bytes.IndexByte(rest, '\t'); i >= 0 {
+			part, rest = rest[:i], rest[i+1:]
+		} else {
+			rest = nil
+		}
+		i := bytes.IndexByte(part, '=')
+		if i < 0 {
+			return fmt.Errorf("line %d: part %q has no value", r.line, part)
+		}
+		r.fields = append(r.fields, [2][]byte{part[:i], part[i+1:]})
+	}
+	return nil
+}
+
+func (r *Reader) fail(field, what string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("line %d: %s: field %s %s", r.line, r.name, field, what)
+	}
+}
+
+func (r *Reader) get(field string) []byte {
+	for i := range r.fields {
+		if string(r.fields[i][0]) == field {
+			return r.fields[i][1]
+		}
+	}
+	return nil
+}
+
+func (r *Reader) need(field string) []byte {
+	v := r.get(field)
+	if len(v) == 0 {
+		r.fail(field, "is missing")
+	}
+	return v
+}
+
+func (r *Reader) parse(field string, v []byte) int64 {
+	neg := len(v) > 1 && v[0] == '-'
+	digits := v
+	if neg {
+		digits = v[1:]
+	}
+	var n int64
+	for _, c := range digits {
+		if c < '0' || c > '9' || n > (math.MaxInt64-9)/10 {
+			r.fail(field, fmt.Sprintf("is no integer: %q", v))
+			return 0
+		}
+		n = n*10 + int64(c-'0')
+	}
+	if neg {
+		n = -n
+	}
+	return n
+}
+
+func (r *Reader) integer(field string) int64 {
+	v := r.need(field)
+	if len(v) == 0 {
+		return 0
+	}
+	return r.parse(field, v)
+}
+
+func (r *Reader) optional(field string) int64 {
+	v := r.get(field)
+	if len(v) == 0 {
+		return 0
+	}
+	return r.parse(field, v)
+}
+
+func (r *Reader) span(field string) time.Duration { return time.Duration(r.integer(field)) }
+
+func (r *Reader) number(field string, v []byte) float64 {
+	f, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		r.fail(field, fmt.Sprintf("is no number: %q", v))
+		return 0
+	}
+	return f
+}
+
+func (r *Reader) flag(field string) bool {
+	v := r.get(field)
+	switch {
+	case len(v) == 0 || (len(v) == 1 && v[0] == '0'):
+		return false
+	case len(v) == 1 && v[0] == '1':
+		return true
+	}
+	r.fail(field, fmt.Sprintf("is neither 0 nor 1: %q", v))
+	return false
+}
+
+func (r *Reader) front() int {
+	v := r.need("Front")
+	n, ok := bytes.CutPrefix(v, []byte("front-"))
+	if !ok || len(n) == 0 {
+		r.fail("Front", fmt.Sprintf("is no instance: %q", v))
+		return 0
+	}
+	return int(r.parse("Front", n))
+}
+
+func choice[T any](r *Reader, field string, v []byte, words map[string]T) T {
+	t, ok := words[string(v)]
+	if !ok {
+		r.fail(field, fmt.Sprintf("has an unknown word: %q", v))
+	}
+	return t
+}
+
+func unhex(r *Reader, v []byte) []byte {
+	if string(v) == "-" {
+		return nil
+	}
+	out := make([]byte, len(v)/2)
+	for i := range out {
+		n, err := strconv.ParseUint(string(v[2*i:2*i+2]), 16, 8)
+		if err != nil {
+			r.fail("Contents", "is no hex")
+			return nil
+		}
+		out[i] = byte(n)
+	}
+	if len(v)%2 != 0 {
+		r.fail("Contents", "is no hex")
+	}
+	return out
+}
+
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+var listKinds = map[string]port.ListKind{
+	"delta": port.Changes, "full": port.Whole, "cached": port.Cached, "failed": port.Failed,
+}
+
+var states = map[string]port.State{
+	"SERVING": port.Serving, "DRAINING": port.Draining, "DELETED": port.Removed,
+}
+
+var endings = map[string]port.Ending{
+	"success": port.Committed, "failure": port.Errored, "overloaded": port.Full, "timed_out": port.TimedOut,
+	"unreachable": port.Unreachable, "broken": port.Broken, "withdrawn": port.Withdrawn, "void": port.Void,
+	"absent": port.Missed,
+}
