A window per member, narrowed by late answers; the rest waits at the front by value

Each front now lets only so much be out at a member, grows it on quick answers, cuts it on late, timed-out and refused ones, and holds the rest in order of value for work; a read past hope is declined before its SLA time. Should also cover: slow members, bursts, hot groups. Could harm: a long-running but healthy type would narrow windows for nothing.

--- a/router/router.go
+++ b/router/router.go
@@ -14,8 +14,10 @@
 package router
 
 import (
+	"cmp"
 	"hash/crc32"
 	"math"
+	"slices"
 	"time"
 
 	"dapplerouter/port"
@@ -67,6 +69,9 @@
 	trust    float64       // share of its part of the traffic, grows back to 1
 	sent     float64       // work sent there lately by us, decaying
 	sentAt   time.Duration
+	room     float64 // how much we may have out there: grows while answers are quick, shrinks when late
+	cutAt    time.Duration
+	sendAt   time.Duration
 	budget   float64 // work that a cold member may still be sent
 	budgetAt time.Duration
 	probing  bool
@@ -274,7 +279,8 @@
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
 			r.members = append(r.members, member{group: none, posAt: never, pos: never, started: never,
-				heard: never, probed: never, lost: never, pace: 1, trust: 1, rate: 1, waiting: never})
+				heard: never, probed: never, lost: never, pace: 1, trust: 1, rate: 1, waiting: never,
+				room: 4, cutAt: never, sendAt: never})
 		}
 		m := &r.members[e.Member]
 		g := r.group(e.Group)
@@ -473,6 +479,11 @@
 		}
 		m.trust = min(1, m.trust*1.2)
 		if o.Ending == port.Committed && mine {
+			if o.Latency > r.types[t.Type].SLA*3/5 {
+				r.narrow(now, m, 0.9)
+			} else if float64(m.out+1) >= m.room/2 {
+				m.room = min(m.room+1/max(m.room, 1), 64)
+			}
 			s := o.Latency.Seconds() / r.usual[t.Type]
 			m.pace += (s - m.pace) * 0.1
 			r.usual[t.Type] += (o.Latency.Seconds() - r.usual[t.Type]) * 0.02
@@ -480,15 +491,13 @@
 	case port.Full:
 		m.heard = now
 		m.fails++
-		m.pace = max(m.pace, 1) * 1.3
-		if m.fails > 3 {
-			r.takeDown(now, m)
-		}
+		r.narrow(now, m, 0.7)
 	case port.Unreachable, port.Broken:
 		m.fails++
 		m.lost = now
 		r.takeDown(now, m)
 	case port.TimedOut:
+		r.narrow(now, m, 0.7)
 		if now-m.heard > o.Latency {
 			m.fails++
 			r.takeDown(now, m)
@@ -496,6 +505,15 @@
 	}
 }
 
+// narrow lets less be out at a member, once for each usual latency.
+func (r *Router) narrow(now time.Duration, m *member, by float64) {
+	if now-m.cutAt < r.shortest/4 {
+		return
+	}
+	m.cutAt = now
+	m.room = max(m.room*by, 0.1)
+}
+
 // takeDown keeps traffic off a member; trials come sparingly.
 func (r *Router) takeDown(now time.Duration, m *member) {
 	m.trust = 0.1
@@ -551,9 +569,6 @@
 			r.leaveAll(i)
 		}
 	}
-	for _, p := range r.held {
-		r.queue(&r.txns[p])
-	}
 }
 
 // patience is how long a member may answer nothing with something out.
@@ -618,6 +633,9 @@
 	if m.bound || !m.listed && !r.rules.OnlyDrainingBinds {
 		return false
 	}
+	if float64(m.out) >= m.room && (m.out > 0 || now-m.sendAt < time.Duration(float64(r.shortest)/4/m.room)) {
+		return false
+	}
 	if m.isCold {
 		if m.out == 0 {
 			return true
@@ -711,7 +729,7 @@
 	}
 	last := t.expiry - 2*r.beat
 	if ty.Level != port.Write && ty.Late == 0 {
-		last = min(last, t.sla)
+		last = min(last, t.sla-time.Duration(r.usual[t.Type]*float64(time.Second)))
 	}
 	if now > last || t.subs >= r.allowed.Submissions {
 		r.giveUp(t)
@@ -795,6 +813,10 @@
 		r.wantWatch, r.answered, r.asked = false, false, now
 		r.host.Watch(true)
 	}
+	r.sortHeld()
+	for _, p := range r.held {
+		r.queue(&r.txns[p])
+	}
 	kept := r.held[:0]
 	for _, p := range r.held {
 		if t := &r.txns[p]; t.end == open && t.at == none && t.want == none {
@@ -818,6 +840,17 @@
 	}
 }
 
+// sortHeld puts first what is worth most for its work, among equals the newest.
+func (r *Router) sortHeld() {
+	slices.SortStableFunc(r.held, func(a, b uint32) int {
+		x, y := &r.txns[a], &r.txns[b]
+		if c := cmp.Compare(r.types[y.Type].Value/r.usual[y.Type], r.types[x.Type].Value/r.usual[x.Type]); c != 0 {
+			return c
+		}
+		return cmp.Compare(y.begun, x.begun)
+	})
+}
+
 func (r *Router) emit(now time.Duration, t *txn) {
 	if t.at != none && t.want != t.at && !t.leave {
 		t.leave = true
@@ -850,6 +883,7 @@
 			if m.down {
 				m.trialAt = now + min(r.shortest<<min(m.fails, 4), 10*r.shortest)
 			}
+			m.sendAt = now
 			t.at, t.sentAt = t.want, now
 			t.subs++
 			r.host.Submit(t.Ref, t.want, 0)
