A crowded member is not silent: patience counts the latency last seen there

Patience is now twice the shortest SLA time and four usual latencies there; urgent probes borrow at most ten from the paid budget.

--- a/router/router.go
+++ b/router/router.go
@@ -498,6 +498,11 @@
 		r.takeDown(now, m)
 	case port.TimedOut:
 		r.narrow(now, m, 0.7)
+		if mine {
+			if s := o.Latency.Seconds() / r.usual[t.Type]; s > m.pace {
+				m.pace += (s - m.pace) * 0.1
+			}
+		}
 		if now-m.heard > o.Latency {
 			m.fails++
 			r.takeDown(now, m)
@@ -571,13 +576,13 @@
 	}
 }
 
-// patience is how long a member may answer nothing with something out.
+// patience is how long a member may answer nothing with something out: a crowded one is not silent.
 func (r *Router) patience(m *member) time.Duration {
 	u := 0.0
 	for _, s := range r.usual {
 		u = max(u, s)
 	}
-	return max(time.Duration(u*max(m.pace, 1)*max(2, 5/float64(m.out))*float64(time.Second)), r.shortest)
+	return max(r.shortest*2, time.Duration(4*u*m.pace*float64(time.Second)))
 }
 
 // leaveAll takes what is out at a silent member away from it.
@@ -779,7 +784,8 @@
 			if m.bound || m.probing {
 				continue
 			}
-			if (lost || m.down) && now-m.probed >= r.shortest/2 {
+			if (lost || m.down) && now-m.probed >= r.shortest/2 && r.probes > -10 {
+				r.probes--
 				r.probe(now, i)
 			}
 		}
