A client leaving while its txn is out narrows the member's window

Cause: on the ktm 20-front incident clients leave after half the SLA time; such endings were no signal.

--- a/router/router.go
+++ b/router/router.go
@@ -373,6 +373,9 @@
 		return
 	}
 	t.end = closed
+	if t.at != none && now-t.sentAt > time.Duration(r.usual[t.Type]*float64(time.Second)) {
+		r.narrow(now, &r.members[t.at], 0.8)
+	}
 	if t.at != none && r.allowed.Revokes {
 		t.want = none
 		r.queue(t)
