Held txns are ranked down as retries and over their customer's share

Cause: under overload the front's queue took a retry, or a customer's excess, before a first try of full value.

--- a/router/router.go
+++ b/router/router.go
@@ -204,6 +204,13 @@
 	ranAt              int
 	held               bool
 	queued             bool
+	pri                float64 // value, marked down
+}
+
+// part is a customer's part of what comes here.
+type part struct {
+	share, seen float64
+	seenAt      time.Duration
 }
 
 // Router is one instance.
@@ -228,6 +235,9 @@
 	beat     time.Duration
 	shortest time.Duration // shortest SLA time
 
+	part      []part
+	seen      float64
+	seenAt    time.Duration
 	again     float64 // further submissions still allowed
 	probes    float64 // probes still paid for
 	wakeAt    time.Duration
@@ -248,6 +258,9 @@
 		r.shortest = min(r.shortest, t.SLA)
 		r.usual[i] = t.SLA.Seconds() / 4
 	}
+	for _, c := range customers {
+		r.part = append(r.part, part{share: c.Share})
+	}
 	r.beat = max(at.Tick, r.shortest/10)
 	r.wantWatch = at.Ask
 	r.askAt = 0
@@ -343,6 +356,15 @@
 	if ty.Level == port.Current {
 		t.needs = now
 	}
+	t.pri = ty.Value
+	if in.Retry {
+		t.pri /= 2
+	}
+	if in.Customer != none {
+		if c := &r.part[in.Customer]; r.over(now, c) {
+			t.pri *= r.costs.OverShare
+		}
+	}
 	r.again = min(r.again+0.2, 20)
 	if r.costs.Probe > 0 {
 		r.probes = min(r.probes+min(0.2, 0.005/r.costs.Probe), 10)
@@ -366,6 +388,14 @@
 	}
 }
 
+// over counts a customer's txn and tells whether the customer is over its share of what comes here.
+func (r *Router) over(now time.Duration, c *part) bool {
+	f := math.Exp(-float64(now-r.seenAt) / float64(2*time.Second))
+	r.seenAt, r.seen = now, r.seen*f+1
+	c.seen, c.seenAt = c.seen*math.Exp(-float64(now-c.seenAt)/float64(2*time.Second))+1, now
+	return r.seen > 20 && c.seen > r.seen*c.share*1.2
+}
+
 // Left ends a txn whose client is gone.
 func (r *Router) Left(now time.Duration, ref port.Ref) {
 	t := &r.txns[ref.Place]
@@ -853,7 +883,7 @@
 func (r *Router) sortHeld() {
 	slices.SortStableFunc(r.held, func(a, b uint32) int {
 		x, y := &r.txns[a], &r.txns[b]
-		if c := cmp.Compare(r.types[y.Type].Value/r.usual[y.Type], r.types[x.Type].Value/r.usual[x.Type]); c != 0 {
+		if c := cmp.Compare(y.pri/r.usual[y.Type], x.pri/r.usual[x.Type]); c != 0 {
 			return c
 		}
 		return cmp.Compare(y.begun, x.begun)
