--- a/router/router.go
+++ b/router/router.go
@@ -512,8 +512,8 @@
 		}
 		m.trust = min(1, m.trust*1.2)
 		if o.Ending == port.Committed && mine {
-			if o.Latency > r.types[t.Type].SLA*3/5 {
-				r.narrow(now, m, 0.9)
+			if o.Latency > r.types[t.Type].SLA*3/10 {
+				r.narrow(now, m, 0.75)
 			} else if float64(m.out+1) >= m.room/2 {
 				m.room = min(m.room+1/max(m.room, 1), 64)
 			}
