Late is measured against the type's least usual latency; window growth shared by the fronts

Now an answer is late when it took longer than the least usual latency of its type, and the windows of all fronts together grow at one pace. Tried: growth 4, 2, 1 and late at 1.5 times; growth 1 and 1.0 kept.

--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,9 @@
 const (
 	never = time.Duration(math.MinInt64 / 4)
 	none  = port.None
+
+	lateBy = 1.0
+	growth = 1.0
 )
 
 // chance is the instance's own: a checksum over its seed and a counter.
@@ -231,6 +234,8 @@
 	dirty    []uint32 // to be planned and emitted
 	held     []uint32
 	usual    []float64 // usual latency by type, seconds
+	base     []float64 // the least of it, slowly forgotten
+	gain     float64   // how fast windows grow
 	turn     int       // rotates among equals
 	beat     time.Duration
 	shortest time.Duration // shortest SLA time
@@ -251,12 +256,14 @@
 func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, customers []port.Customer,
 	copies port.Replication, rules port.Guardrails, allowed port.Allowance, costs port.Tariff) port.Decider {
 	r := &Router{host: h, at: at, types: types, copies: copies, rules: rules, allowed: allowed, costs: costs,
-		chance: chance{seed: seed}, usual: make([]float64, len(types)), wakeAt: never, askAt: never,
+		chance: chance{seed: seed}, usual: make([]float64, len(types)),
+		base: make([]float64, len(types)), gain: growth / float64(max(1, at.Fronts)), wakeAt: never, askAt: never,
 		sessions: sessions{slots: make([]target, 1<<14), floor: map[int]target{}}}
 	r.shortest = time.Hour
 	for i, t := range types {
 		r.shortest = min(r.shortest, t.SLA)
 		r.usual[i] = t.SLA.Seconds() / 4
+		r.base[i] = r.usual[i]
 	}
 	for _, c := range customers {
 		r.part = append(r.part, part{share: c.Share})
@@ -512,14 +519,15 @@
 		}
 		m.trust = min(1, m.trust*1.2)
 		if o.Ending == port.Committed && mine {
-			if o.Latency > r.types[t.Type].SLA*3/10 {
+			if o.Latency.Seconds() > lateBy*r.base[t.Type] {
 				r.narrow(now, m, 0.75)
 			} else if float64(m.out+1) >= m.room/2 {
-				m.room = min(m.room+1/max(m.room, 1), 64)
+				m.room = min(m.room+r.gain/max(m.room, 1), 64)
 			}
 			s := o.Latency.Seconds() / r.usual[t.Type]
 			m.pace += (s - m.pace) * 0.1
 			r.usual[t.Type] += (o.Latency.Seconds() - r.usual[t.Type]) * 0.02
+			r.base[t.Type] = min(r.usual[t.Type], r.base[t.Type]*1.0005)
 		}
 	case port.Full:
 		m.heard = now
