--- a/router/router.go
+++ b/router/router.go
@@ -557,7 +557,7 @@
 		return
 	}
 	m.cutAt = now
-	m.room = max(m.room*by, 0.1)
+	m.room = max(m.room*by, r.gain/10)
 }
 
 // takeDown keeps traffic off a member; trials come sparingly.
