--- a/router/router.go
+++ b/router/router.go
@@ -411,7 +411,7 @@
 	}
 	t.end = closed
 	if t.at != none && now-t.sentAt > time.Duration(r.usual[t.Type]*float64(time.Second)) {
-		r.narrow(now, &r.members[t.at], 0.8)
+		r.narrow(now, &r.members[t.at], 0.5)
 	}
 	if t.at != none && r.allowed.Revokes {
 		t.want = none
@@ -532,13 +532,13 @@
 	case port.Full:
 		m.heard = now
 		m.fails++
-		r.narrow(now, m, 0.7)
+		r.narrow(now, m, 0.5)
 	case port.Unreachable, port.Broken:
 		m.fails++
 		m.lost = now
 		r.takeDown(now, m)
 	case port.TimedOut:
-		r.narrow(now, m, 0.7)
+		r.narrow(now, m, 0.5)
 		if mine {
 			if s := o.Latency.Seconds() / r.usual[t.Type]; s > m.pace {
 				m.pace += (s - m.pace) * 0.1
