--- a/router/router.go
+++ b/router/router.go
@@ -27,7 +27,7 @@
 	never = time.Duration(math.MinInt64 / 4)
 	none  = port.None
 
-	lateBy = 1.0
+	lateBy = 1.5
 	growth = 1.0
 )
 
@@ -679,7 +679,8 @@
 	if m.bound || !m.listed && !r.rules.OnlyDrainingBinds {
 		return false
 	}
-	if float64(m.out) >= m.room && (m.out > 0 || now-m.sendAt < time.Duration(float64(r.shortest)/4/m.room)) {
+	if m.room < 1 && (m.out > 0 || now-m.sendAt < time.Duration(float64(r.shortest)/4/m.room)) ||
+		float64(m.out) >= max(1, m.room) {
 		return false
 	}
 	if m.isCold {
