--- /dev/null
+++ b/adapter/adapter_test.go
@@ -0,0 +1,83 @@
+package adapter
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/port"
+)
+
+// echo sends every txn to member 0 at once and panics when woken.
+type echo struct {
+	port.Host
+	entries int
+}
+
+func (e *echo) List(_ time.Duration, _ port.ListKind, _ int64, l []port.Entry) { e.entries = len(l) }
+func (e *echo) Begin(_ time.Duration, t port.Txn)                              { e.Submit(t.Ref, 0, 0) }
+func (e *echo) Ended(time.Duration, port.Outcome)                              {}
+func (e *echo) Left(time.Duration, port.Ref)                                   {}
+func (e *echo) Heard(time.Duration, int, []byte)                               {}
+func (e *echo) Woken(time.Duration)                                            { panic("woken") }
+func (e *echo) Settle(time.Duration)                                           {}
+func (e *echo) Probed(time.Duration, int, port.Ending, time.Duration, port.Load) {
+}
+
+func made(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType, _ []port.Customer, _ port.Replication,
+	_ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
+	return &echo{Host: h}
+}
+
+const born = "born\tFront=front-0\tEntropy=1\tClasses.count=1\tClasses.0.Aim=1\tClasses.0.Deadline=2\t" +
+	"Classes.0.Effect=read_like\tClasses.0.Group=all\tClasses.0.Name=r\tFamilyInfo.Zero=0\tZones=a\tLocality=a\t" +
+	"FamilyInfo.ReadLevel=eventual\tFamilyInfo.StalenessBound=0\tFleetSize=1\tOrdinal=0\tDiscovery=push\tTick=1\t" +
+	"FamilyInfo.RoleListed=silent\tFamilyInfo.Checks=silent\tFamilyInfo.WriteMarks=kept\tRules.AnswerSlack=1\t" +
+	"Rules.StopSendingWithin=1\tRules.Cold=1\tRules.Fall=1\tLimits.AttemptsCap=1\n" +
+	"catalog\tPage=0\tElements=1\nentry\tStore=70\tRegionPart=a\tModel=m\tDb=4\tState=SERVING\n" +
+	"targets\tFront=front-0\tKind=cached\tEpoch=1\tPage=0\n"
+
+const order = "order\tFront=front-0\tRid=c:a\tQos=r\tPartitionNo=4\tBudget=9\n"
+
+func run(batches ...string) (string, error) {
+	var in, out strings.Builder
+	for _, b := range batches {
+		in.WriteString("mark\tClock=5\tbatch=1\n" + b + "your_turn\n")
+	}
+	err := Run(strings.NewReader(in.String()), &out, made)
+	return out.String(), err
+}
+
+func TestATxnGoesOutUnderItsOwnIds(t *testing.T) {
+	out, err := run("", born+order)
+	require.NoError(t, err)
+	assert.Equal(t, "ack\tbatch=1\nhand_off\tFront=front-0\tRid=c:a\tStore=70\tGiveUpAfter=0\nack\tbatch=1\n", out)
+}
+
+func TestAnInstanceBornAfterACrashStartsEmpty(t *testing.T) {
+	out, err := run(born+order, "crash_now\tFront=front-0\n"+born+order)
+	require.NoError(t, err, "the id is unknown to the new one")
+	assert.Equal(t, 2, strings.Count(out, "hand_off"))
+}
+
+func TestWhatCannotBeIsSaidAndEnds(t *testing.T) {
+	for batch, want := range map[string]string{
+		order: "front-0, which is not running",
+		born + "ping_result\tFront=front-0\tStore=71\tEnding=success\n":           "field Store: 71",
+		born + "targets\tFront=front-0\tKind=full\tEpoch=2\tPage=3\n":             "field Page: no catalog 3",
+		born + strings.Replace(order, "Qos=r", "Qos=s", 1):                        "field Qos: \"s\"",
+		born + "resolved\tFront=front-0\tRid=c:b\tStore=70\tHop=0\tEnding=void\n": "field Rid: c:b",
+	} {
+		_, err := run(batch)
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func TestAPanicIsReportedWithItsText(t *testing.T) {
+	out, err := run(born + "alarm\tFront=front-0\tToken=wake\n")
+	require.NoError(t, err)
+	assert.Contains(t, out, "panic\tFront=front-0\tMsg=woken\n")
+}
--- a/router/router.go
+++ b/router/router.go
@@ -9,8 +9,8 @@
 // replica whose own hold or refusal enforces that position, and fall back to the primary when the wait
 // cannot be enforced or fails. docs/design.md says where this is extended and when that acts.
 //
-// In order: chance, members, groups and terms, session targets, choice, guards, a txn's life, the list
-// and probes, the emitter.
+// In order: chance, tempo, members, groups, session targets, windows, guards, choice, a txn's life, the
+// list and probes, the emitter. Each part keeps its own state and the few figures that it needs.
 package router
 
 import (
@@ -26,9 +26,6 @@
 const (
 	never = time.Duration(math.MinInt64 / 4)
 	none  = port.None
-
-	lateBy = 1.5
-	growth = 1.0
 )
 
 // chance is the instance's own: a checksum over its seed and a counter.
@@ -36,8 +33,8 @@
 	seed, n uint64
 }
 
-// next is even between 0 and 1.
-func (c *chance) next() float64 {
+// draw is even between 0 and 1.
+func (c *chance) draw() float64 {
 	var b [16]byte
 	c.n++
 	for i := range 8 {
@@ -46,341 +43,592 @@
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
 
-// --- Members: what is known of each, all unknown at birth.
+// --- Tempo: how long things take here.
+
+// tempo knows the usual latency of each txn type, and the least that it has been; the least is slowly
+// forgotten, so that it means a member with little to do.
+type tempo struct {
+	usual, least []time.Duration
+	shortest     time.Duration // SLA time of the most pressing type: the scale of every span below
+	beat         time.Duration // how often held txns and silent members are looked at
+}
+
+func newTempo(types []port.TxnType, tick time.Duration) tempo {
+	p := tempo{shortest: time.Hour}
+	for _, ty := range types {
+		p.shortest = min(p.shortest, ty.SLA)
+		p.usual = append(p.usual, ty.SLA/4)
+		p.least = append(p.least, ty.SLA/4)
+	}
+	p.beat = max(tick, p.shortest/10)
+	return p
+}
+
+func (p *tempo) took(ty int, latency time.Duration) {
+	p.usual[ty] += (latency - p.usual[ty]) / 50
+	p.least[ty] = min(p.usual[ty], p.least[ty]+p.least[ty]/2000)
+}
+
+// fade is what is left of a running sum after a span, at the tempo of a few dozen answers.
+func (p *tempo) fade(span time.Duration) float64 {
+	return math.Exp(-float64(span) / float64(10*p.shortest))
+}
+
+// --- Members: what is known of each; all is unknown at birth.
 
 type member struct {
 	group, zone int
 	listed      bool
-	state       port.State
-	bound       bool // the drain rule binds: nothing new
-	weight      float64
-
-	role     port.Role
-	pos      time.Duration // highest position known; stays valid
-	posAt    time.Duration // when it was learnt
-	rate     float64       // how fast the position moves, of the clock's pace
-	started  time.Duration // latest start known, never for the distant past
-	isCold   bool
-	out      int           // our submissions there without an ending
-	others   float64       // held there by others, as last probed
-	pace     float64       // latency there over the type's usual one
-	waiting  time.Duration // since when something is out with no answer of any kind
-	heard    time.Duration // last answer
-	fails    int           // failures in a row
-	down     bool          // not to be used but for trials
-	trialAt  time.Duration // earliest next trial
-	trust    float64       // share of its part of the traffic, grows back to 1
-	sent     float64       // work sent there lately by us, decaying
-	sentAt   time.Duration
-	room     float64 // how much we may have out there: grows while answers are quick, shrinks when late
-	cutAt    time.Duration
-	sendAt   time.Duration
-	budget   float64 // work that a cold member may still be sent
+	bound       bool // the drain rule binds: nothing new goes there
+
+	role  port.Role
+	pos   time.Duration // highest log position known; it stays valid
+	posAt time.Duration // when it was learnt
+	rate  float64       // how fast the position moves, as a part of the clock's pace
+
+	out    int           // our submissions there without an ending
+	others float64       // held there for others, as last probed
+	pace   float64       // latency there over the type's usual one
+	room   float64       // how much may be out there; under 1: how rarely something may
+	cutAt  time.Duration // when room last shrank
+	sentAt time.Duration // last submission
+	sent   float64       // submissions lately, in seconds of usual latency
+
+	heard   time.Duration // last answer of any kind
+	waiting time.Duration // since when something is out and nothing was heard
+	fails   int           // failures in a row
+	down    bool          // to be used for trials only
+	trialAt time.Duration // earliest next trial
+	trust   float64       // part of its usual traffic that it gets; grows back to 1
+	lost    time.Duration // last time that it could not be reached
+
+	started  time.Duration // latest start known
+	cold     bool
+	budget   float64 // what a cold member may still be sent, in seconds of usual latency
 	budgetAt time.Duration
-	probing  bool
-	probed   time.Duration // last probe sent
-	lost     time.Duration // last time that it was out of reach
+
+	probing bool
+	probed  time.Duration // last probe sent
 }
 
-// fresh estimates the position at a moment: what is known, moved on at the pace last seen.
-func (m *member) fresh(at time.Duration) time.Duration {
+// at estimates the log position at a moment: what is known, moved on at the pace last seen.
+func (m *member) at(when time.Duration) time.Duration {
 	if m.role == port.Primary {
-		return at
+		return when
 	}
-	return m.pos + time.Duration(float64(at-m.posAt)*m.rate)
+	return m.pos + time.Duration(float64(when-m.posAt)*m.rate)
 }
 
-// place takes a position note.
-func (m *member) place(now, pos time.Duration) {
+// note takes a position. One that stands still while answers stay quick brings the rate to nothing, so
+// the estimate stands still with it.
+func (m *member) note(now, pos, span time.Duration) {
 	if dt := now - m.posAt; m.posAt != never && dt > 0 {
 		seen := min(max(float64(pos-m.pos)/float64(dt), 0), 1)
-		w := min(1, float64(dt)/float64(200*time.Millisecond))
-		m.rate += (seen - m.rate) * w
+		m.rate += (seen - m.rate) * min(1, float64(dt)/float64(span))
 	}
-	if pos >= m.pos || m.posAt == never {
-		m.pos = max(m.pos, pos)
-		m.posAt = now
+	if pos >= m.pos {
+		m.pos, m.posAt = pos, now
 	}
 }
 
-// --- Groups: who is primary, by the newest claim in the log.
+// --- Groups: who is primary.
 
+// group follows its primary by claims. A claim carries the log position of the one that makes it, and
+// the claim further on in the log is the newer: an old report, or a member that came back, can't win.
 type group struct {
 	members []int
 	primary int           // none: unknown, or in doubt
-	claim   time.Duration // log position of the newest claim to be primary
-	by      int           // who made it
+	by      int           // who made the newest claim
+	claim   time.Duration // its log position
 	term    int
 	start   time.Duration // first position known of this term
-	hinted  int           // who the list names
-	lostAt  time.Duration // since when no primary is known
+	hinted  int           // whom the list names
+	wanted  bool          // something is held for want of the primary
+}
+
+// enforceable raises a target of an older term to the start of this one: a member that has applied the
+// start has applied all that the new primary kept. So a replica's wait goes on working after a turnover.
+func (g *group) enforceable(pos time.Duration, term int) time.Duration {
+	if term < g.term {
+		return max(pos, g.start)
+	}
+	return pos
 }
 
-// --- Session targets: bounded, oldest forgotten first into the group's floor.
+func (r *Router) group(g int) *group {
+	for len(r.groups) <= g {
+		r.groups = append(r.groups, group{primary: none, by: none, hinted: none, claim: never, start: never})
+	}
+	return &r.groups[g]
+}
 
+// claims takes a member's word on its own role.
+func (r *Router) claims(now time.Duration, i int, role port.Role, pos time.Duration, placed bool) {
+	m := &r.members[i]
+	g := r.group(m.group)
+	if !placed {
+		pos = now
+	}
+	switch {
+	case role == port.Primary && (g.by == i || pos >= g.claim):
+		if g.by != i {
+			if g.by != none {
+				r.members[g.by].role = port.Replica
+			}
+			g.by, g.start = i, pos
+			g.term++
+		}
+		g.claim, m.role = max(g.claim, pos), port.Primary
+		if !m.bound {
+			g.primary = i
+		}
+	case role == port.Replica && (g.by != i || pos >= g.claim):
+		m.role = port.Replica
+		if g.primary == i {
+			g.primary = none
+		}
+	}
+}
+
+// --- Session targets.
+
+// target is the log position of a session's last write in a group, within a primary's term.
 type target struct {
 	key  uint64
 	pos  time.Duration
 	term int
 }
 
+// raise keeps the later of two: never lowered within a term, and a newer term's stands above.
+func (t *target) raise(by target) {
+	if by.term > t.term || by.term == t.term && by.pos > t.pos {
+		t.pos, t.term = by.pos, by.term
+	}
+}
+
+// sessions is a table of fixed size. A full place forgets its oldest target into the floor of its group,
+// which then stands for every session not found: never too low, and soon passed by every replica.
 type sessions struct {
-	slots []target
-	floor map[int]target
+	carried bool
+	places  []target
+	floor   []target
 }
 
-const ways = 4
+const (
+	ways   = 4       // targets that share a place
+	places = 1 << 14 // a bound on memory; a smaller table only raises the floor sooner
+)
 
-func (s *sessions) set(key uint64) []target {
-	h := (key * 0x9E3779B97F4A7C15) >> 32
-	i := int(h%uint64(len(s.slots)/ways)) * ways
-	return s.slots[i : i+ways]
+func newSessions(carried bool) sessions {
+	if carried {
+		return sessions{carried: true}
+	}
+	return sessions{places: make([]target, places)}
 }
 
-// raise keeps the later of two targets: within a term never lowered, a newer term's stands above.
-func (t *target) raise(by target) {
-	if by.term > t.term || by.term == t.term && by.pos > t.pos {
-		t.pos, t.term = by.pos, by.term
+func (s *sessions) place(key uint64) []target {
+	i := int((key*0x9E3779B97F4A7C15)>>32) % (len(s.places) / ways) * ways
+	return s.places[i : i+ways]
+}
+
+func (s *sessions) floorOf(g int) *target {
+	for len(s.floor) <= g {
+		s.floor = append(s.floor, target{pos: never})
 	}
+	return &s.floor[g]
 }
 
 func (s *sessions) wrote(session uint64, g int, pos time.Duration, term int) {
+	if s.carried {
+		return
+	}
 	by := target{key: session + uint64(g), pos: pos, term: term}
-	set := s.set(by.key)
-	oldest := 0
+	set := s.place(by.key)
+	oldest := &set[0]
 	for i := range set {
 		if set[i].key == by.key {
 			set[i].raise(by)
 			return
 		}
-		if set[i].key == 0 || set[oldest].key != 0 && set[i].pos < set[oldest].pos {
-			oldest = i
+		if oldest.key != 0 && (set[i].key == 0 || set[i].pos < oldest.pos) {
+			oldest = &set[i]
 		}
 	}
-	if old := set[oldest]; old.key != 0 {
-		f, ok := s.floor[g]
-		if !ok {
-			f = target{pos: never}
-		}
-		f.raise(old)
-		s.floor[g] = f
+	if oldest.key != 0 {
+		s.floorOf(g).raise(*oldest)
 	}
-	set[oldest] = by
+	*oldest = by
 }
 
-func (s *sessions) find(session uint64, g int) (target, bool) {
-	key := session + uint64(g)
-	for _, t := range s.set(key) {
+// needs is the position that a session's read must see, never for none.
+func (s *sessions) needs(now time.Duration, in *port.Txn, g *group) time.Duration {
+	switch {
+	case s.carried && in.TokenAge <= 0 || !s.carried && in.Session == 0:
+		return never
+	case s.carried:
+		// A carried age names a moment, not a term; one before this term's start is of an older term.
+		return max(now-in.TokenAge, g.start)
+	}
+	key := in.Session + uint64(in.Group)
+	for _, t := range s.place(key) {
 		if t.key == key {
-			return t, true
+			return g.enforceable(t.pos, t.term)
 		}
 	}
-	f, ok := s.floor[g]
-	return f, ok
+	t := s.floorOf(in.Group)
+	return g.enforceable(t.pos, t.term)
 }
 
-// --- A txn in hand.
-
-type verdict uint8
+// --- Windows: how much may be out at a member.
 
+// Queues that outlast their cause are the worst of overload: members work for clients that have left.
+// So the waiting is done here, where it costs no work and can be put in order. A window grows with each
+// quick answer and shrinks with each late one, so that a member's queue stays about as long as its work.
+// It needs no figure from the member and covers the slow, the cold, the crowded and those that refuse or
+// fail at great speed. It could harm where a healthy type takes far longer than it used to: the least
+// latency follows only in about a minute.
 const (
-	open verdict = iota
-	decline
-	rollBack
-	closed
+	lateBy = 1.5     // late: over this multiple of the type's least usual latency
+	shrink = 0.75    // for an answer that came late
+	halve  = 1.0 / 2 // for a submission that came to nothing
 )
 
-type txn struct {
-	port.Txn
-	begun, sla, expiry time.Duration
-	needs              time.Duration // position that a read needs; never for any
-	end                verdict
-	subs               int
-	at                 int // member where it is out, or none
-	want               int // member where it should be out, or none
-	sentAt             time.Duration
-	leave              bool // revoked, its ending awaited
-	left               int  // member left last
-	missed             bool // a replica turned it away: the primary is next
-	mayRun             bool // some submission may have run
-	ranFirst           time.Duration
-	ranAt              int
-	held               bool
-	queued             bool
-	pri                float64 // value, marked down
+type windows struct {
+	gain float64 // how much a window grows for a round of quick answers; all fronts together grow by 1
 }
 
-// part is a customer's part of what comes here.
-type part struct {
-	share, seen float64
-	seenAt      time.Duration
+func (r *Router) widen(m *member) {
+	if float64(m.out+1) >= m.room/2 { // one that is not used proves nothing
+		m.room += r.gain / max(m.room, 1)
+	}
 }
 
-// Router is one instance.
-type Router struct {
-	host    port.Host
-	at      port.Topology
-	types   []port.TxnType
-	copies  port.Replication
-	rules   port.Guardrails
-	allowed port.Allowance
-	costs   port.Tariff
-	chance  chance
-
-	members  []member
-	groups   []group
-	sessions sessions
-	txns     []txn
-	dirty    []uint32 // to be planned and emitted
-	held     []uint32
-	usual    []float64 // usual latency by type, seconds
-	base     []float64 // the least of it, slowly forgotten
-	gain     float64   // how fast windows grow
-	turn     int       // rotates among equals
-	beat     time.Duration
-	shortest time.Duration // shortest SLA time
-
-	part      []part
-	seen      float64
-	seenAt    time.Duration
-	again     float64 // further submissions still allowed
-	probes    float64 // probes still paid for
-	wakeAt    time.Duration
-	asked     time.Duration // last call of the list
-	answered  bool          // since then it was heard
-	askAt     time.Duration
-	wantWatch bool
+func (r *Router) narrow(now time.Duration, m *member, by float64) {
+	if now-m.cutAt >= r.shortest/4 { // once for what one queue did
+		m.cutAt = now
+		m.room = max(m.room*by, r.gain/10)
+	}
 }
 
-// New makes an instance that knows nothing yet.
-func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, customers []port.Customer,
-	copies port.Replication, rules port.Guardrails, allowed port.Allowance, costs port.Tariff) port.Decider {
-	r := &Router{host: h, at: at, types: types, copies: copies, rules: rules, allowed: allowed, costs: costs,
-		chance: chance{seed: seed}, usual: make([]float64, len(types)),
-		base: make([]float64, len(types)), gain: growth / float64(max(1, at.Fronts)), wakeAt: never, askAt: never,
-		sessions: sessions{slots: make([]target, 1<<14), floor: map[int]target{}}}
-	r.shortest = time.Hour
-	for i, t := range types {
-		r.shortest = min(r.shortest, t.SLA)
-		r.usual[i] = t.SLA.Seconds() / 4
-		r.base[i] = r.usual[i]
+func (r *Router) hasRoom(now time.Duration, m *member) bool {
+	if m.room >= 1 {
+		return float64(m.out) < m.room
 	}
-	for _, c := range customers {
-		r.part = append(r.part, part{share: c.Share})
+	return m.out == 0 && now-m.sentAt >= time.Duration(float64(r.shortest)/4/m.room)
+}
+
+// --- Guards: drains, cold members, silent and failing ones.
+
+type guards struct {
+	onlyDraining bool    // a member that is gone from the list without draining may still be used
+	coldFrom     float64 // least part of its capacity with which a member starts
+	warmIn, fall time.Duration
+}
+
+// binds tells whether the drain rule forbids a member. It acts as soon as the list says so: the grace
+// is for what was on its way.
+func (v *guards) binds(e port.Entry, before bool) bool {
+	return e.State == port.Draining || e.State == port.Removed && (!v.onlyDraining || before)
+}
+
+func (r *Router) bind(i int) {
+	m := &r.members[i]
+	m.bound = true
+	if g := r.group(m.group); g.primary == i {
+		g.primary = none
 	}
-	r.beat = max(at.Tick, r.shortest/10)
-	r.wantWatch = at.Ask
-	r.askAt = 0
-	return r
 }
 
-func (r *Router) group(g int) *group {
-	for len(r.groups) <= g {
-		r.groups = append(r.groups, group{primary: none, by: none, hinted: none, claim: never, start: never})
+// starts notes that a member started: it is cold from then on. A member that could not be reached and
+// answers again may have started too; the list tells of it late or never.
+func (r *Router) starts(now time.Duration, m *member, at time.Duration) {
+	m.started, m.cold = at, now-at < r.warmIn
+	m.budget, m.budgetAt = 0, now
+}
+
+// warmth is the least part of its capacity that a member has by now.
+func (r *Router) warmth(now time.Duration, m *member) float64 {
+	if m.cold && now-m.started >= r.warmIn {
+		m.cold = false
 	}
-	return &r.groups[g]
+	if !m.cold {
+		return 1
+	}
+	return r.coldFrom + (1-r.coldFrom)*float64(now-m.started)/float64(r.warmIn)
 }
 
-// --- What comes in.
+// bears is what a warm member gets from this front, in seconds of usual latency a second.
+func (r *Router) bears(now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for i := range r.members {
+		if m := &r.members[i]; !m.cold && !m.down && !m.bound {
+			sum += m.sent * r.fade(now-m.sentAt)
+			n++
+		}
+	}
+	return sum / float64(max(n, 1)) / (10 * r.shortest).Seconds()
+}
 
-// List takes what the list says; facts from answers beat it.
-func (r *Router) List(now time.Duration, kind port.ListKind, _ int64, entries []port.Entry) {
-	r.answered = true
-	if kind == port.Failed {
-		r.wantWatch = r.at.Ask
-		r.askAt = now + time.Duration(float64(r.rules.AskWithin)*(0.02+0.08*r.chance.next()))
-		return
+// spares tells whether a cold member can take one more. Its part of what a warm one gets from us, by its
+// warmth, keeps all fronts together under any multiple over 1 of what it can do, whatever each of them
+// sends; one at a time is always let through, as it can only go as fast as the member answers.
+func (r *Router) spares(now time.Duration, m *member, work float64) bool {
+	warmth := r.warmth(now, m)
+	if !m.cold {
+		return true
 	}
-	if kind != port.Changes {
-		for i := range r.members {
-			r.members[i].listed = false
+	rate := warmth * r.bears(now)
+	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), rate*r.fall.Seconds()/4)
+	m.budgetAt = now
+	return m.out == 0 || m.budget >= work
+}
+
+// admits tells whether a member may be sent a txn now.
+func (r *Router) admits(now time.Duration, m *member, ty int) bool {
+	if m.bound || !m.listed && !r.onlyDraining {
+		return false
+	}
+	return r.hasRoom(now, m) && r.spares(now, m, r.usual[ty].Seconds())
+}
+
+// takeDown keeps traffic off a member that can't be reached or is silent. Trials come sparingly, one at
+// a time, and a primary in doubt is looked for anew.
+func (r *Router) takeDown(now time.Duration, i int) {
+	m := &r.members[i]
+	m.fails++
+	m.down, m.trust = true, 0.1
+	m.trialAt = now + r.shortest<<min(m.fails, 4)
+	if g := r.group(m.group); g.primary == i {
+		g.primary = none
+	}
+}
+
+// answered brings a member back, gradually.
+func (r *Router) answered(now time.Duration, m *member) {
+	if m.down {
+		m.down = false
+		if m.lost > m.started {
+			r.starts(now, m, now)
 		}
 	}
-	for _, e := range entries {
-		for len(r.members) <= e.Member {
-			r.members = append(r.members, member{group: none, posAt: never, pos: never, started: never,
-				heard: never, probed: never, lost: never, pace: 1, trust: 1, rate: 1, waiting: never,
-				room: 4, cutAt: never, sendAt: never})
+	m.fails = 0
+	m.trust = min(1, m.trust*1.2)
+}
+
+// silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
+// patience is counted in the latency last seen there.
+func (r *Router) silent(now time.Duration, m *member) bool {
+	longest := slices.Max(r.usual)
+	return m.out > 0 && !m.down && now-m.waiting > max(2*r.shortest, time.Duration(4*m.pace*float64(longest)))
+}
+
+// judge draws on an ending for the member's window and health.
+func (r *Router) judge(now time.Duration, o port.Outcome, ty int) {
+	m := &r.members[o.Member]
+	over := 0.0
+	if ty != none {
+		over = float64(o.Latency) / float64(r.usual[ty])
+	}
+	switch o.Ending {
+	case port.Committed, port.Missed:
+		m.heard = now
+		r.answered(now, m)
+		if o.Ending == port.Missed || ty == none {
+			return
 		}
-		m := &r.members[e.Member]
-		g := r.group(e.Group)
-		if m.group == none {
-			m.group = e.Group
-			g.members = append(g.members, e.Member)
+		if float64(o.Latency) > lateBy*float64(r.least[ty]) {
+			r.narrow(now, m, shrink)
+		} else {
+			r.widen(m)
 		}
-		m.listed, m.zone, m.state, m.weight = true, e.Zone, e.State, e.Weight
-		m.bound = e.State == port.Draining || e.State == port.Removed && (!r.rules.OnlyDrainingBinds || m.bound)
-		if e.HasStarted && e.Started > m.started {
-			r.restarted(m, e.Started, now)
+		m.pace += (over - m.pace) / 10
+		r.took(ty, o.Latency)
+	case port.Errored, port.Full: // quick, but no reason to send more
+		m.heard = now
+		m.fails++
+		r.narrow(now, m, halve)
+	case port.Unreachable, port.Broken:
+		m.lost = now
+		r.takeDown(now, o.Member)
+	case port.TimedOut:
+		r.narrow(now, m, halve)
+		m.pace += max(0, over-m.pace) / 10
+		if now-m.heard > o.Latency {
+			r.takeDown(now, o.Member)
 		}
-		if e.Primary && r.at.Roles != port.RoleNever && g.hinted != e.Member {
-			g.hinted = e.Member
-			if g.by == none || g.primary == none && g.by != e.Member {
-				g.primary = e.Member
-			}
+	}
+}
+
+// --- Choice of a member for a read.
+
+type choice struct {
+	zone  int
+	check port.Check
+	hold  time.Duration
+	turn  int // rotates among equals
+}
+
+const (
+	farther = 2.0 // what another zone counts for in the cost of a member: a price, not a ban
+	burden  = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
+)
+
+// cost compares members: latency there by how much is held, by what part of it is to be used.
+func (r *Router) cost(now time.Duration, m *member) float64 {
+	c := m.pace * (1 + float64(m.out) + m.others) / (r.warmth(now, m) * m.trust)
+	if m.zone != r.zone {
+		c *= farther
+	}
+	return c
+}
+
+// pick finds where a read goes: a fresh-enough replica of the zone, else of another, by cost. Where none
+// is known fresh enough the least behind, whose own check decides; but not where its hold can't do it:
+// a whole group behind would spend a hold on each read and then go to the primary all the same. After a
+// miss, and where the wait can't be enforced, the primary; it also relieves replicas that are far busier.
+func (r *Router) pick(now time.Duration, t *txn, ty *port.TxnType) int {
+	g := r.group(t.Group)
+	needs := t.needs
+	if ty.Level == port.Bounded {
+		needs = now - ty.Bound
+	}
+	best, least, behind, furthest, primary := none, math.Inf(1), none, never, none
+	r.turn++
+	for k := range g.members {
+		i := g.members[(k+r.turn)%len(g.members)]
+		m := &r.members[i]
+		if i == t.left && len(g.members) > 1 || m.down && (now < m.trialAt || m.out > 0) ||
+			!r.admits(now, m, t.Type) {
+			continue
+		}
+		if i == g.primary {
+			primary = i
+			continue
+		}
+		pos := m.at(now)
+		if r.check == port.Unchecked {
+			pos = m.pos // nothing but a proof will do
+		}
+		if c := r.cost(now, m); c < least && (needs == never || pos >= needs) {
+			best, least = i, c
+		}
+		if pos > furthest {
+			behind, furthest = i, pos
 		}
 	}
-	if kind != port.Changes {
-		for i := range r.members {
-			if m := &r.members[i]; !m.listed && !r.rules.OnlyDrainingBinds {
-				m.bound = true
-			}
+	if best == none && behind != none && r.check != port.Unchecked {
+		if m := &r.members[behind]; m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none {
+			best, least = behind, r.cost(now, m)
 		}
 	}
+	if primary != none && (best == none || t.missed || burden*r.cost(now, &r.members[primary]) < least) {
+		return primary
+	}
+	if t.missed && g.primary != none {
+		return none
+	}
+	return best
+}
+
+// --- A txn's life.
+
+type verdict uint8
+
+const (
+	open     verdict = iota
+	declined         // to be answered so
+	undone           // to be answered as rolled back
+	closed
+)
+
+type txn struct {
+	port.Txn
+	begun, sla, expiry time.Duration
+	value              float64       // marked down for a retry and for a customer's excess
+	needs              time.Duration // position that a read needs; never for any
+	end                verdict
+	subs               int  // submissions so far
+	at, want           int  // member where it is out, where it should be
+	leaving            bool // revoked, its ending awaited
+	left               int  // member left last
+	missed             bool // turned away untouched: the primary is next
+	sentAt             time.Duration
+	mayRun             bool // some submission may have run:
+	ranSince           time.Duration
+	ranAt              int
+	held, queued       bool
+}
+
+// customer is one customer's part of what comes here.
+type customer struct {
+	share, seen float64
+	seenAt      time.Duration
+}
+
+type lives struct {
+	types     []port.TxnType
+	most      int // submissions a txn
+	revokes   bool
+	comeBack  time.Duration // what a declined client is told
+	excess    float64       // what a customer's excess is worth
+	slab      []txn
+	held      []uint32 // without a place to go
+	dirty     []uint32 // to be planned and emitted
+	customers []customer
+	all       customer // every customer together
+	again     float64  // further submissions still allowed
 }
 
-// restarted notes a start: the member is cold from then on.
-func (r *Router) restarted(m *member, at, now time.Duration) {
-	m.started = at
-	if now-at < r.rules.Cold {
-		m.isCold = true
-		m.budget, m.budgetAt = 0, now
+// Further submissions stay a part of first ones, so that time-outs can't make more work than they save;
+// some are kept for the moment when a member dies.
+const (
+	againShare = 1.0 / 5
+	againMost  = 20
+)
+
+func newLives(types []port.TxnType, shares []port.Customer, allowed port.Allowance, excess float64) lives {
+	l := lives{types: types, most: allowed.Submissions, revokes: allowed.Revokes, excess: excess,
+		again: againMost}
+	if allowed.ComeBack {
+		l.comeBack = allowed.ComeBackMax / 2
+	}
+	for _, c := range shares {
+		l.customers = append(l.customers, customer{share: c.Share})
 	}
+	return l
 }
 
 // Begin takes a txn.
 func (r *Router) Begin(now time.Duration, in port.Txn) {
-	for len(r.txns) <= int(in.Ref.Place) {
-		r.txns = append(r.txns, txn{end: closed})
+	for len(r.slab) <= int(in.Ref.Place) {
+		r.slab = append(r.slab, txn{end: closed, at: none, want: none})
 	}
 	ty := &r.types[in.Type]
-	t := &r.txns[in.Ref.Place]
-	*t = txn{Txn: in, begun: now, sla: now + ty.SLA, expiry: now + in.Budget, needs: never,
-		at: none, want: none, left: none, queued: t.queued, held: t.held}
-	if in.Session != 0 && ty.Level == port.Session {
-		g := r.group(in.Group)
-		if r.copies.Carried {
-			if in.TokenAge > 0 {
-				t.needs = max(now-in.TokenAge, g.start)
-			}
-		} else if tg, ok := r.sessions.find(in.Session, in.Group); ok {
-			t.needs = tg.pos
-			if tg.term < g.term {
-				t.needs = max(tg.pos, g.start)
-			}
-		}
+	t := &r.slab[in.Ref.Place]
+	*t = txn{Txn: in, begun: now, expiry: now + in.Budget, value: ty.Value, needs: never, at: none, want: none,
+		left: none, held: t.held, queued: t.queued,
+		sla: now + min(ty.SLA+time.Duration(ty.Stretch*float64(in.Hint)), ty.Expiry)}
+	if ty.Level == port.Session {
+		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
-	if ty.Level == port.Current {
-		t.needs = now
-	}
-	t.pri = ty.Value
 	if in.Retry {
-		t.pri /= 2
-	}
-	if in.Customer != none {
-		if c := &r.part[in.Customer]; r.over(now, c) {
-			t.pri *= r.costs.OverShare
-		}
+		t.value /= 2 // part of its SLA time is gone
 	}
-	r.again = min(r.again+0.2, 20)
-	if r.costs.Probe > 0 {
-		r.probes = min(r.probes+min(0.2, 0.005/r.costs.Probe), 10)
-	} else {
-		r.probes = min(r.probes+0.2, 10)
+	if in.Customer != none && r.inExcess(now, &r.customers[in.Customer]) {
+		t.value *= r.excess
 	}
+	r.again = min(r.again+againShare, againMost)
+	r.earn()
 	r.queue(t)
 }
 
+// inExcess counts a customer's txn and tells whether the customer is over its share of what comes here.
+func (r *Router) inExcess(now time.Duration, c *customer) bool {
+	r.all.seen, r.all.seenAt = r.all.seen*r.fade(now-r.all.seenAt)+1, now
+	c.seen, c.seenAt = c.seen*r.fade(now-c.seenAt)+1, now
+	return r.all.seen > againMost && c.seen > 1.2*c.share*r.all.seen
+}
+
 func (r *Router) queue(t *txn) {
 	if !t.queued {
 		t.queued = true
@@ -388,553 +636,381 @@
 	}
 }
 
-func (r *Router) hold(t *txn) {
-	if !t.held {
-		t.held = true
-		r.held = append(r.held, t.Ref.Place)
-	}
-}
-
-// over counts a customer's txn and tells whether the customer is over its share of what comes here.
-func (r *Router) over(now time.Duration, c *part) bool {
-	f := math.Exp(-float64(now-r.seenAt) / float64(2*time.Second))
-	r.seenAt, r.seen = now, r.seen*f+1
-	c.seen, c.seenAt = c.seen*math.Exp(-float64(now-c.seenAt)/float64(2*time.Second))+1, now
-	return r.seen > 20 && c.seen > r.seen*c.share*1.2
-}
-
-// Left ends a txn whose client is gone.
+// Left ends a txn whose client is gone. One that was out for longer than usual is a sign of a queue.
 func (r *Router) Left(now time.Duration, ref port.Ref) {
-	t := &r.txns[ref.Place]
+	t := &r.slab[ref.Place]
 	if t.Ref != ref || t.end == closed {
 		return
 	}
 	t.end = closed
-	if t.at != none && now-t.sentAt > time.Duration(r.usual[t.Type]*float64(time.Second)) {
-		r.narrow(now, &r.members[t.at], 0.5)
-	}
-	if t.at != none && r.allowed.Revokes {
-		t.want = none
-		r.queue(t)
-	}
-}
-
-// claims notes that a member says it is primary, or is not; the claim further on in the log wins.
-func (r *Router) claims(now time.Duration, i int, role port.Role, pos time.Duration, has bool) {
-	m := &r.members[i]
-	g := r.group(m.group)
-	if !has {
-		pos = now
-	}
-	if role == port.Primary {
-		if pos < g.claim && g.by != i {
-			return
-		}
-		if g.by != i {
-			if g.by != none {
-				r.members[g.by].role = port.Replica
-				r.members[g.by].pos = max(r.members[g.by].pos, never)
-			}
-			g.term++
-			g.start, g.by = pos, i
-		}
-		g.claim = max(g.claim, pos)
-		m.role = port.Primary
-		if g.primary != i {
-			g.primary = i
-			r.release(m.group)
-		}
-		return
-	}
-	if g.by == i && has && pos < g.claim {
-		return // an old report
-	}
-	m.role = port.Replica
-	if g.primary == i {
-		g.primary, g.lostAt = none, now
-	}
-}
-
-// release looks again at what a group holds.
-func (r *Router) release(g int) {
-	for _, p := range r.held {
-		if t := &r.txns[p]; t.Group == g && t.end == open {
-			r.queue(t)
-		}
+	if t.at != none && now-t.sentAt > r.usual[t.Type] {
+		r.narrow(now, &r.members[t.at], halve)
 	}
+	t.want = none
+	r.queue(t)
 }
 
-// Ended takes the ending of a submission.
+// Ended takes the ending of a submission, also of one whose place in the slab has a new txn by now.
 func (r *Router) Ended(now time.Duration, o port.Outcome) {
 	m := &r.members[o.Member]
 	m.out--
 	m.waiting = now
-	t := &r.txns[o.Ref.Place]
-	mine := t.Ref == o.Ref && t.at != none && o.Hop == t.subs-1
-	r.judge(now, o, m, t, mine)
+	t := &r.slab[o.Ref.Place]
+	mine, ty := t.Ref == o.Ref && t.at != none && o.Hop == t.subs-1, none
+	if mine {
+		ty = t.Type
+	}
+	r.judge(now, o, ty)
 	if o.Role != port.Unknown {
-		if o.HasPosition && o.Position > never {
-			m.place(now, o.Position)
+		if o.HasPosition {
+			m.note(now, o.Position, r.shortest)
 		}
 		r.claims(now, o.Member, o.Role, o.Position, o.HasPosition)
 	}
 	if !mine {
 		return
 	}
-	t.at, t.want, t.leave = none, none, false
-	t.left = o.Member
+	t.at, t.want, t.left, t.leaving = none, none, o.Member, false
 	if !o.Ending.NeverRan() && !t.mayRun {
-		t.mayRun, t.ranFirst, t.ranAt = true, t.sentAt, o.Member
+		t.mayRun, t.ranSince, t.ranAt = true, t.sentAt, o.Member
 	}
-	if o.Ending == port.Committed && r.types[t.Type].Level == port.Write && t.Session != 0 && o.HasPosition {
-		r.sessions.wrote(t.Session, t.Group, o.Position, r.group(t.Group).term)
+	if o.Ending == port.Committed && r.types[ty].Level == port.Write && t.Session != 0 && o.HasPosition {
+		r.wrote(t.Session, t.Group, o.Position, r.group(t.Group).term)
 	}
+	t.missed = t.missed || o.Ending == port.Missed
 	if o.Closed {
 		t.end = closed
 	}
-	if t.end == closed {
-		return
-	}
-	if o.Ending == port.Missed {
-		t.missed = true
-	}
-	r.queue(t)
-}
-
-// judge draws on an ending for the member's health.
-func (r *Router) judge(now time.Duration, o port.Outcome, m *member, t *txn, mine bool) {
-	switch o.Ending {
-	case port.Committed, port.Missed, port.Errored:
-		m.heard, m.waiting = now, now
-		if o.Ending == port.Errored {
-			m.fails++
-			break
-		}
-		m.fails = 0
-		if m.down {
-			m.down, m.trust = false, 0.1
-			if m.lost > m.started && m.lost != never {
-				r.restarted(m, now, now)
-			}
-		}
-		m.trust = min(1, m.trust*1.2)
-		if o.Ending == port.Committed && mine {
-			if o.Latency.Seconds() > lateBy*r.base[t.Type] {
-				r.narrow(now, m, 0.75)
-			} else if float64(m.out+1) >= m.room/2 {
-				m.room = min(m.room+r.gain/max(m.room, 1), 64)
-			}
-			s := o.Latency.Seconds() / r.usual[t.Type]
-			m.pace += (s - m.pace) * 0.1
-			r.usual[t.Type] += (o.Latency.Seconds() - r.usual[t.Type]) * 0.02
-			r.base[t.Type] = min(r.usual[t.Type], r.base[t.Type]*1.0005)
-		}
-	case port.Full:
-		m.heard = now
-		m.fails++
-		r.narrow(now, m, 0.5)
-	case port.Unreachable, port.Broken:
-		m.fails++
-		m.lost = now
-		r.takeDown(now, m)
-	case port.TimedOut:
-		r.narrow(now, m, 0.5)
-		if mine {
-			if s := o.Latency.Seconds() / r.usual[t.Type]; s > m.pace {
-				m.pace += (s - m.pace) * 0.1
-			}
-		}
-		if now-m.heard > o.Latency {
-			m.fails++
-			r.takeDown(now, m)
-		}
+	if t.end == open {
+		r.queue(t)
 	}
 }
 
-// narrow lets less be out at a member, once for each usual latency.
-func (r *Router) narrow(now time.Duration, m *member, by float64) {
-	if now-m.cutAt < r.shortest/4 {
-		return
+// hopeless tells when a txn is past hope: before its expiry, and where a late answer is worth nothing
+// while it can still be answered before the SLA time is out. What is out is never cut short for that:
+// work that has begun is finished, as clients come back at once for what was thrown away.
+func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
+	if t.subs >= r.most || now > t.expiry-2*r.beat {
+		return true
 	}
-	m.cutAt = now
-	m.room = max(m.room*by, r.gain/10)
-}
-
-// takeDown keeps traffic off a member; trials come sparingly.
-func (r *Router) takeDown(now time.Duration, m *member) {
-	m.trust = 0.1
-	m.down = true
-	m.trialAt = now + min(r.shortest<<min(m.fails, 4), 10*r.shortest)
-	g := r.group(m.group)
-	if g.primary != none && &r.members[g.primary] == m {
-		g.primary, g.lostAt = none, now
+	past := ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10
+	if t.mayRun && (past || ty.Effect == port.OnceOnly) {
+		return true // it may have run, and nothing would drop the repeat
 	}
+	return ty.Late == 0 && now > t.sla-r.usual[t.Type]
 }
 
-// Probed takes what a probe brought.
-func (r *Router) Probed(now time.Duration, i int, e port.Ending, latency time.Duration, l port.Load) {
-	m := &r.members[i]
-	m.probing = false
-	if e != port.Committed {
-		if e == port.Unreachable || e == port.Broken || e == port.TimedOut {
-			m.lost = now
-			if now-m.heard > r.shortest {
-				m.fails++
-				r.takeDown(now, m)
-			}
-		}
+// plan decides what should be out for a txn: nothing, if it is held or ends here.
+func (r *Router) plan(now time.Duration, t *txn) {
+	if t.end != open || t.at != none {
 		return
 	}
-	if l.Held >= 0 {
-		m.others = max(0, l.Held-float64(m.out))
-	}
-	if l.HasPosition {
-		m.place(now, l.Position)
-	}
-	if l.Role != port.Unknown {
-		r.claims(now, i, l.Role, l.Position, l.HasPosition)
-	}
-	if m.down && m.out == 0 {
-		m.trialAt = min(m.trialAt, now)
+	ty := &r.types[t.Type]
+	if r.hopeless(now, t, ty) {
+		r.giveUp(t, ty)
+		return
 	}
-}
-
-// Heard takes a message from a peer; nothing is said between fronts yet.
-func (r *Router) Heard(time.Duration, int, []byte) {}
-
-// Woken is the beat.
-func (r *Router) Woken(now time.Duration) {
-	for i := range r.members {
-		m := &r.members[i]
-		if m.isCold && now-m.started > r.rules.Cold {
-			m.isCold = false
-		}
-		if m.out > 0 && !m.down && now-m.waiting > r.patience(m) {
-			m.fails++
-			r.takeDown(now, m)
-			r.leaveAll(i)
+	to := none
+	g := r.group(t.Group)
+	if ty.Level == port.Write || ty.Level == port.Current {
+		if g.primary != none && r.admits(now, &r.members[g.primary], t.Type) {
+			to = g.primary
 		}
+	} else {
+		to = r.pick(now, t, ty)
 	}
-}
-
-// patience is how long a member may answer nothing with something out: a crowded one is not silent.
-func (r *Router) patience(m *member) time.Duration {
-	u := 0.0
-	for _, s := range r.usual {
-		u = max(u, s)
+	if to != none && t.mayRun && ty.Effect == port.Referenced && ty.Scope == port.ScopeZone &&
+		r.members[to].zone != r.members[t.ranAt].zone {
+		to = none // the repeat would not be known there
 	}
-	return max(r.shortest*2, time.Duration(4*u*m.pace*float64(time.Second)))
-}
-
-// leaveAll takes what is out at a silent member away from it.
-func (r *Router) leaveAll(i int) {
-	if !r.allowed.Revokes {
+	if to == none {
+		g.wanted = g.wanted || g.primary == none
+		if !t.held {
+			t.held = true
+			r.held = append(r.held, t.Ref.Place)
+		}
 		return
 	}
-	for p := range r.txns {
-		t := &r.txns[p]
-		if t.end == open && t.at == i && r.types[t.Type].Effect != port.OnceOnly {
-			t.want = none
-			r.queue(t)
+	if t.subs > 0 && !t.missed {
+		if r.again < 1 {
+			r.giveUp(t, ty)
+			return
 		}
+		r.again--
 	}
+	t.want = to
 }
 
-// --- Guards.
-
-// coldShare is the least part of its capacity that a cold member has.
-func (r *Router) coldShare(now time.Duration, m *member) float64 {
-	if !m.isCold {
-		return 1
+// giveUp ends a txn at once, as well as its type allows.
+func (r *Router) giveUp(t *txn, ty *port.TxnType) {
+	t.end = declined
+	if t.mayRun && (ty.Effect == port.OnceOnly || ty.Effect == port.Referenced && ty.Scope != port.ScopeAll) {
+		t.end = undone
 	}
-	c := r.rules.ColdShare
-	return min(1, c+(1-c)*float64(now-m.started)/float64(r.rules.Cold))
 }
 
-const sentFor = 2 * time.Second // span over which the work sent is remembered
-
-func (m *member) sentLately(now time.Duration) float64 {
-	m.sent *= math.Exp(-float64(now-m.sentAt) / float64(sentFor))
-	m.sentAt = now
-	return m.sent
+// order puts first among the held what is worth most for its work, among equals the newest: the oldest
+// has the least hope.
+func (r *Router) order() {
+	slices.SortStableFunc(r.held, func(a, b uint32) int {
+		x, y := &r.slab[a], &r.slab[b]
+		if c := cmp.Compare(y.value/float64(r.usual[y.Type]), x.value/float64(r.usual[x.Type])); c != 0 {
+			return c
+		}
+		return cmp.Compare(y.begun, x.begun)
+	})
 }
 
-// bear is the work that a warm member gets from us, a second.
-func (r *Router) bear(now time.Duration) float64 {
-	sum, n := 0.0, 0
+// Woken is the beat: what can't be heard is looked for.
+func (r *Router) Woken(now time.Duration) {
 	for i := range r.members {
-		if m := &r.members[i]; !m.isCold && !m.down && !m.bound {
-			sum += m.sentLately(now)
-			n++
+		if !r.silent(now, &r.members[i]) {
+			continue
+		}
+		r.takeDown(now, i)
+		for p := range r.slab {
+			if t := &r.slab[p]; t.end == open && t.at == i && r.types[t.Type].Effect != port.OnceOnly {
+				t.want = none
+				r.queue(t)
+			}
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / float64(n) / sentFor.Seconds()
 }
 
-// admits tells whether a member may be sent work now, as far as its guards go.
-func (r *Router) admits(now time.Duration, m *member, work float64) bool {
-	if m.bound || !m.listed && !r.rules.OnlyDrainingBinds {
-		return false
-	}
-	if m.room < 1 && (m.out > 0 || now-m.sendAt < time.Duration(float64(r.shortest)/4/m.room)) ||
-		float64(m.out) >= max(1, m.room) {
-		return false
-	}
-	if m.isCold {
-		if m.out == 0 {
-			return true
-		}
-		rate := math.Sqrt(r.rules.FallMultiple) * r.coldShare(now, m) * r.bear(now)
-		m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), rate*r.rules.Fall.Seconds()/4)
-		m.budgetAt = now
-		return m.budget >= work
-	}
-	return true
+// --- The list and probes.
+
+type lister struct {
+	ask, calling bool
+	callAt       time.Duration // when to subscribe
+	askWithin    time.Duration
+	roles        port.Listed
+	mayProbe     bool
+	probeShare   float64 // probes a txn that we pay for
+	probes       float64 // probes paid for and not yet sent
 }
 
-// --- Choice.
+// probeCost is how much of all the value probes may cost; with no price they stay under a part of txns.
+const (
+	probeCost = 0.005
+	probeMost = 1.0 / 5
+)
 
-func (r *Router) cost(now time.Duration, m *member) float64 {
-	return m.pace * (1 + float64(m.out) + m.others) / (r.coldShare(now, m) * m.trust)
+func newLister(at port.Topology, askWithin time.Duration, mayProbe bool, price float64) lister {
+	share := probeMost
+	if price > 0 {
+		share = min(share, probeCost/price)
+	}
+	return lister{ask: at.Ask, calling: at.Ask, askWithin: askWithin, roles: at.Roles, mayProbe: mayProbe,
+		probeShare: share}
 }
 
-// pick finds where a read goes: a fresh-enough replica of the zone, else of another, the cheapest of
-// those; else the least behind, whose own check decides, as long as its hold can do it; else the primary.
-func (r *Router) pick(now time.Duration, t *txn) int {
-	ty := &r.types[t.Type]
-	g := r.group(t.Group)
-	needs := t.needs
-	if ty.Level == port.Bounded {
-		needs = now - ty.Bound
+func (l *lister) earn() { l.probes = min(l.probes+l.probeShare, 10) }
+
+// List takes what the list says; facts from answers beat it. After a failure, which may mean that the
+// subscription broke, it is asked for anew, spread out.
+func (r *Router) List(now time.Duration, kind port.ListKind, _ int64, entries []port.Entry) {
+	if kind == port.Failed {
+		r.calling = r.ask
+		r.callAt = now + time.Duration(float64(r.askWithin)*(1+4*r.draw())/50)
+		return
 	}
-	work := r.usual[t.Type]
-	best, bestCost := none, math.Inf(1)
-	behind, behindPos := none, never
-	r.turn++
-	n := len(g.members)
-	for k := range n {
-		i := g.members[(k+r.turn)%n]
-		m := &r.members[i]
-		if i == t.left && n > 1 || !r.admits(now, m, work) {
-			continue
-		}
-		if m.down {
-			if now < m.trialAt || m.out > 0 {
-				continue
-			}
-		}
-		c := r.cost(now, m)
-		if m.zone != r.at.Zone {
-			c *= 2
+	if kind != port.Changes {
+		for i := range r.members {
+			r.members[i].listed = false
 		}
-		if i == g.primary {
-			c *= 2
+	}
+	for _, e := range entries {
+		for len(r.members) <= e.Member {
+			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1, pace: 1,
+				room: 4, cutAt: never, sentAt: never, heard: never, trust: 1, lost: never, started: never,
+				probed: never})
 		}
-		has := m.fresh(now)
-		if r.copies.Check == port.Unchecked && m.role != port.Primary {
-			has = m.pos
+		m := &r.members[e.Member]
+		g := r.group(e.Group)
+		if m.group == none {
+			m.group = e.Group
+			g.members = append(g.members, e.Member)
 		}
-		if i != g.primary && has > behindPos {
-			behind, behindPos = i, has
+		m.listed, m.zone, m.bound = true, e.Zone, r.binds(e, m.bound)
+		if m.bound {
+			r.bind(e.Member)
 		}
-		if needs != never && has < needs || t.missed && i != g.primary {
-			continue
+		if e.HasStarted && e.Started > m.started {
+			r.starts(now, m, e.Started)
 		}
-		if c < bestCost {
-			best, bestCost = i, c
+		if e.Primary && r.roles != port.RoleNever && g.hinted != e.Member {
+			g.hinted = e.Member
+			if !m.bound && (g.by == none || g.primary == none && g.by != e.Member) {
+				g.primary = e.Member
+			}
 		}
 	}
-	if best != none {
-		return best
-	}
-	if behind != none && !t.missed && r.copies.Check != port.Unchecked {
-		b := &r.members[behind]
-		if b.posAt == never || b.fresh(now+r.copies.Hold) >= needs || g.primary == none {
-			return behind
+	for i := range r.members {
+		if m := &r.members[i]; !m.listed && !r.onlyDraining {
+			r.bind(i)
 		}
 	}
-	return none
 }
 
-// --- A txn's life.
-
-// plan decides what should be out for a txn.
-func (r *Router) plan(now time.Duration, t *txn) {
-	if t.end != open || t.at != none {
-		return
-	}
-	ty := &r.types[t.Type]
-	if t.mayRun && ty.Effect != port.Repeatable {
-		// A txn that may have run goes on only within what drops its repeats.
-		if ty.Effect == port.OnceOnly || now-t.ranFirst > ty.Window*9/10 {
-			r.giveUp(t)
-			return
+// Probed takes what a probe brought.
+func (r *Router) Probed(now time.Duration, i int, e port.Ending, _ time.Duration, l port.Load) {
+	m := &r.members[i]
+	m.probing = false
+	if e != port.Committed {
+		if e != port.Full {
+			m.lost = now
+			if now-m.heard > r.shortest {
+				r.takeDown(now, i)
+			}
 		}
-	}
-	last := t.expiry - 2*r.beat
-	if ty.Level != port.Write && ty.Late == 0 {
-		last = min(last, t.sla-time.Duration(r.usual[t.Type]*float64(time.Second)))
-	}
-	if now > last || t.subs >= r.allowed.Submissions {
-		r.giveUp(t)
 		return
 	}
-	to := none
-	if ty.Level == port.Write || ty.Level == port.Current {
-		if g := r.group(t.Group); g.primary != none && r.admits(now, &r.members[g.primary], r.usual[t.Type]) {
-			to = g.primary
-		}
-	} else {
-		to = r.pick(now, t)
+	if l.Held >= 0 {
+		m.others = max(0, l.Held-float64(m.out))
 	}
-	if to == none {
-		r.hold(t)
-		return
+	if l.HasPosition {
+		m.note(now, l.Position, r.shortest)
 	}
-	if t.subs > 0 && !t.missed {
-		if r.again < 1 {
-			r.giveUp(t)
-			return
-		}
-		r.again--
+	if l.Role != port.Unknown {
+		r.claims(now, i, l.Role, l.Position, l.HasPosition)
 	}
-	t.want = to
-}
-
-// giveUp ends a txn at once, as well as its type allows.
-func (r *Router) giveUp(t *txn) {
-	ty := &r.types[t.Type]
-	t.end = decline
-	if t.mayRun && (ty.Effect == port.OnceOnly || ty.Effect == port.Referenced && ty.Scope != port.ScopeAll) {
-		t.end = rollBack
+	if m.down && m.out == 0 {
+		m.trialAt = min(m.trialAt, now)
 	}
 }
 
-// --- The list and probes.
-
+// survey sends probes: to groups whose primary is unknown, to members that are down, then to whom we
+// heard of longest ago. The first may run into debt; what is held for want of a primary always gets one.
 func (r *Router) survey(now time.Duration) {
-	if !r.allowed.Probes {
+	if !r.mayProbe {
 		return
 	}
-	for g := range r.groups {
-		lost := r.groups[g].primary == none
-		for _, i := range r.groups[g].members {
+	for k := range r.groups {
+		g := &r.groups[k]
+		for _, i := range g.members {
 			m := &r.members[i]
-			if m.bound || m.probing {
-				continue
-			}
-			if (lost || m.down) && now-m.probed >= r.shortest/2 && r.probes > -10 {
-				r.probes--
+			if (g.primary == none || m.down) && r.probes > -10 || g.primary == none && g.wanted {
 				r.probe(now, i)
 			}
 		}
+		g.wanted = false
 	}
 	for r.probes >= 1 {
 		oldest := none
 		for i := range r.members {
-			m := &r.members[i]
-			if !m.bound && !m.probing && now-m.probed > r.shortest/2 && (oldest == none || m.probed < r.members[oldest].probed) {
+			if oldest == none || r.members[i].probed < r.members[oldest].probed {
 				oldest = i
 			}
 		}
-		if oldest == none {
-			break
+		if oldest == none || !r.probe(now, oldest) {
+			return
 		}
-		r.probes--
-		r.probe(now, oldest)
 	}
 }
 
-func (r *Router) probe(now time.Duration, i int) {
-	r.members[i].probing, r.members[i].probed = true, now
+func (r *Router) probe(now time.Duration, i int) bool {
+	m := &r.members[i]
+	if m.bound || m.probing || now-m.probed < r.shortest/2 {
+		return false
+	}
+	m.probing, m.probed = true, now
+	r.probes--
 	r.host.Probe(i)
+	return true
 }
 
+// Heard takes a message from a peer; fronts say nothing to each other yet.
+func (r *Router) Heard(time.Duration, int, []byte) {}
+
 // --- The emitter.
 
-// Settle works out the difference between what should be and what is, and asks the host for it.
+// Router is one instance: its parts.
+type Router struct {
+	host port.Host
+	chance
+	tempo
+	members []member
+	groups  []group
+	sessions
+	windows
+	guards
+	choice
+	lives
+	lister
+	wakeAt time.Duration
+}
+
+// New makes an instance that knows nothing yet.
+func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, customers []port.Customer,
+	copies port.Replication, rules port.Guardrails, allowed port.Allowance, costs port.Tariff) port.Decider {
+	return &Router{
+		host:     h,
+		chance:   chance{seed: seed},
+		tempo:    newTempo(types, at.Tick),
+		sessions: newSessions(copies.Carried),
+		windows:  windows{gain: 1 / float64(max(1, at.Fronts))},
+		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare, warmIn: rules.Cold,
+			fall: rules.Fall},
+		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
+		lives:  newLives(types, customers, allowed, costs.OverShare),
+		lister: newLister(at, rules.AskWithin, allowed.Probes, costs.Probe),
+		wakeAt: never,
+	}
+}
+
+// Settle plans what came in or is held, and emits the difference between what should be and what is.
 func (r *Router) Settle(now time.Duration) {
-	if r.wantWatch && now >= r.askAt {
-		r.wantWatch, r.answered, r.asked = false, false, now
-		r.host.Watch(true)
-	}
-	r.sortHeld()
+	r.order()
 	for _, p := range r.held {
-		r.queue(&r.txns[p])
+		r.queue(&r.slab[p])
+		r.slab[p].held = false
 	}
-	kept := r.held[:0]
-	for _, p := range r.held {
-		if t := &r.txns[p]; t.end == open && t.at == none && t.want == none {
-			kept = append(kept, p)
-		} else {
-			t.held = false
-		}
-	}
-	r.held = kept
-	for k := 0; k < len(r.dirty); k++ {
-		t := &r.txns[r.dirty[k]]
+	r.held = r.held[:0]
+	for _, p := range r.dirty {
+		t := &r.slab[p]
 		t.queued = false
 		r.plan(now, t)
 		r.emit(now, t)
 	}
 	r.dirty = r.dirty[:0]
 	r.survey(now)
+	if r.calling && now >= r.callAt {
+		r.calling = false
+		r.host.Watch(true)
+	}
 	if r.wakeAt <= now {
 		r.wakeAt = now + r.beat
 		r.host.Wake(r.beat)
 	}
 }
 
-// sortHeld puts first what is worth most for its work, among equals the newest.
-func (r *Router) sortHeld() {
-	slices.SortStableFunc(r.held, func(a, b uint32) int {
-		x, y := &r.txns[a], &r.txns[b]
-		if c := cmp.Compare(y.pri/r.usual[y.Type], x.pri/r.usual[x.Type]); c != 0 {
-			return c
-		}
-		return cmp.Compare(y.begun, x.begun)
-	})
-}
-
+// emit brings a txn from what is to what should be.
 func (r *Router) emit(now time.Duration, t *txn) {
-	if t.at != none && t.want != t.at && !t.leave {
-		t.leave = true
+	if t.at != none && t.want != t.at && !t.leaving && r.revokes {
+		t.leaving = true
 		r.host.Revoke(t.Ref, t.subs-1)
 	}
-	switch t.end {
-	case decline:
-		back := time.Duration(0)
-		if r.allowed.ComeBack {
-			back = r.allowed.ComeBackMax / 2
-		}
+	switch {
+	case t.end == declined:
 		t.end = closed
-		r.host.Decline(t.Ref, back)
-	case rollBack:
+		r.host.Decline(t.Ref, r.comeBack)
+	case t.end == undone:
 		t.end = closed
 		r.host.RollBack(t.Ref)
-	case open:
-		if t.at == none && t.want != none {
-			m := &r.members[t.want]
-			if m.out == 0 {
-				m.waiting = now
-			}
-			m.out++
-			work := r.usual[t.Type]
-			m.sentLately(now)
-			m.sent += work
-			if m.isCold {
-				m.budget -= work
-			}
-			if m.down {
-				m.trialAt = now + min(r.shortest<<min(m.fails, 4), 10*r.shortest)
-			}
-			m.sendAt = now
-			t.at, t.sentAt = t.want, now
-			t.subs++
-			r.host.Submit(t.Ref, t.want, 0)
+	case t.end == open && t.at == none && t.want != none:
+		m := &r.members[t.want]
+		if m.out == 0 {
+			m.waiting = now
+		}
+		m.out++
+		work := r.usual[t.Type].Seconds()
+		m.sent, m.sentAt = m.sent*r.fade(now-m.sentAt)+work, now
+		m.budget -= work
+		if m.down {
+			m.trialAt = now + r.shortest<<min(m.fails, 4)
 		}
+		t.at, t.sentAt = t.want, now
+		t.subs++
+		r.host.Submit(t.Ref, t.at, 0)
 	}
 }
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,440 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dapplerouter/port"
+)
+
+// The ordinary path.
+
+func TestASessionsReadGoesToAReplicaThatHasItsWrite(t *testing.T) {
+	y := tell(t, littleSite()).group(4)
+	y.now = time.Second
+	w := y.begin(write)
+	assert.Equal(t, "submit 1 to 0", y.last("submit"))
+	y.ends(w, port.Committed, port.Primary, y.now)
+	y.knows(2, port.Replica, y.now-100*ms)
+	y.knows(1, port.Replica, y.now)
+	y.knows(3, port.Replica, y.now-100*ms)
+	y.begin(session)
+	assert.Equal(t, "submit 2 to 1", y.last("submit"), "a fresh one elsewhere before a stale one here")
+	y.knows(2, port.Replica, y.now)
+	y.begin(session)
+	assert.Equal(t, "submit 3 to 2", y.last("submit"), "among fresh ones the zone's own")
+}
+
+func TestWhereNoneIsKnownFreshTheLeastBehindChecksForItself(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.now = time.Second
+	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.knows(1, port.Replica, y.now-40*ms)
+	y.knows(2, port.Replica, y.now-30*ms)
+	r := y.begin(session)
+	assert.Equal(t, "submit 2 to 2", y.last("submit"))
+	y.ends(r, port.Missed, port.Replica, y.now-20*ms)
+	assert.Equal(t, "submit 2 to 0", y.last("submit"), "after the miss the primary")
+}
+
+func TestAHoldThatCannotDoItIsNotSpent(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.now = 5 * time.Second
+	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.knows(1, port.Replica, y.now-2*time.Second)
+	y.knows(2, port.Replica, y.now-2*time.Second)
+	y.begin(session)
+	assert.Equal(t, "submit 2 to 0", y.last("submit"), "a whole group behind: straight to the primary")
+}
+
+func TestATargetIsNeverLoweredWithinATermAndRaisedToTheStartOfTheNext(t *testing.T) {
+	s := newSessions(false)
+	g := &group{term: 1}
+	in := &port.Txn{Session: 9}
+	s.wrote(9, 0, 500*ms, 1)
+	s.wrote(9, 0, 400*ms, 1)
+	assert.Equal(t, 500*ms, s.needs(0, in, g))
+	g.term, g.start = 2, 900*ms
+	assert.Equal(t, 900*ms, s.needs(0, in, g))
+	s.wrote(9, 0, 950*ms, 2)
+	s.wrote(9, 0, 990*ms, 1)
+	assert.Equal(t, 950*ms, s.needs(0, in, g), "an older term's position does not count in this one")
+}
+
+func TestAForgottenTargetStaysInTheFloor(t *testing.T) {
+	s := newSessions(false)
+	s.places = s.places[:ways]
+	for i := range uint64(ways + 1) {
+		s.wrote(i+1, 0, time.Duration(i+1)*ms, 0)
+	}
+	assert.Equal(t, ms, s.needs(0, &port.Txn{Session: 1}, &group{}), "the one that was forgotten")
+	assert.Equal(t, 3*ms, s.needs(0, &port.Txn{Session: 3}, &group{}))
+}
+
+func TestACarriedTokenIsAnAge(t *testing.T) {
+	s := newSessions(true)
+	assert.Equal(t, 700*ms, s.needs(time.Second, &port.Txn{TokenAge: 300 * ms}, &group{start: never}))
+	assert.Equal(t, never, s.needs(time.Second, &port.Txn{Session: 9}, &group{}))
+}
+
+func TestWhereNothingIsCheckedOnlyAProofWillDo(t *testing.T) {
+	p := littleSite()
+	p.copies.Check = port.Unchecked
+	y := tell(t, p).group(3)
+	y.now = time.Second
+	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.knows(1, port.Replica, y.now-20*ms)
+	y.knows(2, port.Replica, y.now-20*ms)
+	y.now += 100 * ms // by their pace both have it now, but nobody said so
+	y.begin(session)
+	assert.Equal(t, "submit 2 to 0", y.last("submit"))
+	y.knows(2, port.Replica, y.now)
+	y.begin(session)
+	assert.Equal(t, "submit 3 to 2", y.last("submit"))
+}
+
+func TestReadsThatMustBeCurrentGoToThePrimary(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.begin(current)
+	assert.Equal(t, "submit 1 to 0", y.last("submit"))
+}
+
+// Finding the primary.
+
+func TestWritesWaitForAPrimaryAndGoOutWhenOneShows(t *testing.T) {
+	p := littleSite()
+	p.at.Roles = port.RoleNever
+	y := tell(t, p).group(3)
+	y.begin(write)
+	assert.Empty(t, y.last("submit"), "none is sent blindly")
+	assert.Equal(t, 3, y.count("probe"), "and the primary is looked for")
+	y.knows(1, port.Primary, y.now)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"))
+}
+
+func TestTheClaimFurtherOnInTheLogWins(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.now = 10 * time.Second
+	y.knows(1, port.Primary, 9*time.Second)
+	y.knows(0, port.Primary, 5*time.Second) // an old report of the old primary
+	y.begin(write)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"))
+	y.knows(1, port.Replica, 8*time.Second) // older than its own claim
+	y.begin(write)
+	assert.Equal(t, "submit 2 to 1", y.last("submit"))
+	y.list(port.Changes, port.Entry{Member: 2, Primary: true}) // the list is late
+	y.begin(write)
+	assert.Equal(t, "submit 3 to 1", y.last("submit"))
+}
+
+func TestAWriteMissedByAnOldPrimaryLooksForTheNewOne(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.now = time.Second
+	w := y.begin(write)
+	y.ends(w, port.Missed, port.Replica, 900*ms)
+	assert.Equal(t, 1, y.count("submit"))
+	y.knows(2, port.Primary, y.now)
+	assert.Equal(t, "submit 1 to 2", y.last("submit"))
+}
+
+func TestADrainingPrimaryIsReplaced(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.list(port.Changes, port.Entry{Member: 0, State: port.Draining, Primary: true})
+	y.begin(write)
+	assert.Empty(t, y.last("submit"))
+	y.knows(1, port.Primary, y.now+ms)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"))
+}
+
+// One answer each, and no effect twice.
+
+func TestAWriteThatNeverRanIsDeclinedBeforeItsExpiryWithATimeToComeBack(t *testing.T) {
+	p := littleSite()
+	p.at.Roles = port.RoleNever
+	y := tell(t, p).group(3)
+	y.begin(write)
+	y.pass(1900 * ms)
+	assert.Zero(t, y.count("decline"))
+	y.pass(100 * ms)
+	assert.Equal(t, "decline 1, back in 200ms", y.last("decline"))
+	y.pass(time.Second)
+	assert.Equal(t, 1, y.count("decline"))
+}
+
+func TestAReferencedTxnThatMayHaveRunStaysWithinItsWindowAndIsRolledBack(t *testing.T) {
+	p := littleSite()
+	p.types[write].Window = time.Second
+	y := tell(t, p).group(3)
+	w := y.begin(write)
+	y.ends(w, port.Broken, port.Unknown, 0)
+	y.pass(500 * ms)
+	y.knows(1, port.Primary, y.now)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"), "within the window it goes on")
+	y.ends(w, port.Broken, port.Unknown, 0)
+	y.pass(600 * ms)
+	y.knows(2, port.Primary, y.now)
+	assert.Equal(t, 2, y.count("submit"), "past it no more")
+	assert.Equal(t, "roll back 1", y.last("roll back"))
+	assert.Zero(t, y.count("decline"))
+}
+
+func TestAZonesScopeKeepsARepeatWithinTheZone(t *testing.T) {
+	p := littleSite()
+	p.types[write].Scope = port.ScopeZone
+	y := tell(t, p).group(3)
+	w := y.begin(write)
+	y.ends(w, port.Broken, port.Unknown, 0)
+	y.knows(1, port.Primary, y.now)
+	assert.Equal(t, 1, y.count("submit"))
+	y.knows(2, port.Primary, y.now+ms)
+	assert.Equal(t, "submit 1 to 2", y.last("submit"))
+}
+
+func TestAOnceOnlyTxnGoesOnOnlyWhenItNeverRan(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	a := y.begin(onceOnly)
+	y.ends(a, port.Unreachable, port.Unknown, 0)
+	y.knows(1, port.Primary, y.now)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"))
+	y.ends(a, port.Errored, port.Primary, y.now)
+	assert.Equal(t, "roll back 1", y.last("roll back"))
+	assert.Zero(t, y.count("decline"))
+}
+
+func TestALateEndingDoesNotHitTheNewTxnOfItsPlace(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	old := y.begin(anyRead)
+	y.Left(y.now, old)
+	y.settle()
+	assert.Equal(t, "revoke 1.0", y.last("revoke"))
+	ref := port.Ref{Place: old.Place, Turn: old.Turn + 1}
+	y.Begin(y.now, port.Txn{Ref: ref, Type: anyRead, Customer: port.None, Budget: time.Second})
+	y.settle()
+	y.ends(old, port.Withdrawn, port.Unknown, 0)
+	assert.Equal(t, open, y.slab[ref.Place].end)
+	assert.Equal(t, 2, y.count("submit"), "and brings it no further submission")
+}
+
+func TestAHopelessReadIsDeclinedAtOnceBeforeItsSLATime(t *testing.T) {
+	y := tell(t, littleSite()) // no member at all
+	y.begin(anyRead)
+	y.pass(140 * ms)
+	assert.Zero(t, y.count("decline"))
+	y.pass(40 * ms)
+	assert.Equal(t, 1, y.count("decline"))
+}
+
+// Guards.
+
+func TestNothingNewGoesToADrainingOrMissingMember(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	y.list(port.Changes, port.Entry{Member: 1, Zone: 1, State: port.Draining})
+	y.list(port.Whole, port.Entry{Member: 1, Zone: 1, State: port.Draining})
+	y.begin(anyRead)
+	assert.Zero(t, y.count("submit"))
+}
+
+func TestWhereOnlyDrainingBindsAMemberGoneFromTheListIsStillUsed(t *testing.T) {
+	p := littleSite()
+	p.rules.OnlyDrainingBinds = true
+	y := tell(t, p).group(2)
+	y.list(port.Whole)
+	y.begin(write)
+	assert.Equal(t, "submit 1 to 0", y.last("submit"))
+	y.list(port.Changes, port.Entry{Member: 0, State: port.Draining})
+	y.list(port.Changes, port.Entry{Member: 0, State: port.Removed})
+	y.begin(write)
+	assert.Equal(t, 1, y.count("submit"), "gone after draining stays bound")
+}
+
+func TestAColdMemberGetsItsPartOnly(t *testing.T) {
+	sends := func(cold bool) (n int) {
+		y := tell(t, littleSite()).group(3)
+		y.now = 20 * time.Second
+		if cold {
+			y.list(port.Changes, port.Entry{Member: 2, HasStarted: true, Started: y.now})
+		}
+		for range 400 {
+			y.now += 5 * ms
+			r := y.begin(anyRead)
+			if y.subs[r] == 0 {
+				continue
+			}
+			if y.where[r] == 2 {
+				n++
+			}
+			y.ends(r, port.Committed, port.Replica, y.now)
+		}
+		return n
+	}
+	assert.Less(t, float64(sends(true)), 0.5*float64(sends(false)))
+}
+
+func TestTheListIsSubscribedToFromTheStartAndAgainAfterAFailure(t *testing.T) {
+	p := littleSite()
+	p.at.Ask = true
+	y := tell(t, p).group(2)
+	assert.Equal(t, 1, y.count("watch"))
+	y.list(port.Failed)
+	assert.Equal(t, 1, y.count("watch"), "spread out, not at once")
+	y.pass(time.Second)
+	assert.Equal(t, 2, y.count("watch"))
+}
+
+// Health and overload.
+
+func TestASilentMemberIsLeftAndItsTxnsMoved(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	w := y.begin(write)
+	y.pass(900 * ms)
+	assert.Equal(t, "revoke 1.0", y.last("revoke"))
+	assert.Equal(t, 1, y.count("submit"), "no second one while the first is out")
+	y.ends(w, port.Withdrawn, port.Unknown, 0)
+	y.knows(1, port.Primary, y.now)
+	assert.Equal(t, "submit 1 to 1", y.last("submit"))
+}
+
+func TestACrowdedMemberIsNotSilent(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	y.members[0].pace = 20
+	y.begin(write)
+	y.pass(900 * ms)
+	assert.Zero(t, y.count("revoke"))
+}
+
+func TestAMemberThatFailsAtGreatSpeedDrawsNoTraffic(t *testing.T) {
+	for _, e := range []port.Ending{port.Full, port.Errored, port.Unreachable} {
+		y := tell(t, littleSite()).group(3)
+		n := 0
+		for range 200 {
+			y.now += 5 * ms
+			r := y.begin(anyRead)
+			for y.subs[r] > 0 && y.slab[r.Place].at != none {
+				if y.where[r] == 2 {
+					n++
+					y.ends(r, e, port.Unknown, 0)
+				} else {
+					y.ends(r, port.Committed, port.Replica, 0)
+				}
+			}
+		}
+		assert.Less(t, n, 40, "ending %d", e)
+	}
+}
+
+func TestLateAnswersNarrowTheWindowAndTheRestWaitsHere(t *testing.T) {
+	y := tell(t, littleSite()).group(1)
+	for range 20 {
+		y.now += 100 * ms
+		r := y.begin(write)
+		y.Ended(y.now, port.Outcome{Ref: r, Ending: port.Committed, Closed: true, Latency: 500 * ms})
+		y.settle()
+	}
+	assert.Less(t, y.members[0].room, 1.0)
+	y.now += time.Minute
+	y.begin(write)
+	n := y.count("submit")
+	y.begin(write)
+	assert.Equal(t, n, y.count("submit"))
+}
+
+func TestWhatIsWorthMostGoesFirst(t *testing.T) {
+	p := littleSite()
+	p.shares = []port.Customer{{Share: 0.5}, {Share: 0.5}}
+	p.costs.OverShare = 0.1
+	y := tell(t, p).group(1)
+	y.members[0].room = 1
+	first := y.begin(write)
+	cheap := y.begin(anyRead)
+	retry := y.begin(write, func(t *port.Txn) { t.Retry = true })
+	dear := y.begin(write)
+	for _, next := range []port.Ref{dear, retry, cheap} {
+		y.ends(first, port.Committed, port.Primary, 0)
+		assert.Equal(t, 1, y.subs[next])
+		first = next
+	}
+	c := &y.customers[0]
+	for range 40 {
+		y.inExcess(0, c)
+	}
+	assert.True(t, y.inExcess(0, c), "one customer alone is over a half")
+	assert.False(t, y.inExcess(0, &y.customers[1]))
+}
+
+func TestFurtherSubmissionsStayAShareOfFirstOnes(t *testing.T) {
+	y := tell(t, littleSite()).group(5)
+	n := 0
+	for range 200 {
+		y.now += 50 * ms
+		r := y.begin(write)
+		y.members[0].down = false
+		for y.subs[r] > 0 && y.slab[r.Place].end == open && y.slab[r.Place].at != none {
+			y.ends(r, port.Errored, port.Primary, y.now)
+			y.members[0].room = 4
+		}
+		n += max(0, y.subs[r]-1)
+	}
+	assert.LessOrEqual(t, n, 200/5+20)
+}
+
+func TestProbesStayWithinWhatTheyMayCost(t *testing.T) {
+	p := littleSite()
+	p.costs.Probe = 0.05
+	y := tell(t, p).group(4)
+	for range 500 {
+		y.now += 10 * ms
+		y.ends(y.begin(anyRead), port.Committed, port.Replica, 0)
+		for i := range y.members {
+			if y.members[i].probing {
+				y.knows(i, port.Unknown, y.now)
+			}
+		}
+	}
+	assert.InDelta(t, 500*probeCost/p.costs.Probe, y.count("probe"), 15)
+}
+
+func TestEqualEventsGiveEqualActionsAndTheOrdinaryPathAllocatesNothing(t *testing.T) {
+	play := func() *story {
+		y := tell(t, littleSite()).group(4)
+		for range 50 {
+			y.now += 7 * ms
+			y.ends(y.begin(session), port.Committed, port.Replica, y.now)
+		}
+		return y
+	}
+	assert.Equal(t, play().asked, play().asked)
+
+	q := quiet{}
+	p := littleSite()
+	r := New(&q, 7, p.at, p.types, p.shares, p.copies, p.rules, p.allowed, p.costs)
+	var entries []port.Entry
+	for i := range 4 {
+		entries = append(entries, port.Entry{Member: i, Primary: i == 0})
+	}
+	r.List(0, port.Cached, 1, entries)
+	now, turn := time.Duration(0), uint32(0)
+	round := func() {
+		for _, ty := range []int{write, session, anyRead, bounded} {
+			now, turn = now+5*ms, turn+1
+			ref := port.Ref{Place: turn % 8, Turn: turn}
+			r.Begin(now, port.Txn{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
+			r.Settle(now)
+			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Committed, Closed: true, Latency: 20 * ms,
+				Role: port.Replica, Position: now, HasPosition: true})
+			r.Settle(now)
+		}
+	}
+	round()
+	assert.Zero(t, testing.AllocsPerRun(1000, round))
+}
+
+// quiet is a host that only notes where the last txn went.
+type quiet struct {
+	story
+	to int
+}
+
+func (q *quiet) Submit(_ port.Ref, m int, _ time.Duration) { q.to = m }
+func (q *quiet) Probe(int)                                 {}
