A slow spell no longer shuts a txn type out for good

Guards against any estimate that stops its own correction; could harm where a type truly takes longer than its SLA time.

--- a/router/router.go
+++ b/router/router.go
@@ -697,7 +697,8 @@
 	if t.mayRun && (past || ty.Effect == port.OnceOnly) {
 		return true // it may have run, and nothing would drop the repeat
 	}
-	return ty.Late == 0 && now > t.sla-r.usual[t.Type]
+	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
+	return ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
 
 // plan decides what should be out for a txn: nothing, if it is held or ends here.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -226,6 +226,13 @@
 	assert.Equal(t, 1, y.count("decline"))
 }
 
+func TestASlowSpellDoesNotShutATypeOut(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	y.usual[anyRead] = time.Second
+	y.begin(anyRead)
+	assert.Equal(t, 1, y.count("submit"))
+}
+
 // Guards.
 
 func TestNothingNewGoesToADrainingOrMissingMember(t *testing.T) {
