--- a/router/router.go
+++ b/router/router.go
@@ -915,7 +915,7 @@
 		return false
 	}
 	m.probing, m.probed = true, now
-	r.probes--
+	r.probes = max(r.probes-1, -10)
 	r.host.Probe(i)
 	return true
 }
