A cold member's budget is strict, and a read that was missed does not circle

Guards against any quick ending that invites the next submission; could harm a group whose members are all cold, which now serves only the budget.

--- a/router/router.go
+++ b/router/router.go
@@ -371,16 +371,16 @@
 
 // spares tells whether a cold member can take one more. Its part of what a warm one gets from us, by its
 // warmth, keeps all fronts together under any multiple over 1 of what it can do, whatever each of them
-// sends; one at a time is always let through, as it can only go as fast as the member answers.
+// sends; what it turns away counts too. A front that has sent little yet may send one in each such span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
 		return true
 	}
-	rate := warmth * r.bears(now)
-	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), rate*r.fall.Seconds()/4)
+	rate := max(warmth*r.bears(now), work/r.fall.Seconds())
+	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
-	return m.out == 0 || m.budget >= work
+	return m.budget >= work
 }
 
 // admits tells whether a member may be sent a txn now.
@@ -517,7 +517,7 @@
 		}
 	}
 	if best == none && behind != none && r.check != port.Unchecked {
-		if m := &r.members[behind]; m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none {
+		if m := &r.members[behind]; m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none && !t.missed {
 			best, least = behind, r.cost(now, m)
 		}
 	}
@@ -732,7 +732,7 @@
 		}
 		return
 	}
-	if t.subs > 0 && !t.missed {
+	if t.subs > 0 && !(t.missed && to == g.primary) {
 		if r.again < 1 {
 			r.giveUp(t, ty)
 			return
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -279,6 +279,26 @@
 	assert.Less(t, float64(sends(true)), 0.5*float64(sends(false)))
 }
 
+func TestAColdMemberThatTurnsReadsAwayIsNotFloodedWithThem(t *testing.T) {
+	p := littleSite()
+	p.at.Roles = port.RoleNever
+	y := tell(t, p).group(2)
+	y.now = 20 * time.Second
+	y.list(port.Changes, port.Entry{Member: 1, HasStarted: true, Started: y.now})
+	y.members[0].down, y.members[0].trialAt = true, time.Hour
+	n := 0
+	for range 200 { // a second in which the group has no primary and the member is behind
+		y.now += 5 * ms
+		r := y.begin(session, func(t *port.Txn) { t.Session = 0 })
+		for y.subs[r] > 0 && y.slab[r.Place].at != none {
+			n++
+			y.ends(r, port.Missed, port.Replica, 10*time.Second)
+		}
+		y.pass(5 * ms)
+	}
+	assert.LessOrEqual(t, n, 5)
+}
+
 func TestTheListIsSubscribedToFromTheStartAndAgainAfterAFailure(t *testing.T) {
 	p := littleSite()
 	p.at.Ask = true
