--- a/router/router.go
+++ b/router/router.go
@@ -572,8 +572,8 @@
 	comeBack  time.Duration // what a declined client is told
 	excess    float64       // what a customer's excess is worth
 	slab      []txn
-	held      []uint32 // without a place to go
-	dirty     []uint32 // to be planned and emitted
+	held      []uint32 // to be planned: new, or without a place to go
+	dirty     []uint32 // to be emitted
 	customers []customer
 	all       customer // every customer together
 	again     float64  // further submissions still allowed
@@ -619,7 +619,14 @@
 	}
 	r.again = min(r.again+againShare, againMost)
 	r.earn()
-	r.queue(t)
+	r.await(t)
+}
+
+func (r *Router) await(t *txn) {
+	if !t.held {
+		t.held = true
+		r.held = append(r.held, t.Ref.Place)
+	}
 }
 
 // inExcess counts a customer's txn and tells whether the customer is over its share of what comes here.
@@ -682,7 +689,7 @@
 		t.end = closed
 	}
 	if t.end == open {
-		r.queue(t)
+		r.await(t)
 	}
 }
 
@@ -726,10 +733,6 @@
 	}
 	if to == none {
 		g.wanted = g.wanted || g.primary == none
-		if !t.held {
-			t.held = true
-			r.held = append(r.held, t.Ref.Place)
-		}
 		return
 	}
 	if t.subs > 0 && !(t.missed && to == g.primary) {
@@ -962,16 +965,19 @@
 // Settle plans what came in or is held, and emits the difference between what should be and what is.
 func (r *Router) Settle(now time.Duration) {
 	r.order()
+	kept := r.held[:0]
 	for _, p := range r.held {
-		r.queue(&r.slab[p])
-		r.slab[p].held = false
-	}
-	r.held = r.held[:0]
-	for _, p := range r.dirty {
 		t := &r.slab[p]
-		t.queued = false
 		r.plan(now, t)
 		r.emit(now, t)
+		if t.held = t.end == open && t.at == none; t.held {
+			kept = append(kept, p)
+		}
+	}
+	r.held = kept
+	for _, p := range r.dirty {
+		r.slab[p].queued = false
+		r.emit(now, &r.slab[p])
 	}
 	r.dirty = r.dirty[:0]
 	r.survey(now)
