--- a/router/router.go
+++ b/router/router.go
@@ -650,7 +650,7 @@
 		return
 	}
 	t.end = closed
-	if t.at != none && now-t.sentAt > r.usual[t.Type] {
+	if t.at != none {
 		r.narrow(now, &r.members[t.at], halve)
 	}
 	t.want = none
