--- a/router/router.go
+++ b/router/router.go
@@ -87,7 +87,6 @@
 	rate  float64       // how fast the position moves, as a part of the clock's pace
 
 	out    int           // our submissions there without an ending
-	others float64       // held there for others, as last probed
 	pace   float64       // latency there over the type's usual one
 	room   float64       // how much may be out there; under 1: how rarely something may
 	cutAt  time.Duration // when room last shrank
@@ -473,9 +472,9 @@
 	burden  = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
 )
 
-// cost compares members: latency there by how much is held, by what part of it is to be used.
+// cost compares members: latency there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
-	c := m.pace * (1 + float64(m.out) + m.others) / (r.warmth(now, m) * m.trust)
+	c := m.pace * (1 + float64(m.out)) / (r.warmth(now, m) * m.trust)
 	if m.zone != r.zone {
 		c *= farther
 	}
@@ -795,7 +794,7 @@
 
 // probeCost is how much of all the value probes may cost; with no price they stay under a part of txns.
 const (
-	probeCost = 0.005
+	probeCost = 0.0025
 	probeMost = 1.0 / 5
 )
 
@@ -869,9 +868,6 @@
 		}
 		return
 	}
-	if l.Held >= 0 {
-		m.others = max(0, l.Held-float64(m.out))
-	}
 	if l.HasPosition {
 		m.note(now, l.Position, r.shortest)
 	}
