--- a/router/router.go
+++ b/router/router.go
@@ -321,6 +321,7 @@
 type guards struct {
 	onlyDraining bool    // a member that is gone from the list without draining may still be used
 	coldFrom     float64 // least part of its capacity with which a member starts
+	coldPart     float64 // what a cold member is sent, as a multiple of its part by warmth
 	warmIn, fall time.Duration
 }
 
@@ -369,14 +370,15 @@
 }
 
 // spares tells whether a cold member can take one more. Its part of what a warm one gets from us, by its
-// warmth, keeps all fronts together under any multiple over 1 of what it can do, whatever each of them
-// sends; what it turns away counts too. A front that has sent little yet may send one in each such span.
+// warmth, keeps all fronts together at what it can do, whatever each of them sends: so the root of the
+// multiple at which it falls uses half of the room. What it turns away counts too. A front that has sent
+// little yet may send one in each such span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
 		return true
 	}
-	rate := max(warmth*r.bears(now), work/r.fall.Seconds())
+	rate := max(r.coldPart*warmth*r.bears(now), work/r.fall.Seconds())
 	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
 	return m.budget >= work
@@ -411,7 +413,7 @@
 		}
 	}
 	m.fails = 0
-	m.trust = min(1, m.trust*1.2)
+	m.trust = min(1, m.trust*1.5)
 }
 
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
@@ -949,8 +951,8 @@
 		tempo:    newTempo(types, at.Tick),
 		sessions: newSessions(copies.Carried),
 		windows:  windows{gain: 1 / float64(max(1, at.Fronts))},
-		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare, warmIn: rules.Cold,
-			fall: rules.Fall},
+		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
+			coldPart: math.Sqrt(rules.FallMultiple), warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
 		lives:  newLives(types, customers, allowed, costs.OverShare),
 		lister: newLister(at, rules.AskWithin, allowed.Probes, costs.Probe),
