--- a/port/port.go
+++ b/port/port.go
@@ -164,6 +164,7 @@
 	Zone, Zones   int
 	Fronts, Front int
 	Ask           bool // the list answers only when asked
+	RetriesMarked bool // clients mark their retries
 	Roles         Listed
 	Tick          time.Duration
 }
--- a/router/router.go
+++ b/router/router.go
@@ -107,7 +107,7 @@
 	budgetAt time.Duration
 
 	probing bool
-	probed  time.Duration // last probe sent
+	probed  time.Duration
 }
 
 // at estimates the log position at a moment: what is known, moved on at the pace last seen.
@@ -339,8 +339,7 @@
 	}
 }
 
-// starts notes that a member started: it is cold from then on. A member that could not be reached and
-// answers again may have started too; the list tells of it late or never.
+// starts notes that a member started: it is cold from then on.
 func (r *Router) starts(now time.Duration, m *member, at time.Duration) {
 	m.started, m.cold = at, now-at < r.warmIn
 	m.budget, m.budgetAt = 0, now
@@ -404,16 +403,12 @@
 	}
 }
 
-// answered brings a member back, gradually.
+// answered brings a member back, gradually. One that could not be reached may have started meanwhile.
 func (r *Router) answered(now time.Duration, m *member) {
-	if m.down {
-		m.down = false
-		if m.lost > m.started {
-			r.starts(now, m, now)
-		}
+	if m.down && m.lost > m.started {
+		r.starts(now, m, now)
 	}
-	m.fails = 0
-	m.trust = min(1, m.trust*1.5)
+	m.down, m.fails, m.trust = false, 0, min(1, m.trust*1.5)
 }
 
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
@@ -426,10 +421,6 @@
 // judge draws on an ending for the member's window and health.
 func (r *Router) judge(now time.Duration, o port.Outcome, ty int) {
 	m := &r.members[o.Member]
-	over := 0.0
-	if ty != none {
-		over = float64(o.Latency) / float64(r.usual[ty])
-	}
 	switch o.Ending {
 	case port.Committed, port.Missed:
 		m.heard = now
@@ -442,7 +433,7 @@
 		} else {
 			r.widen(m)
 		}
-		m.pace += (over - m.pace) / 10
+		m.pace += (float64(o.Latency)/float64(r.usual[ty]) - m.pace) / 10
 		r.took(ty, o.Latency)
 	case port.Errored, port.Full: // quick, but no reason to send more
 		m.heard = now
@@ -453,7 +444,9 @@
 		r.takeDown(now, o.Member)
 	case port.TimedOut:
 		r.narrow(now, m, halve)
-		m.pace += max(0, over-m.pace) / 10
+		if ty != none {
+			m.pace += max(0, float64(o.Latency)/float64(r.usual[ty])-m.pace) / 10
+		}
 		if now-m.heard > o.Latency {
 			r.takeDown(now, o.Member)
 		}
@@ -557,7 +550,7 @@
 	mayRun             bool // some submission may have run:
 	ranSince           time.Duration
 	ranAt              int
-	held, queued       bool
+	held               bool
 }
 
 // customer is one customer's part of what comes here.
@@ -576,8 +569,10 @@
 	held      []uint32 // to be planned: new, or without a place to go
 	dirty     []uint32 // to be emitted
 	customers []customer
-	all       customer // every customer together
-	again     float64  // further submissions still allowed
+	all       customer        // every customer together
+	marked    bool            // clients mark their retries
+	budgets   []time.Duration // what most tries of a type come with
+	again     float64         // further submissions still allowed
 }
 
 // Further submissions stay a part of first ones, so that time-outs can't make more work than they save;
@@ -587,12 +582,16 @@
 	againMost  = 20
 )
 
-func newLives(types []port.TxnType, shares []port.Customer, allowed port.Allowance, excess float64) lives {
-	l := lives{types: types, most: allowed.Submissions, revokes: allowed.Revokes, excess: excess,
-		again: againMost}
+func newLives(types []port.TxnType, shares []port.Customer, marked bool, allowed port.Allowance,
+	excess float64) lives {
+	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
+		excess: excess, again: againMost}
 	if allowed.ComeBack {
 		l.comeBack = allowed.ComeBackMax / 2
 	}
+	for _, ty := range types {
+		l.budgets = append(l.budgets, ty.Expiry)
+	}
 	for _, c := range shares {
 		l.customers = append(l.customers, customer{share: c.Share})
 	}
@@ -607,13 +606,13 @@
 	ty := &r.types[in.Type]
 	t := &r.slab[in.Ref.Place]
 	*t = txn{Txn: in, begun: now, expiry: now + in.Budget, value: ty.Value, needs: never, at: none, want: none,
-		left: none, held: t.held, queued: t.queued,
+		left: none, held: t.held,
 		sla: now + min(ty.SLA+time.Duration(ty.Stretch*float64(in.Hint)), ty.Expiry)}
 	if ty.Level == port.Session {
 		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
-	if in.Retry {
-		t.value /= 2 // part of its SLA time is gone
+	if r.returns(&in) {
+		t.value /= 4 // much of its SLA time is gone, and the first answer was no better
 	}
 	if in.Customer != none && r.inExcess(now, &r.customers[in.Customer]) {
 		t.value *= r.excess
@@ -623,6 +622,7 @@
 	r.await(t)
 }
 
+// await puts a txn among the held, to be planned; leave takes it from where it is out.
 func (r *Router) await(t *txn) {
 	if !t.held {
 		t.held = true
@@ -630,6 +630,24 @@
 	}
 }
 
+func (r *Router) leave(t *txn) {
+	if t.want = none; t.at != none && !t.leaving && r.revokes {
+		r.dirty = append(r.dirty, t.Ref.Place)
+	}
+}
+
+// returns tells a retry: by its mark, or where clients don't mark them by a budget unlike that of most.
+// Clients leave a first try after a fixed part of the expiry, a later one with what is left of it.
+func (r *Router) returns(in *port.Txn) bool {
+	if r.marked {
+		return in.Retry
+	}
+	most := &r.budgets[in.Type]
+	off := in.Budget - *most
+	*most += max(min(off, *most/50), -*most/50)
+	return max(off, -off) > *most/20
+}
+
 // inExcess counts a customer's txn and tells whether the customer is over its share of what comes here.
 func (r *Router) inExcess(now time.Duration, c *customer) bool {
 	r.all.seen, r.all.seenAt = r.all.seen*r.fade(now-r.all.seenAt)+1, now
@@ -637,13 +655,6 @@
 	return r.all.seen > againMost && c.seen > 1.2*c.share*r.all.seen
 }
 
-func (r *Router) queue(t *txn) {
-	if !t.queued {
-		t.queued = true
-		r.dirty = append(r.dirty, t.Ref.Place)
-	}
-}
-
 // Left ends a txn whose client is gone. One that was out for longer than usual is a sign of a queue.
 func (r *Router) Left(now time.Duration, ref port.Ref) {
 	t := &r.slab[ref.Place]
@@ -654,8 +665,7 @@
 	if t.at != none {
 		r.narrow(now, &r.members[t.at], halve)
 	}
-	t.want = none
-	r.queue(t)
+	r.leave(t)
 }
 
 // Ended takes the ending of a submission, also of one whose place in the slab has a new txn by now.
@@ -775,8 +785,7 @@
 		r.takeDown(now, i)
 		for p := range r.slab {
 			if t := &r.slab[p]; t.end == open && t.at == i && r.types[t.Type].Effect != port.OnceOnly {
-				t.want = none
-				r.queue(t)
+				r.leave(t)
 			}
 		}
 	}
@@ -857,6 +866,9 @@
 	}
 }
 
+// Heard takes a message from a peer; fronts say nothing to each other yet.
+func (r *Router) Heard(time.Duration, int, []byte) {}
+
 // Probed takes what a probe brought.
 func (r *Router) Probed(now time.Duration, i int, e port.Ending, _ time.Duration, l port.Load) {
 	m := &r.members[i]
@@ -921,9 +933,6 @@
 	return true
 }
 
-// Heard takes a message from a peer; fronts say nothing to each other yet.
-func (r *Router) Heard(time.Duration, int, []byte) {}
-
 // --- The emitter.
 
 // Router is one instance: its parts.
@@ -954,7 +963,7 @@
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
 			coldPart: math.Sqrt(rules.FallMultiple), warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
-		lives:  newLives(types, customers, allowed, costs.OverShare),
+		lives:  newLives(types, customers, at.RetriesMarked, allowed, costs.OverShare),
 		lister: newLister(at, rules.AskWithin, allowed.Probes, costs.Probe),
 		wakeAt: never,
 	}
@@ -974,7 +983,6 @@
 	}
 	r.held = kept
 	for _, p := range r.dirty {
-		r.slab[p].queued = false
 		r.emit(now, &r.slab[p])
 	}
 	r.dirty = r.dirty[:0]
@@ -991,7 +999,7 @@
 
 // emit brings a txn from what is to what should be.
 func (r *Router) emit(now time.Duration, t *txn) {
-	if t.at != none && t.want != t.at && !t.leaving && r.revokes {
+	if t.at != none && t.want != t.at && !t.leaving {
 		t.leaving = true
 		r.host.Revoke(t.Ref, t.subs-1)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -390,6 +390,18 @@
 	assert.False(t, y.inExcess(0, &y.customers[1]))
 }
 
+func TestAnUnmarkedRetryIsToldByItsBudget(t *testing.T) {
+	y := tell(t, littleSite()).group(1)
+	first, last := &port.Txn{Type: anyRead, Budget: 400 * ms}, &port.Txn{Type: anyRead, Budget: 300 * ms}
+	for range 50 {
+		y.returns(first)
+	}
+	assert.True(t, y.returns(last))
+	assert.False(t, y.returns(first))
+	y.marked = true
+	assert.False(t, y.returns(last), "where clients mark them, the mark is what counts")
+}
+
 func TestFurtherSubmissionsStayAShareOfFirstOnes(t *testing.T) {
 	y := tell(t, littleSite()).group(5)
 	n := 0
--- a/wire/site.go
+++ b/wire/site.go
@@ -75,7 +75,8 @@
 	s.Topology = port.Topology{
 		Zone: port.None, Zones: len(s.Zones), Fronts: int(r.integer("FleetSize")), Front: int(r.integer("Ordinal")),
 		Ask: string(r.need("Discovery")) == "ask", Tick: r.span("Tick"),
-		Roles: choice(r, "FamilyInfo.RoleListed", r.need("FamilyInfo.RoleListed"), listedRoles),
+		RetriesMarked: r.yes("Clients.MarksRetry"),
+		Roles:         choice(r, "FamilyInfo.RoleListed", r.need("FamilyInfo.RoleListed"), listedRoles),
 	}
 	for i, z := range s.Zones {
 		if z == home {
