--- a/router/router.go
+++ b/router/router.go
@@ -98,7 +98,6 @@
 	fails   int           // failures in a row
 	down    bool          // to be used for trials only
 	trialAt time.Duration // earliest next trial
-	trust   float64       // part of its usual traffic that it gets; grows back to 1
 	lost    time.Duration // last time that it could not be reached
 
 	started  time.Duration // latest start known
@@ -392,23 +391,23 @@
 }
 
 // takeDown keeps traffic off a member that can't be reached or is silent. Trials come sparingly, one at
-// a time, and a primary in doubt is looked for anew.
+// a time; its window starts again from one, and a primary in doubt is looked for anew.
 func (r *Router) takeDown(now time.Duration, i int) {
 	m := &r.members[i]
 	m.fails++
-	m.down, m.trust = true, 0.1
+	m.down, m.room = true, min(m.room, 1)
 	m.trialAt = now + r.shortest<<min(m.fails, 4)
 	if g := r.group(m.group); g.primary == i {
 		g.primary = none
 	}
 }
 
-// answered brings a member back, gradually. One that could not be reached may have started meanwhile.
+// answered brings a member back. One that could not be reached may have started meanwhile.
 func (r *Router) answered(now time.Duration, m *member) {
 	if m.down && m.lost > m.started {
 		r.starts(now, m, now)
 	}
-	m.down, m.fails, m.trust = false, 0, min(1, m.trust*1.5)
+	m.down, m.fails = false, 0
 }
 
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
@@ -469,7 +468,7 @@
 
 // cost compares members: latency there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
-	c := m.pace * (1 + float64(m.out)) / (r.warmth(now, m) * m.trust)
+	c := m.pace * (1 + float64(m.out)) / r.warmth(now, m)
 	if m.zone != r.zone {
 		c *= farther
 	}
@@ -836,7 +835,7 @@
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
 			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1, pace: 1,
-				room: 4, cutAt: never, sentAt: never, heard: never, trust: 1, lost: never, started: never,
+				room: 4, cutAt: never, sentAt: never, heard: never, lost: never, started: never,
 				probed: never})
 		}
 		m := &r.members[e.Member]
