A time-out is no sign of a queue when a later submission came back quickly

Guards against losses on links, types that hang and long txns; could harm where a member serves the newest first.

--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,7 @@
 	pace   float64       // latency there over the type's usual one
 	room   float64       // how much may be out there; under 1: how rarely something may
 	cutAt  time.Duration // when room last shrank
+	quick  time.Duration // when the latest submission went out that was answered quickly
 	sentAt time.Duration // last submission
 	sent   float64       // submissions lately, in seconds of usual latency
 
@@ -431,6 +432,7 @@
 			r.narrow(now, m, shrink)
 		} else {
 			r.widen(m)
+			m.quick = max(m.quick, now-o.Latency)
 		}
 		m.pace += (float64(o.Latency)/float64(r.usual[ty]) - m.pace) / 10
 		r.took(ty, o.Latency)
@@ -442,7 +444,9 @@
 		m.lost = now
 		r.takeDown(now, o.Member)
 	case port.TimedOut:
-		r.narrow(now, m, halve)
+		if m.quick <= now-o.Latency { // else later ones came back quickly: this one was lost, not queued
+			r.narrow(now, m, halve)
+		}
 		if ty != none {
 			m.pace += max(0, float64(o.Latency)/float64(r.usual[ty])-m.pace) / 10
 		}
@@ -510,7 +514,8 @@
 		}
 	}
 	if best == none && behind != none && r.check != port.Unchecked {
-		if m := &r.members[behind]; m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none && !t.missed {
+		m := &r.members[behind]
+		if m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none && !t.missed {
 			best, least = behind, r.cost(now, m)
 		}
 	}
@@ -835,7 +840,7 @@
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
 			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1, pace: 1,
-				room: 4, cutAt: never, sentAt: never, heard: never, lost: never, started: never,
+				room: 4, cutAt: never, quick: never, sentAt: never, heard: never, lost: never, started: never,
 				probed: never})
 		}
 		m := &r.members[e.Member]
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -367,6 +367,17 @@
 	assert.Equal(t, n, y.count("submit"))
 }
 
+func TestALostAnswerIsNoSignOfAQueue(t *testing.T) {
+	y := tell(t, littleSite()).group(1)
+	y.now = time.Second
+	y.judge(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, anyRead)
+	room := y.members[0].room
+	y.judge(y.now, port.Outcome{Ending: port.TimedOut, Latency: 800 * ms}, anyRead)
+	assert.Equal(t, room, y.members[0].room, "one that was sent later came back quickly")
+	y.judge(y.now+time.Second, port.Outcome{Ending: port.TimedOut, Latency: 800 * ms}, anyRead)
+	assert.Less(t, y.members[0].room, room)
+}
+
 func TestWhatIsWorthMostGoesFirst(t *testing.T) {
 	p := littleSite()
 	p.shares = []port.Customer{{Share: 0.5}, {Share: 0.5}}
