What looks lost at a member that loses some is sent again once

A member's part of time-outs that later submissions overtook is kept; over a twentieth, a txn out for four least latencies with a quick later answer is taken back and sent again, once. Guards against lossy links and types that hang; could harm heavy-tailed types at such a member.

--- a/router/router.go
+++ b/router/router.go
@@ -96,6 +96,7 @@
 
 	heard   time.Duration // last answer of any kind
 	waiting time.Duration // since when something is out and nothing was heard
+	losing  float64       // part of what is sent there that is lost while the rest is answered
 	fails   int           // failures in a row
 	down    bool          // to be used for trials only
 	trialAt time.Duration // earliest next trial
@@ -292,10 +293,6 @@
 	halve  = 1.0 / 2 // for a submission that came to nothing
 )
 
-type windows struct {
-	gain float64 // how much a window grows for a round of quick answers; all fronts together grow by 1
-}
-
 func (r *Router) widen(m *member) {
 	if float64(m.out+1) >= m.room/2 { // one that is not used proves nothing
 		m.room += r.gain / max(m.room, 1)
@@ -325,12 +322,7 @@
 	warmIn, fall time.Duration
 }
 
-// binds tells whether the drain rule forbids a member. It acts as soon as the list says so: the grace
-// is for what was on its way.
-func (v *guards) binds(e port.Entry, before bool) bool {
-	return e.State == port.Draining || e.State == port.Removed && (!v.onlyDraining || before)
-}
-
+// bind keeps the drain rule as soon as the list speaks: the grace is for what was on its way.
 func (r *Router) bind(i int) {
 	m := &r.members[i]
 	m.bound = true
@@ -403,14 +395,6 @@
 	}
 }
 
-// answered brings a member back. One that could not be reached may have started meanwhile.
-func (r *Router) answered(now time.Duration, m *member) {
-	if m.down && m.lost > m.started {
-		r.starts(now, m, now)
-	}
-	m.down, m.fails = false, 0
-}
-
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
 // patience is counted in the latency last seen there.
 func (r *Router) silent(now time.Duration, m *member) bool {
@@ -424,7 +408,10 @@
 	switch o.Ending {
 	case port.Committed, port.Missed:
 		m.heard = now
-		r.answered(now, m)
+		if m.down && m.lost > m.started { // what could not be reached may have started meanwhile
+			r.starts(now, m, now)
+		}
+		m.down, m.fails = false, 0
 		if o.Ending == port.Missed || ty == none {
 			return
 		}
@@ -434,6 +421,7 @@
 			r.widen(m)
 			m.quick = max(m.quick, now-o.Latency)
 		}
+		m.losing -= m.losing / 20
 		m.pace += (float64(o.Latency)/float64(r.usual[ty]) - m.pace) / 10
 		r.took(ty, o.Latency)
 	case port.Errored, port.Full: // quick, but no reason to send more
@@ -444,9 +432,11 @@
 		m.lost = now
 		r.takeDown(now, o.Member)
 	case port.TimedOut:
-		if m.quick <= now-o.Latency { // else later ones came back quickly: this one was lost, not queued
-			r.narrow(now, m, halve)
+		if m.quick > now-o.Latency {
+			m.losing += (1 - m.losing) / 20
+			return // later ones came back quickly: this one was lost, not queued
 		}
+		r.narrow(now, m, halve)
 		if ty != none {
 			m.pace += max(0, float64(o.Latency)/float64(r.usual[ty])-m.pace) / 10
 		}
@@ -622,7 +612,7 @@
 		t.value *= r.excess
 	}
 	r.again = min(r.again+againShare, againMost)
-	r.earn()
+	r.probes = min(r.probes+r.probeShare, 10)
 	r.await(t)
 }
 
@@ -773,24 +763,29 @@
 func (r *Router) order() {
 	slices.SortStableFunc(r.held, func(a, b uint32) int {
 		x, y := &r.slab[a], &r.slab[b]
-		if c := cmp.Compare(y.value/float64(r.usual[y.Type]), x.value/float64(r.usual[x.Type])); c != 0 {
-			return c
-		}
-		return cmp.Compare(y.begun, x.begun)
+		return cmp.Or(cmp.Compare(y.value/float64(r.usual[y.Type]), x.value/float64(r.usual[x.Type])),
+			cmp.Compare(y.begun, x.begun))
 	})
 }
 
-// Woken is the beat: what can't be heard is looked for.
+// Woken is the beat: what is out at a member that fell silent is taken back and goes elsewhere; so is,
+// once, what looks lost at a member that loses some and answers the rest.
 func (r *Router) Woken(now time.Duration) {
 	for i := range r.members {
-		if !r.silent(now, &r.members[i]) {
+		if m := &r.members[i]; r.silent(now, m) {
+			r.takeDown(now, i)
+			m.waiting = now
+		}
+	}
+	for p := range r.slab {
+		t := &r.slab[p]
+		if t.end != open || t.at == none || r.types[t.Type].Effect == port.OnceOnly {
 			continue
 		}
-		r.takeDown(now, i)
-		for p := range r.slab {
-			if t := &r.slab[p]; t.end == open && t.at == i && r.types[t.Type].Effect != port.OnceOnly {
-				r.leave(t)
-			}
+		m := &r.members[t.at]
+		lost := m.losing > 1.0/20 && t.subs == 1 && m.quick > t.sentAt && now-t.sentAt > 4*r.least[t.Type]
+		if lost || m.down && m.waiting == now {
+			r.leave(t)
 		}
 	}
 }
@@ -822,8 +817,6 @@
 		probeShare: share}
 }
 
-func (l *lister) earn() { l.probes = min(l.probes+l.probeShare, 10) }
-
 // List takes what the list says; facts from answers beat it. After a failure, which may mean that the
 // subscription broke, it is asked for anew, spread out.
 func (r *Router) List(now time.Duration, kind port.ListKind, _ int64, entries []port.Entry) {
@@ -849,7 +842,8 @@
 			m.group = e.Group
 			g.members = append(g.members, e.Member)
 		}
-		m.listed, m.zone, m.bound = true, e.Zone, r.binds(e, m.bound)
+		m.listed, m.zone = true, e.Zone
+		m.bound = e.State == port.Draining || e.State == port.Removed && (!r.onlyDraining || m.bound)
 		if m.bound {
 			r.bind(e.Member)
 		}
@@ -947,11 +941,11 @@
 	members []member
 	groups  []group
 	sessions
-	windows
 	guards
 	choice
 	lives
 	lister
+	gain   float64 // what a window grows by for a round of quick answers; all fronts together grow by 1
 	wakeAt time.Duration
 }
 
@@ -963,7 +957,7 @@
 		chance:   chance{seed: seed},
 		tempo:    newTempo(types, at.Tick),
 		sessions: newSessions(copies.Carried),
-		windows:  windows{gain: 1 / float64(max(1, at.Fronts))},
+		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
 			coldPart: math.Sqrt(rules.FallMultiple), warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -378,6 +378,25 @@
 	assert.Less(t, y.members[0].room, room)
 }
 
+func TestWhatLooksLostIsSentAgainOnceAtAMemberThatLosesSome(t *testing.T) {
+	for _, losing := range []float64{0, 0.2} {
+		y := tell(t, littleSite()).group(2)
+		w := y.begin(write)
+		y.members[0].losing, y.members[0].quick = losing, 10*ms
+		y.members[0].waiting = time.Hour // it answers others
+		y.pass(700 * ms)
+		if losing == 0 {
+			assert.Zero(t, y.count("revoke"))
+			continue
+		}
+		assert.Equal(t, "revoke 1.0", y.last("revoke"))
+		y.ends(w, port.Withdrawn, port.Unknown, 0)
+		assert.Equal(t, 2, y.count("submit"))
+		y.pass(700 * ms)
+		assert.Equal(t, 1, y.count("revoke"), "but once")
+	}
+}
+
 func TestWhatIsWorthMostGoesFirst(t *testing.T) {
 	p := littleSite()
 	p.shares = []port.Customer{{Share: 0.5}, {Share: 0.5}}
