--- a/router/router_test.go
+++ b/router/router_test.go
@@ -392,6 +392,7 @@
 		assert.Equal(t, "revoke 1.0", y.last("revoke"))
 		y.ends(w, port.Withdrawn, port.Unknown, 0)
 		assert.Equal(t, 2, y.count("submit"))
+		y.members[0].waiting = time.Hour
 		y.pass(700 * ms)
 		assert.Equal(t, 1, y.count("revoke"), "but once")
 	}
