--- a/router/router_test.go
+++ b/router/router_test.go
@@ -141,9 +141,13 @@
 
 func TestADrainingPrimaryIsReplaced(t *testing.T) {
 	y := tell(t, littleSite()).group(3)
+	y.probes = -10 // nothing is paid for
+	y.pass(time.Second)
+	n := y.count("probe")
 	y.list(port.Changes, port.Entry{Member: 0, State: port.Draining, Primary: true})
 	y.begin(write)
 	assert.Empty(t, y.last("submit"))
+	assert.Equal(t, n+2, y.count("probe"), "the others are asked for the new one")
 	y.knows(1, port.Primary, y.now+ms)
 	assert.Equal(t, "submit 1 to 1", y.last("submit"))
 }
@@ -209,6 +213,7 @@
 	y.Left(y.now, old)
 	y.settle()
 	assert.Equal(t, "revoke 1.0", y.last("revoke"))
+	assert.Equal(t, 2.0, y.members[y.where[old]].room, "it left too early to be served: a sign of a queue")
 	ref := port.Ref{Place: old.Place, Turn: old.Turn + 1}
 	y.Begin(y.now, port.Txn{Ref: ref, Type: anyRead, Customer: port.None, Budget: time.Second})
 	y.settle()
@@ -233,6 +238,23 @@
 	assert.Equal(t, 1, y.count("submit"))
 }
 
+func TestAMissedReadDoesNotCircleAmongReplicas(t *testing.T) {
+	p := littleSite()
+	p.at.Roles = port.RoleNever
+	y := tell(t, p).group(4)
+	y.now = time.Second
+	for i := range 4 {
+		y.knows(i, port.Replica, 200*ms)
+	}
+	r := y.begin(bounded)
+	for range 5 {
+		if y.slab[r.Place].at != none {
+			y.ends(r, port.Missed, port.Replica, 200*ms)
+		}
+	}
+	assert.Equal(t, 1, y.subs[r])
+}
+
 // Guards.
 
 func TestNothingNewGoesToADrainingOrMissingMember(t *testing.T) {
@@ -299,6 +321,16 @@
 	assert.LessOrEqual(t, n, 5)
 }
 
+func TestAMemberThatCouldNotBeReachedCountsAsStarted(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	y.now = time.Minute
+	y.ends(y.begin(write), port.Unreachable, port.Unknown, 0)
+	y.now += time.Second
+	y.knows(0, port.Primary, y.now)
+	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	assert.True(t, y.members[0].cold)
+}
+
 func TestTheListIsSubscribedToFromTheStartAndAgainAfterAFailure(t *testing.T) {
 	p := littleSite()
 	p.at.Ask = true
@@ -392,7 +424,7 @@
 		assert.Equal(t, "revoke 1.0", y.last("revoke"))
 		y.ends(w, port.Withdrawn, port.Unknown, 0)
 		assert.Equal(t, 2, y.count("submit"))
-		y.members[0].waiting = time.Hour
+		y.members[0].waiting, y.members[0].quick = time.Hour, time.Hour
 		y.pass(700 * ms)
 		assert.Equal(t, 1, y.count("revoke"), "but once")
 	}
@@ -402,23 +434,27 @@
 	p := littleSite()
 	p.shares = []port.Customer{{Share: 0.5}, {Share: 0.5}}
 	p.costs.OverShare = 0.1
+	p.at.RetriesMarked = true
 	y := tell(t, p).group(1)
 	y.members[0].room = 1
 	first := y.begin(write)
 	cheap := y.begin(anyRead)
 	retry := y.begin(write, func(t *port.Txn) { t.Retry = true })
 	dear := y.begin(write)
-	for _, next := range []port.Ref{dear, retry, cheap} {
+	for _, next := range []port.Ref{dear, cheap, retry} {
 		y.ends(first, port.Committed, port.Primary, 0)
 		assert.Equal(t, 1, y.subs[next])
 		first = next
 	}
-	c := &y.customers[0]
+	of := func(c int) float64 {
+		r := y.begin(write, func(t *port.Txn) { t.Customer = c })
+		return y.slab[r.Place].value
+	}
 	for range 40 {
-		y.inExcess(0, c)
+		of(0)
 	}
-	assert.True(t, y.inExcess(0, c), "one customer alone is over a half")
-	assert.False(t, y.inExcess(0, &y.customers[1]))
+	assert.InDelta(t, 0.6, of(0), 1e-9, "one customer alone is over a half")
+	assert.Equal(t, 6.0, of(1))
 }
 
 func TestAnUnmarkedRetryIsToldByItsBudget(t *testing.T) {
@@ -462,6 +498,13 @@
 			}
 		}
 	}
+	for range 200 {
+		y.members[0].down = true
+		y.probe(y.now, 0)
+		y.members[0].probing, y.members[0].probed = false, 0
+	}
+	assert.GreaterOrEqual(t, y.probes, -10.0, "and the debt of looking for a primary stays small")
+	y.asked = y.asked[:len(y.asked)-200]
 	assert.InDelta(t, 500*probeCost/p.costs.Probe, y.count("probe"), 15)
 }
 
