--- a/router/router_test.go
+++ b/router/router_test.go
@@ -455,6 +455,7 @@
 	}
 	assert.InDelta(t, 0.6, of(0), 1e-9, "one customer alone is over a half")
 	assert.Equal(t, 6.0, of(1))
+	assert.Equal(t, 1.5, y.slab[retry.Place].value)
 }
 
 func TestAnUnmarkedRetryIsToldByItsBudget(t *testing.T) {
