A member that reports next to nothing held has no queue

Guards the same losses at low rates; could harm where reports are stale by far more than a quarter second.

--- a/router/router.go
+++ b/router/router.go
@@ -698,9 +698,8 @@
 	}
 }
 
-// hopeless tells when a txn is past hope: before its expiry, and where a late answer is worth nothing
-// while it can still be answered before the SLA time is out. What is out is never cut short for that:
-// work that has begun is finished, as clients come back at once for what was thrown away.
+// hopeless tells when a txn is past hope: shortly before its expiry, or its SLA time where late is worth
+// nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
 	if t.subs >= r.most || now > t.expiry-2*r.beat {
 		return true
@@ -880,6 +879,9 @@
 		}
 		return
 	}
+	if l.Held >= 0 && l.Held < 1.5 { // one at most: no queue there, so what does not come back is lost
+		m.quick = now
+	}
 	if l.HasPosition {
 		m.note(now, l.Position, r.shortest)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -408,6 +408,11 @@
 	assert.Equal(t, room, y.members[0].room, "one that was sent later came back quickly")
 	y.judge(y.now+time.Second, port.Outcome{Ending: port.TimedOut, Latency: 800 * ms}, anyRead)
 	assert.Less(t, y.members[0].room, room)
+	room = y.members[0].room
+	y.now += 10 * time.Second
+	y.knows(0, port.Primary, y.now)
+	y.judge(y.now+100*ms, port.Outcome{Ending: port.TimedOut, Latency: 800 * ms}, anyRead)
+	assert.Equal(t, room, y.members[0].room, "by its own report it holds nothing")
 }
 
 func TestWhatLooksLostIsSentAgainOnceAtAMemberThatLosesSome(t *testing.T) {
