Where probes are not allowed a write asks for the primary itself

Cause: read through for sites unlike the three: without probes, listed roles and reads, a group's primary was never found and writes waited out their expiry. A miss runs nothing, so the write may ask; it pays from the limit on further submissions.

--- a/router/router.go
+++ b/router/router.go
@@ -284,9 +284,8 @@
 // Queues that outlast their cause are the worst of overload: members work for clients that have left.
 // So the waiting is done here, where it costs no work and can be put in order. A window grows with each
 // quick answer and shrinks with each late one, so that a member's queue stays about as long as its work.
-// It needs no figure from the member and covers the slow, the cold, the crowded and those that refuse or
-// fail at great speed. It could harm where a healthy type takes far longer than it used to: the least
-// latency follows only in about a minute.
+// It covers the slow, the cold, the crowded and those that refuse or fail at great speed. It could harm
+// where a healthy type takes far longer than it used to: the least latency follows in about a minute.
 const (
 	lateBy = 1.5     // late: over this multiple of the type's least usual latency
 	shrink = 0.75    // for an answer that came late
@@ -724,7 +723,8 @@
 	}
 	to := none
 	g := r.group(t.Group)
-	if ty.Level == port.Write || ty.Level == port.Current {
+	blind := ty.Level == port.Write && g.primary == none && !r.mayProbe // a miss is the only way to ask
+	if !blind && (ty.Level == port.Write || ty.Level == port.Current) {
 		if g.primary != none && r.admits(now, &r.members[g.primary], t.Type) {
 			to = g.primary
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -114,6 +114,19 @@
 	assert.Equal(t, "submit 1 to 1", y.last("submit"))
 }
 
+func TestWithoutProbesAWriteAsksForThePrimaryItself(t *testing.T) {
+	p := littleSite()
+	p.at.Roles, p.allowed.Probes = port.RoleNever, false
+	y := tell(t, p).group(2)
+	w := y.begin(write)
+	first := y.where[w]
+	y.ends(w, port.Missed, port.Replica, y.now+ms)
+	assert.Equal(t, 2, y.subs[w])
+	assert.NotEqual(t, first, y.where[w])
+	y.ends(w, port.Committed, port.Primary, y.now+ms)
+	assert.Equal(t, y.where[w], y.groups[0].primary)
+}
+
 func TestTheClaimFurtherOnInTheLogWins(t *testing.T) {
 	y := tell(t, littleSite()).group(3)
 	y.now = 10 * time.Second
