Reread: one place each for the trial delay and the span of running sums

The delay of a trial stood in two places, the span of running sums as two bare tens; the adapter set an outcome's load twice. A comment on leaving clients still told of a mark that is gone.

--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -152,10 +152,9 @@
 }
 
 func newFront(a *adapter, id int, s *wire.Site) *front {
-	f := &front{a: a, id: id, start: a.clock, zero: time.Duration(s.Zero - a.clock), kinds: map[string]int{},
+	return &front{a: a, id: id, start: a.clock, zero: time.Duration(s.Zero - a.clock), kinds: map[string]int{},
 		members: map[int64]int{}, groups: map[int64]int{}, txns: map[string]uint32{},
 		types: index(s.Types), customers: index(s.Customers), zones: index(s.Zones)}
-	return f
 }
 
 func index(names []string) map[string]int {
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,8 @@
 const (
 	never = time.Duration(math.MinInt64 / 4)
 	none  = port.None
+
+	recent = 10 // shortest SLA times that running sums look back over: a few dozen answers
 )
 
 // chance is the instance's own: a checksum over its seed and a counter.
@@ -69,9 +71,9 @@
 	p.least[ty] = min(p.usual[ty], p.least[ty]+p.least[ty]/2000)
 }
 
-// fade is what is left of a running sum after a span, at the tempo of a few dozen answers.
+// fade is what is left of a running sum after a span.
 func (p *tempo) fade(span time.Duration) float64 {
-	return math.Exp(-float64(span) / float64(10*p.shortest))
+	return math.Exp(-float64(span) / float64(recent*p.shortest))
 }
 
 // --- Members: what is known of each; all is unknown at birth.
@@ -356,13 +358,12 @@
 			n++
 		}
 	}
-	return sum / float64(max(n, 1)) / (10 * r.shortest).Seconds()
+	return sum / float64(max(n, 1)) / (recent * r.shortest).Seconds()
 }
 
-// spares tells whether a cold member can take one more. Its part of what a warm one gets from us, by its
-// warmth, keeps all fronts together at what it can do, whatever each of them sends: so the root of the
-// multiple at which it falls uses half of the room. What it turns away counts too. A front that has sent
-// little yet may send one in each such span.
+// spares tells whether a cold member can take one more. Its part, by warmth, of what a warm one gets from us
+// keeps all fronts together at what it can do; the root of the multiple at which it falls leaves half of the
+// room. What it turns away counts too. A front that has sent little yet may send one in each such span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
@@ -382,13 +383,17 @@
 	return r.hasRoom(now, m) && r.spares(now, m, r.usual[ty].Seconds())
 }
 
+func (r *Router) delayTrial(now time.Duration, m *member) {
+	m.trialAt = now + r.shortest<<min(m.fails, 4)
+}
+
 // takeDown keeps traffic off a member that can't be reached or is silent. Trials come sparingly, one at
 // a time; its window starts again from one, and a primary in doubt is looked for anew.
 func (r *Router) takeDown(now time.Duration, i int) {
 	m := &r.members[i]
 	m.fails++
 	m.down, m.room = true, min(m.room, 1)
-	m.trialAt = now + r.shortest<<min(m.fails, 4)
+	r.delayTrial(now, m)
 	if g := r.group(m.group); g.primary == i {
 		g.primary = none
 	}
@@ -568,11 +573,10 @@
 	again     float64         // further submissions still allowed
 }
 
-// Further submissions stay a part of first ones, so that time-outs can't make more work than they save;
-// some are kept for the moment when a member dies.
+// Further submissions stay a part of first ones: time-outs must not make more work than they save.
 const (
 	againShare = 1.0 / 5
-	againMost  = 20
+	againMost  = 20 // kept for the moment when a member dies
 )
 
 func newLives(types []port.TxnType, shares []port.Customer, marked bool, allowed port.Allowance,
@@ -648,7 +652,7 @@
 	return r.all.seen > againMost && c.seen > 1.2*c.share*r.all.seen
 }
 
-// Left ends a txn whose client is gone. One that was out for longer than usual is a sign of a queue.
+// Left ends a txn whose client is gone. One that was out then is a sign of a queue.
 func (r *Router) Left(now time.Duration, ref port.Ref) {
 	t := &r.slab[ref.Place]
 	if t.Ref != ref || t.end == closed {
@@ -1020,7 +1024,7 @@
 		m.sent, m.sentAt = m.sent*r.fade(now-m.sentAt)+work, now
 		m.budget -= work
 		if m.down {
-			m.trialAt = now + r.shortest<<min(m.fails, 4)
+			r.delayTrial(now, m)
 		}
 		t.at, t.sentAt = t.want, now
 		t.subs++
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -60,7 +60,7 @@
 	Qos, Customer, User []byte
 	Group, Store        int64
 	Txn                 port.Txn     // spans and flags only
-	Outcome             port.Outcome // all but ids and position
+	Outcome             port.Outcome // all but ids, position and load
 	Stamp               int64        // role is in Outcome; this is the position in milliseconds
 	Load                port.Load    // Position in X0, seconds
 	X0                  float64
@@ -142,7 +142,6 @@
 			r.fail("Stamp", "names no role")
 		}
 		r.load(e)
-		e.Outcome.Load = e.Load
 	case Aborted:
 		e.Rid = r.need("Rid")
 	case Alarm:
