--- a/router/router.go
+++ b/router/router.go
@@ -383,9 +383,7 @@
 	return r.hasRoom(now, m) && r.spares(now, m, r.usual[ty].Seconds())
 }
 
-func (r *Router) delayTrial(now time.Duration, m *member) {
-	m.trialAt = now + r.shortest<<min(m.fails, 4)
-}
+func (m *member) rest(from, span time.Duration) { m.trialAt = from + span<<min(m.fails, 4) }
 
 // takeDown keeps traffic off a member that can't be reached or is silent. Trials come sparingly, one at
 // a time; its window starts again from one, and a primary in doubt is looked for anew.
@@ -393,7 +391,7 @@
 	m := &r.members[i]
 	m.fails++
 	m.down, m.room = true, min(m.room, 1)
-	r.delayTrial(now, m)
+	m.rest(now, r.shortest)
 	if g := r.group(m.group); g.primary == i {
 		g.primary = none
 	}
@@ -1024,7 +1022,7 @@
 		m.sent, m.sentAt = m.sent*r.fade(now-m.sentAt)+work, now
 		m.budget -= work
 		if m.down {
-			r.delayTrial(now, m)
+			m.rest(now, r.shortest)
 		}
 		t.at, t.sentAt = t.want, now
 		t.subs++
