Each front sheds by strain pooled over member, group and all; verdicts need two

Cause: at full size most fronts hear from a member seconds apart.

Change: answers are counted as multiples of the least usual latency per member, group and all, drawn upwards where few; between calm and jam the part that goes out falls from all to a twentieth, ranked by worth for work. Time-outs and leaving clients count as the worst answer. Windows let one out at least. One time-out, or one txn without an answer, takes nobody down. Errors count against a member only where it fails twice as often as all together; a failed connection only where the member answered nothing meanwhile, and a probe tells a restart. Probes go out for cause only. A cold member's part comes from one running sum and its floor is shared by the fronts.

It should also cover any cause that many fronts feel and each sees little of. It could harm where latencies rise for all without a queue, as with slow links: then low worth is shed for nothing.

--- a/router/router.go
+++ b/router/router.go
@@ -8,13 +8,11 @@
 // The ordinary path: each session keeps its last write's log position as its target; its reads go to a
 // replica whose own hold or refusal enforces that position, and fall back to the primary when the wait
 // cannot be enforced or fails. docs/design.md says where this is extended and when that acts.
-//
-// In order: chance, tempo, members, groups, session targets, windows, guards, choice, a txn's life, the
-// list and probes, the emitter. Each part keeps its own state and the few figures that it needs.
 package router
 
 import (
 	"cmp"
+	"encoding/binary"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -33,16 +31,15 @@
 // chance is the instance's own: a checksum over its seed and a counter.
 type chance struct {
 	seed, n uint64
+	b       [16]byte // here, so that a draw allocates nothing
 }
 
 // draw is even between 0 and 1.
 func (c *chance) draw() float64 {
-	var b [16]byte
 	c.n++
-	for i := range 8 {
-		b[i], b[8+i] = byte(c.seed>>(8*i)), byte(c.n>>(8*i))
-	}
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+	binary.LittleEndian.PutUint64(c.b[:8], c.seed)
+	binary.LittleEndian.PutUint64(c.b[8:], c.n)
+	return float64(crc32.ChecksumIEEE(c.b[:])) / (1 << 32)
 }
 
 // --- Tempo: how long things take here.
@@ -76,6 +73,23 @@
 	return math.Exp(-float64(span) / float64(recent*p.shortest))
 }
 
+// strain is how many times the least usual latency answers took lately: a running sum and its count.
+type strain struct {
+	sum, n float64
+	at     time.Duration
+}
+
+// mean is drawn to what is known at large, as if so many answers had said it: one of its own is no verdict.
+func (s *strain) mean(now time.Duration, few, large float64, p *tempo) float64 {
+	f := p.fade(now - s.at)
+	return (s.sum*f + few*large) / (s.n*f + few)
+}
+
+func (s *strain) add(now time.Duration, x float64, p *tempo) {
+	f := p.fade(now - s.at)
+	s.sum, s.n, s.at = s.sum*f+x, s.n*f+1, now
+}
+
 // --- Members: what is known of each; all is unknown at birth.
 
 type member struct {
@@ -88,17 +102,14 @@
 	posAt time.Duration // when it was learnt
 	rate  float64       // how fast the position moves, as a part of the clock's pace
 
-	out    int           // our submissions there without an ending
-	pace   float64       // latency there over the type's usual one
-	room   float64       // how much may be out there; under 1: how rarely something may
-	cutAt  time.Duration // when room last shrank
-	quick  time.Duration // when the latest submission went out that was answered quickly
-	sentAt time.Duration // last submission
-	sent   float64       // submissions lately, in seconds of usual latency
+	strain
+	out   int           // our submissions there without an ending
+	room  float64       // how much may be out there; one always may
+	quick time.Duration // when the latest submission went out that was answered quickly
 
 	heard   time.Duration // last answer of any kind
 	waiting time.Duration // since when something is out and nothing was heard
-	losing  float64       // part of what is sent there that is lost while the rest is answered
+	losing  float64       // part of what is sent there that fails or is lost while the rest is answered
 	fails   int           // failures in a row
 	down    bool          // to be used for trials only
 	trialAt time.Duration // earliest next trial
@@ -138,14 +149,14 @@
 // group follows its primary by claims. A claim carries the log position of the one that makes it, and
 // the claim further on in the log is the newer: an old report, or a member that came back, can't win.
 type group struct {
+	strain
 	members []int
 	primary int           // none: unknown, or in doubt
 	by      int           // who made the newest claim
 	claim   time.Duration // its log position
 	term    int
 	start   time.Duration // first position known of this term
-	hinted  int           // whom the list names
-	wanted  bool          // something is held for want of the primary
+	wanted  bool          // something is held or sent to the primary for want of knowledge
 }
 
 // enforceable raises a target of an older term to the start of this one: a member that has applied the
@@ -159,7 +170,7 @@
 
 func (r *Router) group(g int) *group {
 	for len(r.groups) <= g {
-		r.groups = append(r.groups, group{primary: none, by: none, hinted: none, claim: never, start: never})
+		r.groups = append(r.groups, group{primary: none, by: none, claim: never, start: never})
 	}
 	return &r.groups[g]
 }
@@ -281,37 +292,59 @@
 	return g.enforceable(t.pos, t.term)
 }
 
-// --- Windows: how much may be out at a member.
+// --- Windows and strain: how much may be out at a member, and for whom.
 
 // Queues that outlast their cause are the worst of overload: members work for clients that have left.
-// So the waiting is done here, where it costs no work and can be put in order. A window grows with each
-// quick answer and shrinks with each late one, so that a member's queue stays about as long as its work.
-// It covers the slow, the cold, the crowded and those that refuse or fail at great speed. It could harm
-// where a healthy type takes far longer than it used to: the least latency follows in about a minute.
+// So the waiting is done here, in order of worth. A window grows with each quick answer and shrinks with
+// each late one. It covers the slow, the cold, the crowded and those that refuse or fail at great speed. It
+// could harm where a healthy type takes far longer than it used to: the least latency follows in a minute.
+//
+// Many fronts with windows of one are together a long queue, and a front that hears little of a member
+// learns slowly. So each front also sheds by strain: between calm and jam the part that goes out falls
+// from all to next to nothing, worth most for its work first. All fronts that see the same strain shed
+// the same part, however little each of them sends. It could harm where few types make up the traffic.
 const (
 	lateBy = 1.5     // late: over this multiple of the type's least usual latency
 	shrink = 0.75    // for an answer that came late
 	halve  = 1.0 / 2 // for a submission that came to nothing
+	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
+	jam    = 4.0     // and from which next to nothing does: an SLA time is about that long
+	worst  = 10.0    // what one answer may count for, and what one does that never came
+	few    = 5.0     // answers that it takes to be believed as much as what is known at large
 )
 
-func (r *Router) widen(m *member) {
-	if float64(m.out+1) >= m.room/2 { // one that is not used proves nothing
-		m.room += r.gain / max(m.room, 1)
-	}
+func (r *Router) narrow(m *member, by float64) {
+	m.room = max(m.room*by, r.gain/10)
 }
 
-func (r *Router) narrow(now time.Duration, m *member, by float64) {
-	if now-m.cutAt >= r.shortest/4 { // once for what one queue did
-		m.cutAt = now
-		m.room = max(m.room*by, r.gain/10)
+// strained counts an answer for its member, its group and all members.
+func (r *Router) strained(now time.Duration, m *member, by float64) {
+	for _, s := range [...]*strain{&m.strain, &r.group(m.group).strain, &r.overall} {
+		s.add(now, min(by, worst), &r.tempo)
 	}
 }
 
-func (r *Router) hasRoom(now time.Duration, m *member) bool {
-	if m.room >= 1 {
-		return float64(m.out) < m.room
+func (r *Router) strainAt(now time.Duration, m *member) float64 {
+	all := r.overall.mean(now, 3*few, 1, &r.tempo)
+	return m.mean(now, few, r.group(m.group).mean(now, 2*few, all, &r.tempo), &r.tempo)
+}
+
+// ranked is the part of the work coming here that is worth more for its length; among equals by chance.
+func (r *Router) ranked(t *txn) float64 {
+	work := r.usual[t.Type].Seconds()
+	own := min(max(int(2*math.Log2(t.value/work))+len(r.mix)/2, 0), len(r.mix)-1)
+	r.mix[own] += work
+	above, all := 0.0, 0.0
+	for i, w := range r.mix {
+		if all += w; i > own {
+			above += w
+		}
 	}
-	return m.out == 0 && now-m.sentAt >= time.Duration(float64(r.shortest)/4/m.room)
+	rank := (above + r.draw()*r.mix[own]) / all
+	for i := 0; i < len(r.mix) && all > 2*recent*r.shortest.Seconds(); i++ {
+		r.mix[i] /= 2
+	}
+	return rank
 }
 
 // --- Guards: drains, cold members, silent and failing ones.
@@ -349,41 +382,32 @@
 	return r.coldFrom + (1-r.coldFrom)*float64(now-m.started)/float64(r.warmIn)
 }
 
-// bears is what a warm member gets from this front, in seconds of usual latency a second.
-func (r *Router) bears(now time.Duration) float64 {
-	sum, n := 0.0, 0
-	for i := range r.members {
-		if m := &r.members[i]; !m.cold && !m.down && !m.bound {
-			sum += m.sent * r.fade(now-m.sentAt)
-			n++
-		}
-	}
-	return sum / float64(max(n, 1)) / (recent * r.shortest).Seconds()
-}
-
 // spares tells whether a cold member can take one more. Its part, by warmth, of what a warm one gets from us
 // keeps all fronts together at what it can do; the root of the multiple at which it falls leaves half of the
-// room. What it turns away counts too. A front that has sent little yet may send one in each such span.
+// room. What it turns away counts too. A front that has sent little yet has its part of one txn a span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
 		return true
 	}
-	rate := max(r.coldPart*warmth*r.bears(now), work/r.fall.Seconds())
+	part := r.sent * r.fade(now-r.sentAt) / float64(max(r.serving, 1)) / (recent * r.shortest).Seconds()
+	rate := max(r.coldPart*warmth*part, work*r.gain/r.fall.Seconds())
 	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
 	return m.budget >= work
 }
 
 // admits tells whether a member may be sent a txn now.
-func (r *Router) admits(now time.Duration, m *member, ty int) bool {
+func (r *Router) admits(now time.Duration, m *member, t *txn) bool {
 	if m.bound || !m.listed && !r.onlyDraining {
 		return false
 	}
-	return r.hasRoom(now, m) && r.spares(now, m, r.usual[ty].Seconds())
+	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
+	return t.rank <= calmer && float64(m.out) < max(m.room, 1) && r.spares(now, m, r.usual[t.Type].Seconds())
 }
 
-func (m *member) rest(from, span time.Duration) { m.trialAt = from + span<<min(m.fails, 4) }
+// rests is how long a member that is down is left alone.
+func (r *Router) rests(m *member) time.Duration { return r.shortest << min(m.fails, 4) }
 
 // takeDown keeps traffic off a member that can't be reached or is silent. Trials come sparingly, one at
 // a time; its window starts again from one, and a primary in doubt is looked for anew.
@@ -391,20 +415,23 @@
 	m := &r.members[i]
 	m.fails++
 	m.down, m.room = true, min(m.room, 1)
-	m.rest(now, r.shortest)
+	m.trialAt = now + r.rests(m)
 	if g := r.group(m.group); g.primary == i {
 		g.primary = none
 	}
 }
 
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
-// patience is counted in the latency last seen there.
+// patience is counted in the latency last seen there. One txn without an answer may be lost or long.
 func (r *Router) silent(now time.Duration, m *member) bool {
-	longest := slices.Max(r.usual)
-	return m.out > 0 && !m.down && now-m.waiting > max(2*r.shortest, time.Duration(4*m.pace*float64(longest)))
+	if m.out < 2 || m.down || now-m.waiting <= 2*r.shortest {
+		return false
+	}
+	return now-m.waiting > time.Duration(4*m.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
 }
 
-// judge draws on an ending for the member's window and health.
+// judge draws on an ending for the member's window and health. What fails everywhere alike, or while others
+// are answered, is no member's fault: errors behind all of them, links that lose answers or can't be set up.
 func (r *Router) judge(now time.Duration, o port.Outcome, ty int) {
 	m := &r.members[o.Member]
 	switch o.Ending {
@@ -417,37 +444,60 @@
 		if o.Ending == port.Missed || ty == none {
 			return
 		}
-		if float64(o.Latency) > lateBy*float64(r.least[ty]) {
-			r.narrow(now, m, shrink)
+		by := float64(o.Latency) / float64(r.least[ty])
+		if by > lateBy {
+			r.narrow(m, shrink)
 		} else {
-			r.widen(m)
 			m.quick = max(m.quick, now-o.Latency)
+			if float64(m.out+1) >= m.room/2 { // a window that is not used proves nothing
+				m.room += r.gain / max(m.room, 1)
+			}
 		}
-		m.losing -= m.losing / 20
-		m.pace += (float64(o.Latency)/float64(r.usual[ty]) - m.pace) / 10
+		r.strained(now, m, by)
+		r.loses(m, 0)
 		r.took(ty, o.Latency)
 	case port.Errored, port.Full: // quick, but no reason to send more
 		m.heard = now
-		m.fails++
-		r.narrow(now, m, halve)
+		if o.Ending == port.Errored {
+			r.loses(m, 1)
+		}
+		if o.Ending == port.Full || m.losing > 2*r.losing {
+			m.fails++
+			r.narrow(m, halve)
+			r.strained(now, m, worst)
+		}
 	case port.Unreachable, port.Broken:
-		m.lost = now
+		if m.heard > now-o.Latency { // it answered meanwhile
+			r.loses(m, 1)
+			return
+		}
+		if r.probe(now, o.Member); !m.probing { // a probe tells whether it was down
+			m.lost = now
+		}
 		r.takeDown(now, o.Member)
 	case port.TimedOut:
 		if m.quick > now-o.Latency {
-			m.losing += (1 - m.losing) / 20
+			r.loses(m, 1)
 			return // later ones came back quickly: this one was lost, not queued
 		}
-		r.narrow(now, m, halve)
-		if ty != none {
-			m.pace += max(0, float64(o.Latency)/float64(r.usual[ty])-m.pace) / 10
+		r.narrow(m, halve)
+		r.strained(now, m, worst)
+		if now-m.heard <= o.Latency {
+			return
 		}
-		if now-m.heard > o.Latency {
+		if m.fails++; m.fails > 1 { // one may be lost or long
 			r.takeDown(now, o.Member)
+		} else {
+			r.probe(now, o.Member)
 		}
 	}
 }
 
+func (r *Router) loses(m *member, one float64) {
+	m.losing += (one - m.losing) / 20
+	r.losing += (one - r.losing) / 100
+}
+
 // --- Choice of a member for a read.
 
 type choice struct {
@@ -462,9 +512,9 @@
 	burden  = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
 )
 
-// cost compares members: latency there, by what we have out, by what part of the member is to be used.
+// cost compares members: strain there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
-	c := m.pace * (1 + float64(m.out)) / r.warmth(now, m)
+	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m)
 	if m.zone != r.zone {
 		c *= farther
 	}
@@ -487,7 +537,7 @@
 		i := g.members[(k+r.turn)%len(g.members)]
 		m := &r.members[i]
 		if i == t.left && len(g.members) > 1 || m.down && (now < m.trialAt || m.out > 0) ||
-			!r.admits(now, m, t.Type) {
+			!r.admits(now, m, t) {
 			continue
 		}
 		if i == g.primary {
@@ -505,6 +555,7 @@
 			behind, furthest = i, pos
 		}
 	}
+	g.wanted = g.wanted || best == none && r.check == port.Unchecked
 	if best == none && behind != none && r.check != port.Unchecked {
 		m := &r.members[behind]
 		if m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none && !t.missed {
@@ -534,7 +585,8 @@
 type txn struct {
 	port.Txn
 	begun, sla, expiry time.Duration
-	value              float64       // marked down for a retry and for a customer's excess
+	rank               float64       // among what comes here, 0 the best
+	value              float64       // marked down for a retry
 	needs              time.Duration // position that a read needs; never for any
 	end                verdict
 	subs               int  // submissions so far
@@ -549,26 +601,17 @@
 	held               bool
 }
 
-// customer is one customer's part of what comes here.
-type customer struct {
-	share, seen float64
-	seenAt      time.Duration
-}
-
 type lives struct {
-	types     []port.TxnType
-	most      int // submissions a txn
-	revokes   bool
-	comeBack  time.Duration // what a declined client is told
-	excess    float64       // what a customer's excess is worth
-	slab      []txn
-	held      []uint32 // to be planned: new, or without a place to go
-	dirty     []uint32 // to be emitted
-	customers []customer
-	all       customer        // every customer together
-	marked    bool            // clients mark their retries
-	budgets   []time.Duration // what most tries of a type come with
-	again     float64         // further submissions still allowed
+	types    []port.TxnType
+	most     int // submissions a txn
+	revokes  bool
+	comeBack time.Duration // what a declined client is told
+	slab     []txn
+	held     []uint32        // to be planned: new, or without a place to go
+	dirty    []uint32        // to be emitted
+	marked   bool            // clients mark their retries
+	budgets  []time.Duration // what most tries of a type come with
+	again    float64         // further submissions still allowed
 }
 
 // Further submissions stay a part of first ones: time-outs must not make more work than they save.
@@ -577,19 +620,15 @@
 	againMost  = 20 // kept for the moment when a member dies
 )
 
-func newLives(types []port.TxnType, shares []port.Customer, marked bool, allowed port.Allowance,
-	excess float64) lives {
+func newLives(types []port.TxnType, marked bool, allowed port.Allowance) lives {
 	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
-		excess: excess, again: againMost}
+		again: againMost}
 	if allowed.ComeBack {
 		l.comeBack = allowed.ComeBackMax / 2
 	}
 	for _, ty := range types {
 		l.budgets = append(l.budgets, ty.Expiry)
 	}
-	for _, c := range shares {
-		l.customers = append(l.customers, customer{share: c.Share})
-	}
 	return l
 }
 
@@ -609,11 +648,8 @@
 	if r.returns(&in) {
 		t.value /= 4 // much of its SLA time is gone, and the first answer was no better
 	}
-	if in.Customer != none && r.inExcess(now, &r.customers[in.Customer]) {
-		t.value *= r.excess
-	}
+	t.rank = r.ranked(t)
 	r.again = min(r.again+againShare, againMost)
-	r.probes = min(r.probes+r.probeShare, 10)
 	r.await(t)
 }
 
@@ -643,14 +679,7 @@
 	return max(off, -off) > *most/20
 }
 
-// inExcess counts a customer's txn and tells whether the customer is over its share of what comes here.
-func (r *Router) inExcess(now time.Duration, c *customer) bool {
-	r.all.seen, r.all.seenAt = r.all.seen*r.fade(now-r.all.seenAt)+1, now
-	c.seen, c.seenAt = c.seen*r.fade(now-c.seenAt)+1, now
-	return r.all.seen > againMost && c.seen > 1.2*c.share*r.all.seen
-}
-
-// Left ends a txn whose client is gone. One that was out then is a sign of a queue.
+// Left ends a txn whose client is gone. One that was out then is a sign of a queue, and came to nothing.
 func (r *Router) Left(now time.Duration, ref port.Ref) {
 	t := &r.slab[ref.Place]
 	if t.Ref != ref || t.end == closed {
@@ -658,7 +687,9 @@
 	}
 	t.end = closed
 	if t.at != none {
-		r.narrow(now, &r.members[t.at], halve)
+		m := &r.members[t.at]
+		r.narrow(m, halve)
+		r.strained(now, m, worst)
 	}
 	r.leave(t)
 }
@@ -727,7 +758,7 @@
 	g := r.group(t.Group)
 	blind := ty.Level == port.Write && g.primary == none && !r.mayProbe // a miss is the only way to ask
 	if !blind && (ty.Level == port.Write || ty.Level == port.Current) {
-		if g.primary != none && r.admits(now, &r.members[g.primary], t.Type) {
+		if g.primary != none && r.admits(now, &r.members[g.primary], t) {
 			to = g.primary
 		}
 	} else {
@@ -772,12 +803,6 @@
 // Woken is the beat: what is out at a member that fell silent is taken back and goes elsewhere; so is,
 // once, what looks lost at a member that loses some and answers the rest.
 func (r *Router) Woken(now time.Duration) {
-	for i := range r.members {
-		if m := &r.members[i]; r.silent(now, m) {
-			r.takeDown(now, i)
-			m.waiting = now
-		}
-	}
 	for p := range r.slab {
 		t := &r.slab[p]
 		if t.end != open || t.at == none || r.types[t.Type].Effect == port.OnceOnly {
@@ -785,10 +810,15 @@
 		}
 		m := &r.members[t.at]
 		lost := m.losing > 1.0/20 && t.subs == 1 && m.quick > t.sentAt && now-t.sentAt > 4*r.least[t.Type]
-		if lost || m.down && m.waiting == now {
+		if lost || r.silent(now, m) {
 			r.leave(t)
 		}
 	}
+	for i := range r.members {
+		if r.silent(now, &r.members[i]) {
+			r.takeDown(now, i)
+		}
+	}
 }
 
 // --- The list and probes.
@@ -799,23 +829,6 @@
 	askWithin    time.Duration
 	roles        port.Listed
 	mayProbe     bool
-	probeShare   float64 // probes a txn that we pay for
-	probes       float64 // probes paid for and not yet sent
-}
-
-// probeCost is how much of all the value probes may cost; with no price they stay under a part of txns.
-const (
-	probeCost = 0.0025
-	probeMost = 1.0 / 5
-)
-
-func newLister(at port.Topology, askWithin time.Duration, mayProbe bool, price float64) lister {
-	share := probeMost
-	if price > 0 {
-		share = min(share, probeCost/price)
-	}
-	return lister{ask: at.Ask, calling: at.Ask, askWithin: askWithin, roles: at.Roles, mayProbe: mayProbe,
-		probeShare: share}
 }
 
 // List takes what the list says; facts from answers beat it. After a failure, which may mean that the
@@ -833,8 +846,8 @@
 	}
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
-			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1, pace: 1,
-				room: 4, cutAt: never, quick: never, sentAt: never, heard: never, lost: never, started: never,
+			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1,
+				room: 4, quick: never, heard: never, lost: never, started: never,
 				probed: never})
 		}
 		m := &r.members[e.Member]
@@ -845,22 +858,20 @@
 		}
 		m.listed, m.zone = true, e.Zone
 		m.bound = e.State == port.Draining || e.State == port.Removed && (!r.onlyDraining || m.bound)
-		if m.bound {
-			r.bind(e.Member)
-		}
 		if e.HasStarted && e.Started > m.started {
 			r.starts(now, m, e.Started)
 		}
-		if e.Primary && r.roles != port.RoleNever && g.hinted != e.Member {
-			g.hinted = e.Member
-			if !m.bound && (g.by == none || g.primary == none && g.by != e.Member) {
-				g.primary = e.Member
-			}
+		if e.Primary && r.roles != port.RoleNever && !m.bound &&
+			(g.by == none || g.primary == none && g.by != e.Member) {
+			g.primary = e.Member
 		}
 	}
+	r.serving = 0
 	for i := range r.members {
-		if m := &r.members[i]; !m.listed && !r.onlyDraining {
+		if m := &r.members[i]; m.bound || !m.listed && !r.onlyDraining {
 			r.bind(i)
+		} else {
+			r.serving++
 		}
 	}
 }
@@ -890,47 +901,28 @@
 	if l.Role != port.Unknown {
 		r.claims(now, i, l.Role, l.Position, l.HasPosition)
 	}
-	if m.down && m.out == 0 {
-		m.trialAt = min(m.trialAt, now)
-	}
+	m.trialAt = min(m.trialAt, now)
 }
 
-// survey sends probes: to groups whose primary is unknown, to members that are down, then to whom we
-// heard of longest ago. The first may run into debt; what is held for want of a primary always gets one.
+// survey sends probes: to groups of which something is wanted, ever more rarely to members that are down.
 func (r *Router) survey(now time.Duration) {
-	if !r.mayProbe {
-		return
-	}
 	for k := range r.groups {
 		g := &r.groups[k]
 		for _, i := range g.members {
-			m := &r.members[i]
-			if (g.primary == none || m.down) && r.probes > -10 || g.primary == none && g.wanted {
+			if m := &r.members[i]; g.wanted || m.down && now-m.probed >= r.rests(m) {
 				r.probe(now, i)
 			}
 		}
 		g.wanted = false
 	}
-	for r.probes >= 1 {
-		oldest := none
-		for i := range r.members {
-			if oldest == none || r.members[i].probed < r.members[oldest].probed {
-				oldest = i
-			}
-		}
-		if oldest == none || !r.probe(now, oldest) {
-			return
-		}
-	}
 }
 
 func (r *Router) probe(now time.Duration, i int) bool {
 	m := &r.members[i]
-	if m.bound || m.probing || now-m.probed < r.shortest/2 {
+	if !r.mayProbe || m.bound || m.probing || now-m.probed < r.shortest/2 {
 		return false
 	}
 	m.probing, m.probed = true, now
-	r.probes = max(r.probes-1, -10)
 	r.host.Probe(i)
 	return true
 }
@@ -949,13 +941,19 @@
 	choice
 	lives
 	lister
-	gain   float64 // what a window grows by for a round of quick answers; all fronts together grow by 1
-	wakeAt time.Duration
+	overall strain
+	mix     [64]float64   // work that came lately, by the logarithm of what it is worth for its length
+	losing  float64       // as of a member
+	sent    float64       // submissions lately, in seconds of usual latency
+	sentAt  time.Duration // last submission
+	serving int           // members that may be used
+	gain    float64       // what a window grows by for a round of quick answers; all fronts together grow by 1
+	wakeAt  time.Duration
 }
 
 // New makes an instance that knows nothing yet.
-func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, customers []port.Customer,
-	copies port.Replication, rules port.Guardrails, allowed port.Allowance, costs port.Tariff) port.Decider {
+func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, _ []port.Customer,
+	copies port.Replication, rules port.Guardrails, allowed port.Allowance, _ port.Tariff) port.Decider {
 	return &Router{
 		host:     h,
 		chance:   chance{seed: seed},
@@ -965,8 +963,9 @@
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
 			coldPart: math.Sqrt(rules.FallMultiple), warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
-		lives:  newLives(types, customers, at.RetriesMarked, allowed, costs.OverShare),
-		lister: newLister(at, rules.AskWithin, allowed.Probes, costs.Probe),
+		lives:  newLives(types, at.RetriesMarked, allowed),
+		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
+			mayProbe: allowed.Probes},
 		wakeAt: never,
 	}
 }
@@ -1019,10 +1018,10 @@
 		}
 		m.out++
 		work := r.usual[t.Type].Seconds()
-		m.sent, m.sentAt = m.sent*r.fade(now-m.sentAt)+work, now
+		r.sent, r.sentAt = r.sent*r.fade(now-r.sentAt)+work, now
 		m.budget -= work
 		if m.down {
-			m.rest(now, r.shortest)
+			m.trialAt = now + r.rests(m)
 		}
 		t.at, t.sentAt = t.want, now
 		t.subs++
