Cold members get four fifths of the multiple at which they fall; probes spaced further

Change: the multiple times 0.8 instead of its root; two shortest SLA times between probes of a member instead of a half. It could harm where a turnover would be noticed by a probe half a second sooner: a front that sends much learns of it by the first miss or answer anyway.

--- a/router/router.go
+++ b/router/router.go
@@ -919,7 +919,7 @@
 
 func (r *Router) probe(now time.Duration, i int) bool {
 	m := &r.members[i]
-	if !r.mayProbe || m.bound || m.probing || now-m.probed < r.shortest/2 {
+	if !r.mayProbe || m.bound || m.probing || now-m.probed < 2*r.shortest {
 		return false
 	}
 	m.probing, m.probed = true, now
@@ -961,7 +961,7 @@
 		sessions: newSessions(copies.Carried),
 		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
-			coldPart: math.Sqrt(rules.FallMultiple), warmIn: rules.Cold, fall: rules.Fall},
+			coldPart: 0.8 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
 		lives:  newLives(types, at.RetriesMarked, allowed),
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
