Only what is wanted is asked at intervals; a probe alone tells a restart

Change: the interval is for what is wanted and for members that are down; a failed connection is asked after at once, and only a failed probe marks a member as started.

--- a/router/router.go
+++ b/router/router.go
@@ -471,7 +471,7 @@
 			r.loses(m, 1)
 			return
 		}
-		if r.probe(now, o.Member); !m.probing { // a probe tells whether it was down
+		if r.probe(now, o.Member); !r.mayProbe { // else the probe tells whether it was down
 			m.lost = now
 		}
 		r.takeDown(now, o.Member)
@@ -909,7 +909,7 @@
 	for k := range r.groups {
 		g := &r.groups[k]
 		for _, i := range g.members {
-			if m := &r.members[i]; g.wanted || m.down && now-m.probed >= r.rests(m) {
+			if m := &r.members[i]; g.wanted && now-m.probed >= 2*r.shortest || m.down && now-m.probed >= r.rests(m) {
 				r.probe(now, i)
 			}
 		}
@@ -919,7 +919,7 @@
 
 func (r *Router) probe(now time.Duration, i int) bool {
 	m := &r.members[i]
-	if !r.mayProbe || m.bound || m.probing || now-m.probed < 2*r.shortest {
+	if !r.mayProbe || m.bound || m.probing {
 		return false
 	}
 	m.probing, m.probed = true, now
