--- a/router/router.go
+++ b/router/router.go
@@ -365,7 +365,6 @@
 	}
 }
 
-// starts notes that a member started: it is cold from then on.
 func (r *Router) starts(now time.Duration, m *member, at time.Duration) {
 	m.started, m.cold = at, now-at < r.warmIn
 	m.budget, m.budgetAt = 0, now
@@ -382,15 +381,15 @@
 	return r.coldFrom + (1-r.coldFrom)*float64(now-m.started)/float64(r.warmIn)
 }
 
-// spares tells whether a cold member can take one more. Its part, by warmth, of what a warm one gets from us
-// keeps all fronts together at what it can do; the root of the multiple at which it falls leaves half of the
-// room. What it turns away counts too. A front that has sent little yet has its part of one txn a span.
+// spares tells whether a cold member can take one more. Its part, by least warmth, of what a warm one bears
+// from us keeps all fronts together at what it can do; three fifths of the multiple at which it falls leave
+// room for chance. What it turns away counts too. A front that has sent little has its part of one txn a span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
 		return true
 	}
-	part := r.sent * r.fade(now-r.sentAt) / float64(max(r.serving, 1)) / (recent * r.shortest).Seconds()
+	part := r.sent * r.fade(now-r.sentAt) / float64(max(r.warm, 1)) / (recent * r.shortest).Seconds()
 	rate := max(r.coldPart*warmth*part, work*r.gain/r.fall.Seconds())
 	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
@@ -814,10 +813,15 @@
 			r.leave(t)
 		}
 	}
+	r.warm = 0
 	for i := range r.members {
-		if r.silent(now, &r.members[i]) {
+		m := &r.members[i]
+		if r.silent(now, m) {
 			r.takeDown(now, i)
 		}
+		if !m.bound && !m.down && r.warmth(now, m) == 1 {
+			r.warm++
+		}
 	}
 }
 
@@ -866,12 +870,9 @@
 			g.primary = e.Member
 		}
 	}
-	r.serving = 0
 	for i := range r.members {
 		if m := &r.members[i]; m.bound || !m.listed && !r.onlyDraining {
 			r.bind(i)
-		} else {
-			r.serving++
 		}
 	}
 }
@@ -946,7 +947,7 @@
 	losing  float64       // as of a member
 	sent    float64       // submissions lately, in seconds of usual latency
 	sentAt  time.Duration // last submission
-	serving int           // members that may be used
+	warm    int           // members that bear their full part
 	gain    float64       // what a window grows by for a round of quick answers; all fronts together grow by 1
 	wakeAt  time.Duration
 }
@@ -961,7 +962,7 @@
 		sessions: newSessions(copies.Carried),
 		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
-			coldPart: 0.8 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
+			coldPart: 0.6 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
 		lives:  newLives(types, at.RetriesMarked, allowed),
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -521,6 +521,21 @@
 	assert.False(t, y.spares(y.now, &y.members[1], 0.05), "a front that sent nothing has a hundredth of one")
 }
 
+func TestAColdMembersPartIsMeasuredByWhatTheWarmOnesBear(t *testing.T) {
+	part := func(down int) float64 {
+		y := tell(t, littleSite()).group(5)
+		y.now, y.sent, y.sentAt = 20*time.Second, 1, 20*time.Second
+		for i := range down {
+			y.members[i].down = true
+		}
+		y.starts(y.now, &y.members[4], y.now)
+		y.Woken(y.now)
+		y.spares(y.now+100*ms, &y.members[4], 1)
+		return y.members[4].budget
+	}
+	assert.InDelta(t, 2*part(0), part(2), 1e-9, "with two of four down the other two bear it all")
+}
+
 func TestALostAnswerIsNoSignOfAQueue(t *testing.T) {
 	y := tell(t, littleSite()).group(1)
 	y.now = time.Second
