--- a/router/router.go
+++ b/router/router.go
@@ -383,7 +383,7 @@
 
 // spares tells whether a cold member can take one more. Its part, by least warmth, of what a warm one bears
 // from us keeps all fronts together at what it can do; three fifths of the multiple at which it falls leave
-// room for chance. What it turns away counts too. A front that has sent little has its part of one txn a span.
+// room for chance. What it turns away counts too. A front that sent little has its part of one txn a span.
 func (r *Router) spares(now time.Duration, m *member, work float64) bool {
 	warmth := r.warmth(now, m)
 	if !m.cold {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -524,7 +524,7 @@
 func TestAColdMembersPartIsMeasuredByWhatTheWarmOnesBear(t *testing.T) {
 	part := func(down int) float64 {
 		y := tell(t, littleSite()).group(5)
-		y.now, y.sent, y.sentAt = 20*time.Second, 1, 20*time.Second
+		y.now, y.sent, y.sentAt = 20*time.Second, 50, 20*time.Second
 		for i := range down {
 			y.members[i].down = true
 		}
