What fails at a member counts in its cost; errors are no strain

Cause: errors counted as strain, so writes to a primary that fails half of what it gets in a millisecond were shed, with no queue anywhere, while its quick failures drew reads (norte, 4 fronts and 11 members: 18% of what is sent to two members, told by their share of failures against that of all and by the rest's usual latency). Change: the cost of a member is divided by what it does not fail or lose; errors narrow its window but are no strain. It should also cover members that lose answers while others don't. It could harm where failures are cheap and retries dear.

--- a/router/router.go
+++ b/router/router.go
@@ -455,16 +455,17 @@
 		r.strained(now, m, by)
 		r.loses(m, 0)
 		r.took(ty, o.Latency)
-	case port.Errored, port.Full: // quick, but no reason to send more
+	case port.Errored: // quick, but no reason to send more
 		m.heard = now
-		if o.Ending == port.Errored {
-			r.loses(m, 1)
-		}
-		if o.Ending == port.Full || m.losing > 2*r.losing {
+		if r.loses(m, 1); m.losing > 2*r.losing {
 			m.fails++
 			r.narrow(m, halve)
-			r.strained(now, m, worst)
 		}
+	case port.Full:
+		m.heard = now
+		m.fails++
+		r.narrow(m, halve)
+		r.strained(now, m, worst)
 	case port.Unreachable, port.Broken:
 		if m.heard > now-o.Latency { // it answered meanwhile
 			r.loses(m, 1)
@@ -513,7 +514,7 @@
 
 // cost compares members: strain there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
-	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m)
+	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m) / max(1-m.losing, 1.0/20)
 	if m.zone != r.zone {
 		c *= farther
 	}
@@ -789,8 +790,7 @@
 	}
 }
 
-// order puts first among the held what is worth most for its work, among equals the newest: the oldest
-// has the least hope.
+// order puts first among the held what is worth most for its work, among equals the newest (most hope).
 func (r *Router) order() {
 	slices.SortStableFunc(r.held, func(a, b uint32) int {
 		x, y := &r.slab[a], &r.slab[b]
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -479,6 +479,10 @@
 			y.judge(y.now, port.Outcome{Member: k % 4, Ending: e, Latency: 10 * ms}, anyRead)
 		}
 		assert.Equal(t, faulty == 2, y.members[2].room < 1)
+		if faulty == 2 {
+			assert.Zero(t, y.members[2].n, "a quick failure is no strain: where there is no other member, it goes on")
+			assert.Greater(t, y.cost(y.now, &y.members[2]), 10*y.cost(y.now, &y.members[0]), "where there is, that one")
+		}
 		assert.GreaterOrEqual(t, y.members[1].room, 1.0)
 	}
 }
