The least latency is forgotten by time and slowly; usual latencies are learnt fast at birth

Cause: the least latency, against which strain and lateness are measured, was forgotten by answers, so a busy front raised it by a twentieth a second; in a long jam the jam became the measure. And a newborn or quiet front took a minute to learn that a type takes less than its first guess. Change: forgetting by time, 3000 shortest SLA times for an e-fold; the usual latency moves by a tenth of the first answers, a fiftieth in the end. It could harm where a type takes longer for good, as after growth of its data: up to some ten minutes of shedding low value for nothing.

--- a/router/router.go
+++ b/router/router.go
@@ -25,7 +25,8 @@
 	never = time.Duration(math.MinInt64 / 4)
 	none  = port.None
 
-	recent = 10 // shortest SLA times that running sums look back over: a few dozen answers
+	recent = 10           // shortest SLA times that running sums look back over: a few dozen answers
+	slow   = 300 * recent // in which a least latency is forgotten: longer than any trouble lasts
 )
 
 // chance is the instance's own: a checksum over its seed and a counter.
@@ -48,12 +49,14 @@
 // forgotten, so that it means a member with little to do.
 type tempo struct {
 	usual, least []time.Duration
-	shortest     time.Duration // SLA time of the most pressing type: the scale of every span below
-	beat         time.Duration // how often held txns and silent members are looked at
+	seen, many   []time.Duration // when one was answered last, and how many were, up to where it counts
+	shortest     time.Duration   // SLA time of the most pressing type: the scale of every span below
+	beat         time.Duration   // how often held txns and silent members are looked at
 }
 
 func newTempo(types []port.TxnType, tick time.Duration) tempo {
 	p := tempo{shortest: time.Hour}
+	p.seen, p.many = make([]time.Duration, len(types)), make([]time.Duration, len(types))
 	for _, ty := range types {
 		p.shortest = min(p.shortest, ty.SLA)
 		p.usual = append(p.usual, ty.SLA/4)
@@ -63,9 +66,11 @@
 	return p
 }
 
-func (p *tempo) took(ty int, latency time.Duration) {
-	p.usual[ty] += (latency - p.usual[ty]) / 50
-	p.least[ty] = min(p.usual[ty], p.least[ty]+p.least[ty]/2000)
+func (p *tempo) took(now time.Duration, ty int, latency time.Duration) {
+	p.many[ty] = min(p.many[ty]+1, 40)
+	p.usual[ty] += (latency - p.usual[ty]) / (10 + p.many[ty])
+	p.least[ty] += time.Duration(float64(p.least[ty]) * float64(now-p.seen[ty]) / float64(slow*p.shortest))
+	p.least[ty], p.seen[ty] = min(p.usual[ty], p.least[ty]), now
 }
 
 // fade is what is left of a running sum after a span.
@@ -297,7 +302,7 @@
 // Queues that outlast their cause are the worst of overload: members work for clients that have left.
 // So the waiting is done here, in order of worth. A window grows with each quick answer and shrinks with
 // each late one. It covers the slow, the cold, the crowded and those that refuse or fail at great speed. It
-// could harm where a healthy type takes far longer than it used to: the least latency follows in a minute.
+// could harm where a healthy type takes far longer than it used to: the least latency follows slowly.
 //
 // Many fronts with windows of one are together a long queue, and a front that hears little of a member
 // learns slowly. So each front also sheds by strain: between calm and jam the part that goes out falls
@@ -356,15 +361,6 @@
 	warmIn, fall time.Duration
 }
 
-// bind keeps the drain rule as soon as the list speaks: the grace is for what was on its way.
-func (r *Router) bind(i int) {
-	m := &r.members[i]
-	m.bound = true
-	if g := r.group(m.group); g.primary == i {
-		g.primary = none
-	}
-}
-
 func (r *Router) starts(now time.Duration, m *member, at time.Duration) {
 	m.started, m.cold = at, now-at < r.warmIn
 	m.budget, m.budgetAt = 0, now
@@ -454,7 +450,7 @@
 		}
 		r.strained(now, m, by)
 		r.loses(m, 0)
-		r.took(ty, o.Latency)
+		r.took(now, ty, o.Latency)
 	case port.Errored: // quick, but no reason to send more
 		m.heard = now
 		if r.loses(m, 1); m.losing > 2*r.losing {
@@ -870,9 +866,11 @@
 			g.primary = e.Member
 		}
 	}
-	for i := range r.members {
-		if m := &r.members[i]; m.bound || !m.listed && !r.onlyDraining {
-			r.bind(i)
+	for i := range r.members { // a drain binds as soon as the list speaks: the grace is for what is on its way
+		m := &r.members[i]
+		m.bound = m.bound || !m.listed && !r.onlyDraining
+		if g := r.group(m.group); m.bound && g.primary == i {
+			g.primary = none
 		}
 	}
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -540,6 +540,20 @@
 	assert.InDelta(t, 2*part(0), part(2), 1e-9, "with two of four down the other two bear it all")
 }
 
+func TestTheLeastLatencyOutlastsABusySpell(t *testing.T) {
+	y := tell(t, littleSite())
+	for range 100 {
+		y.took(time.Second, anyRead, 40*ms)
+	}
+	least := y.least[anyRead]
+	for k := range 4000 { // ten seconds of a busy front in trouble
+		y.took(time.Second+time.Duration(k)*10*time.Second/4000, anyRead, 150*ms)
+	}
+	assert.Less(t, y.least[anyRead], least*21/20, "forgotten by time, not by answers: what is crowded stays told")
+	y.took(time.Hour, anyRead, 150*ms)
+	assert.Greater(t, y.least[anyRead], 2*least, "but forgotten in the end")
+}
+
 func TestALostAnswerIsNoSignOfAQueue(t *testing.T) {
 	y := tell(t, littleSite()).group(1)
 	y.now = time.Second
