--- a/router/router.go
+++ b/router/router.go
@@ -309,7 +309,7 @@
 // from all to next to nothing, worth most for its work first. All fronts that see the same strain shed
 // the same part, however little each of them sends. It could harm where few types make up the traffic.
 const (
-	lateBy = 1.5     // late: over this multiple of the type's least usual latency
+	lateBy = 1.75    // late: over this multiple of the type's least usual latency
 	shrink = 0.75    // for an answer that came late
 	halve  = 1.0 / 2 // for a submission that came to nothing
 	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
