Reread: one running sum, one density, no hidden calls in conditions

What was sent lately had its own copy of the running sum that strain has; both are one type now. What a txn is worth for its length stood in the order of the held and in its rank; both call density. The result of probe was read by nobody any more; two calls hidden in conditions stand on lines of their own; a full window is seen before the strain is worked out.

--- a/router/host_test.go
+++ b/router/host_test.go
@@ -24,11 +24,9 @@
 type site struct {
 	at      port.Topology
 	types   []port.TxnType
-	shares  []port.Customer
 	copies  port.Replication
 	rules   port.Guardrails
 	allowed port.Allowance
-	costs   port.Tariff
 }
 
 func littleSite() site {
@@ -65,7 +63,7 @@
 
 func tell(_ *testing.T, s site) *story {
 	y := &story{subs: map[port.Ref]int{}, where: map[port.Ref]int{}}
-	y.Router = New(y, 7, s.at, s.types, s.shares, s.copies, s.rules, s.allowed, s.costs).(*Router)
+	y.Router = New(y, 7, s.at, s.types, nil, s.copies, s.rules, s.allowed, port.Tariff{}).(*Router)
 	return y
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -78,21 +78,21 @@
 	return math.Exp(-float64(span) / float64(recent*p.shortest))
 }
 
-// strain is how many times the least usual latency answers took lately: a running sum and its count.
-type strain struct {
+// lately is a running sum and its count; what is older counts less and less.
+type lately struct {
 	sum, n float64
 	at     time.Duration
 }
 
-// mean is drawn to what is known at large, as if so many answers had said it: one of its own is no verdict.
-func (s *strain) mean(now time.Duration, few, large float64, p *tempo) float64 {
-	f := p.fade(now - s.at)
-	return (s.sum*f + few*large) / (s.n*f + few)
+func (l *lately) add(now time.Duration, x float64, p *tempo) {
+	f := p.fade(now - l.at)
+	l.sum, l.n, l.at = l.sum*f+x, l.n*f+1, now
 }
 
-func (s *strain) add(now time.Duration, x float64, p *tempo) {
-	f := p.fade(now - s.at)
-	s.sum, s.n, s.at = s.sum*f+x, s.n*f+1, now
+// mean is drawn to what is known at large, as if so many answers had said it: one of its own is no verdict.
+func (l *lately) mean(now time.Duration, many, large float64, p *tempo) float64 {
+	f := p.fade(now - l.at)
+	return (l.sum*f + many*large) / (l.n*f + many)
 }
 
 // --- Members: what is known of each; all is unknown at birth.
@@ -107,10 +107,10 @@
 	posAt time.Duration // when it was learnt
 	rate  float64       // how fast the position moves, as a part of the clock's pace
 
-	strain
-	out   int           // our submissions there without an ending
-	room  float64       // how much may be out there; one always may
-	quick time.Duration // when the latest submission went out that was answered quickly
+	strain lately        // multiples of the least usual latency that answers took there
+	out    int           // our submissions there without an ending
+	room   float64       // how much may be out there; one always may
+	quick  time.Duration // when the latest submission went out that was answered quickly
 
 	heard   time.Duration // last answer of any kind
 	waiting time.Duration // since when something is out and nothing was heard
@@ -154,7 +154,7 @@
 // group follows its primary by claims. A claim carries the log position of the one that makes it, and
 // the claim further on in the log is the newer: an old report, or a member that came back, can't win.
 type group struct {
-	strain
+	strain  lately // of all its members
 	members []int
 	primary int           // none: unknown, or in doubt
 	by      int           // who made the newest claim
@@ -324,20 +324,23 @@
 
 // strained counts an answer for its member, its group and all members.
 func (r *Router) strained(now time.Duration, m *member, by float64) {
-	for _, s := range [...]*strain{&m.strain, &r.group(m.group).strain, &r.overall} {
+	for _, s := range [...]*lately{&m.strain, &r.group(m.group).strain, &r.overall} {
 		s.add(now, min(by, worst), &r.tempo)
 	}
 }
 
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
 	all := r.overall.mean(now, 3*few, 1, &r.tempo)
-	return m.mean(now, few, r.group(m.group).mean(now, 2*few, all, &r.tempo), &r.tempo)
+	return m.strain.mean(now, few, r.group(m.group).strain.mean(now, 2*few, all, &r.tempo), &r.tempo)
 }
 
+// density is what a txn is worth for its length.
+func (r *Router) density(t *txn) float64 { return t.value / r.usual[t.Type].Seconds() }
+
 // ranked is the part of the work coming here that is worth more for its length; among equals by chance.
 func (r *Router) ranked(t *txn) float64 {
 	work := r.usual[t.Type].Seconds()
-	own := min(max(int(2*math.Log2(t.value/work))+len(r.mix)/2, 0), len(r.mix)-1)
+	own := min(max(int(2*math.Log2(r.density(t)))+len(r.mix)/2, 0), len(r.mix)-1)
 	r.mix[own] += work
 	above, all := 0.0, 0.0
 	for i, w := range r.mix {
@@ -361,7 +364,7 @@
 	warmIn, fall time.Duration
 }
 
-func (r *Router) starts(now time.Duration, m *member, at time.Duration) {
+func (r *Router) starts(now time.Duration, m *member, at time.Duration) { // cold from then on
 	m.started, m.cold = at, now-at < r.warmIn
 	m.budget, m.budgetAt = 0, now
 }
@@ -385,7 +388,7 @@
 	if !m.cold {
 		return true
 	}
-	part := r.sent * r.fade(now-r.sentAt) / float64(max(r.warm, 1)) / (recent * r.shortest).Seconds()
+	part := r.sent.sum * r.fade(now-r.sent.at) / float64(max(r.warm, 1)) / (recent * r.shortest).Seconds()
 	rate := max(r.coldPart*warmth*part, work*r.gain/r.fall.Seconds())
 	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
@@ -397,8 +400,11 @@
 	if m.bound || !m.listed && !r.onlyDraining {
 		return false
 	}
+	if float64(m.out) >= max(m.room, 1) {
+		return false
+	}
 	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
-	return t.rank <= calmer && float64(m.out) < max(m.room, 1) && r.spares(now, m, r.usual[t.Type].Seconds())
+	return t.rank <= calmer && r.spares(now, m, r.usual[t.Type].Seconds())
 }
 
 // rests is how long a member that is down is left alone.
@@ -422,7 +428,7 @@
 	if m.out < 2 || m.down || now-m.waiting <= 2*r.shortest {
 		return false
 	}
-	return now-m.waiting > time.Duration(4*m.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
+	return now-m.waiting > time.Duration(4*m.strain.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
 }
 
 // judge draws on an ending for the member's window and health. What fails everywhere alike, or while others
@@ -453,7 +459,8 @@
 		r.took(now, ty, o.Latency)
 	case port.Errored: // quick, but no reason to send more
 		m.heard = now
-		if r.loses(m, 1); m.losing > 2*r.losing {
+		r.loses(m, 1)
+		if m.losing > 2*r.losing {
 			m.fails++
 			r.narrow(m, halve)
 		}
@@ -467,7 +474,8 @@
 			r.loses(m, 1)
 			return
 		}
-		if r.probe(now, o.Member); !r.mayProbe { // else the probe tells whether it was down
+		r.probe(now, o.Member)
+		if !r.mayProbe { // else the probe tells whether it was down
 			m.lost = now
 		}
 		r.takeDown(now, o.Member)
@@ -790,8 +798,7 @@
 func (r *Router) order() {
 	slices.SortStableFunc(r.held, func(a, b uint32) int {
 		x, y := &r.slab[a], &r.slab[b]
-		return cmp.Or(cmp.Compare(y.value/float64(r.usual[y.Type]), x.value/float64(r.usual[x.Type])),
-			cmp.Compare(y.begun, x.begun))
+		return cmp.Or(cmp.Compare(r.density(y), r.density(x)), cmp.Compare(y.begun, x.begun))
 	})
 }
 
@@ -847,8 +854,7 @@
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
 			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1,
-				room: 4, quick: never, heard: never, lost: never, started: never,
-				probed: never})
+				room: 4, quick: never, heard: never, lost: never, started: never, probed: never})
 		}
 		m := &r.members[e.Member]
 		g := r.group(e.Group)
@@ -916,14 +922,11 @@
 	}
 }
 
-func (r *Router) probe(now time.Duration, i int) bool {
-	m := &r.members[i]
-	if !r.mayProbe || m.bound || m.probing {
-		return false
+func (r *Router) probe(now time.Duration, i int) {
+	if m := &r.members[i]; r.mayProbe && !m.bound && !m.probing {
+		m.probing, m.probed = true, now
+		r.host.Probe(i)
 	}
-	m.probing, m.probed = true, now
-	r.host.Probe(i)
-	return true
 }
 
 // --- The emitter.
@@ -940,13 +943,12 @@
 	choice
 	lives
 	lister
-	overall strain
-	mix     [64]float64   // work that came lately, by the logarithm of what it is worth for its length
-	losing  float64       // as of a member
-	sent    float64       // submissions lately, in seconds of usual latency
-	sentAt  time.Duration // last submission
-	warm    int           // members that bear their full part
-	gain    float64       // what a window grows by for a round of quick answers; all fronts together grow by 1
+	overall lately      // strain of all members
+	mix     [64]float64 // work that came lately, by the logarithm of what it is worth for its length
+	losing  float64     // as of a member
+	sent    lately      // submissions, in seconds of usual latency
+	warm    int         // members that bear their full part
+	gain    float64     // what a window grows by for a round of quick answers; all fronts together grow by 1
 	wakeAt  time.Duration
 }
 
@@ -1017,7 +1019,7 @@
 		}
 		m.out++
 		work := r.usual[t.Type].Seconds()
-		r.sent, r.sentAt = r.sent*r.fade(now-r.sentAt)+work, now
+		r.sent.add(now, work, &r.tempo)
 		m.budget -= work
 		if m.down {
 			m.trialAt = now + r.rests(m)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -375,16 +375,13 @@
 
 func TestACrowdedMemberIsNotSilent(t *testing.T) {
 	y := tell(t, littleSite()).group(2)
-	for range 20 {
-		y.members[0].add(y.now, worst, &y.tempo)
-		y.members[0].room = 9
-	}
-	y.slab = append(y.slab, make([]txn, 9)...)
 	y.begin(write)
 	y.begin(write)
-	y.pass(300 * ms)
-	y.members[0].out = 2
+	for range 20 {
+		y.members[0].strain.add(y.now, worst, &y.tempo)
+	}
 	y.pass(900 * ms)
+	assert.Equal(t, 2, y.members[0].out)
 	assert.Zero(t, y.count("revoke"))
 }
 
@@ -463,9 +460,9 @@
 func TestAClientThatLeavesAndATimeOutAreTheWorstStrain(t *testing.T) {
 	y := tell(t, littleSite()).group(1)
 	y.Left(y.now, y.begin(write))
-	assert.Equal(t, worst, y.members[0].sum)
+	assert.Equal(t, worst, y.members[0].strain.sum)
 	y.judge(y.now, port.Outcome{Ending: port.TimedOut, Latency: ms}, write)
-	assert.Equal(t, 2*worst, y.members[0].sum)
+	assert.Equal(t, 2*worst, y.members[0].strain.sum)
 }
 
 func TestErrorsThatComeEverywhereAlikeAreNoMembersFault(t *testing.T) {
@@ -480,7 +477,7 @@
 		}
 		assert.Equal(t, faulty == 2, y.members[2].room < 1)
 		if faulty == 2 {
-			assert.Zero(t, y.members[2].n, "a quick failure is no strain: where there is no other member, it goes on")
+			assert.Zero(t, y.members[2].strain.n, "a quick failure is no strain: where there is no other member, it goes on")
 			assert.Greater(t, y.cost(y.now, &y.members[2]), 10*y.cost(y.now, &y.members[0]), "where there is, that one")
 		}
 		assert.GreaterOrEqual(t, y.members[1].room, 1.0)
@@ -528,7 +525,7 @@
 func TestAColdMembersPartIsMeasuredByWhatTheWarmOnesBear(t *testing.T) {
 	part := func(down int) float64 {
 		y := tell(t, littleSite()).group(5)
-		y.now, y.sent, y.sentAt = 20*time.Second, 50, 20*time.Second
+		y.now, y.sent = 20*time.Second, lately{sum: 50, at: 20 * time.Second}
 		for i := range down {
 			y.members[i].down = true
 		}
@@ -666,7 +663,7 @@
 
 	q := quiet{}
 	p := littleSite()
-	r := New(&q, 7, p.at, p.types, p.shares, p.copies, p.rules, p.allowed, p.costs)
+	r := New(&q, 7, p.at, p.types, nil, p.copies, p.rules, p.allowed, port.Tariff{})
 	var entries []port.Entry
 	for i := range 4 {
 		entries = append(entries, port.Entry{Member: i, Primary: i == 0})
