--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -55,8 +55,9 @@
 func serve(told *site.Start) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(told.Cores))))
 	debug.SetMemoryLimit(told.Memory / 4 * 3)
-	stopAsked := make(chan os.Signal, 1)
+	stopAsked, rereadAsked := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stopAsked, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(rereadAsked, syscall.SIGHUP)
 
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
@@ -66,7 +67,8 @@
 	var core *front.Core
 	post := func(e front.Event) { core.Post(e) }
 	links := sockets.NewLinks(post, room, user, database, allowed.DialTimeout, allowed.LinkIdle)
-	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), post)
+	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), post,
+		spread(told.Seed))
 	core = front.NewCore(clock.Born, told.Seed, told.Site, router.New, links, directory)
 	for _, why := range told.Passed {
 		slog.Warn("an entry of the known list is passed over", "why", why)
@@ -74,7 +76,7 @@
 	core.Post(front.Listed{Kind: port.Cached, List: told.Known})
 	go core.Run(clock, ctx.Done())
 	if !told.Site.Topology.Ask {
-		directory.Follow(spread(told.Seed))
+		directory.Follow()
 	}
 
 	l, err := net.Listen("tcp", told.Listen)
@@ -90,6 +92,7 @@
 	slog.Info("serving", "name", told.Name, "listen", told.Listen, "cores", told.Cores, "memory", told.Memory,
 		"sockets", told.Sockets, "members", len(told.Known.Entries))
 	go totals(ctx, core, room)
+	go reread(ctx, rereadAsked, told, directory.Move)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -108,6 +111,28 @@
 	return nil
 }
 
+// reread takes the file in again each time that it is asked for. What cannot be used is logged and changes
+// nothing; what takes a restart is logged too. It goes on while the front drains.
+func reread(ctx context.Context, asked <-chan os.Signal, told *site.Start, move func(address string)) {
+	for {
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return
+		}
+		next, err := site.Reload(os.Getenv, os.ReadFile)
+		if err != nil {
+			slog.Error("the new file cannot be used; the old values stay", "why", err)
+			continue
+		}
+		slog.Info("the file is read again", "discovery", next.Discovery)
+		for _, key := range told.Fixed(next) {
+			slog.Warn("a change takes a restart", "key", key)
+		}
+		move(next.Discovery)
+	}
+}
+
 // spread gives even numbers between 0 and 1 that differ from front to front.
 func spread(seed uint64) func() float64 {
 	n := uint64(0)
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -47,6 +47,16 @@
 	return c
 }
 
+// Moved makes a client of the service at another address, which knows what this one does.
+func (c *Client) Moved(address string) *Client {
+	m := New(address, c.index.Load())
+	m.beat = c.beat
+	return m
+}
+
+// Rest closes the connections that nobody uses.
+func (c *Client) Rest() { c.http.CloseIdleConnections() }
+
 // Whole asks for the whole list.
 func (c *Client) Whole(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, missed*c.beat)
--- a/front/relay.go
+++ b/front/relay.go
@@ -17,6 +17,7 @@
 	Unconnected Reach = iota // no connection came up
 	Unwritten                // its last byte was not written
 	Written                  // all of it was: the member may have run it
+	Spoilt                   // and the member answered, but what came cannot be read
 )
 
 // Failure is a connection's failure under a submission.
@@ -26,7 +27,7 @@
 }
 
 func (f *Failure) Error() string {
-	return fmt.Sprintf("%s: %v", [...]string{"not connected", "not fully written", "written"}[f.Reach], f.Err)
+	return fmt.Sprintf("%s: %v", [...]string{"not connected", "not fully written", "written", "answer spoilt"}[f.Reach], f.Err)
 }
 
 func (f *Failure) Unwrap() error { return f.Err }
@@ -60,6 +61,9 @@
 	var why error
 	if e.Failure != nil {
 		why = e.Failure
+		if e.Failure.Reach == Spoilt {
+			c.book.spoilt++
+		}
 	}
 	slog.Debug("ended", "member", c.members.Key(e.S.member), "probe", e.S.probe, "ending", o.Ending,
 		"why", why, "report", o.Load)
@@ -71,6 +75,8 @@
 // ending is the protocol's table.
 func ending(a *pgwire.Answer, f *Failure) port.Ending {
 	switch {
+	case f != nil && f.Reach == Spoilt:
+		return port.Errored // the member is there, and it may have run
 	case f != nil && f.Reach == Written:
 		return port.Broken
 	case f != nil:
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -99,3 +99,18 @@
 	assert.Equal(t, port.Load{Held: 3, Waiting: -1, Busy: -1, Service: -1, Rate: -1, ErrsRate: -1,
 		Position: 2500 * time.Millisecond, HasPosition: true, Role: port.Replica}, l)
 }
+
+func TestTheFileReadAgainNamesTheList(t *testing.T) {
+	old, err := load(told, map[string]string{DiscoveryVariable: "127.0.0.2:8500"})
+	require.NoError(t, err)
+	changed := strings.NewReplacer(`127.0.0.2:8500`, `127.0.0.7:8500`, `"sockets":1024`, `"sockets":512`,
+		`"MayProbe":true`, `"MayProbe":false`).Replace(told)
+	next, err := Reload(func(k string) string {
+		return map[string]string{FileVariable: "f",
+			DiscoveryVariable: "127.0.0.2:8500"}[k]
+	}, func(string) ([]byte, error) { return []byte(changed), nil })
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.7:8500", next.Discovery, "the variable is as old as the program")
+	assert.Equal(t, []string{"limits.sockets", "settings"}, old.Fixed(next))
+	assert.Empty(t, old.Fixed(old))
+}
--- a/site/start.go
+++ b/site/start.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -110,6 +112,32 @@
 	return s, err
 }
 
+// Reload reads the file again. Variables do not change while a program runs, so the address of the list's
+// service is the file's there.
+func Reload(variable func(string) string, read func(string) ([]byte, error)) (*Start, error) {
+	return Load(func(name string) string {
+		if name == DiscoveryVariable {
+			return ""
+		}
+		return variable(name)
+	}, read)
+}
+
+// Fixed names the keys of a newer file that differ and that a running front cannot follow.
+func (s *Start) Fixed(newer *Start) (keys []string) {
+	for key, same := range map[string]bool{
+		"name": s.Name == newer.Name, "listen": s.Listen == newer.Listen, "seed": s.Seed == newer.Seed,
+		"limits.cores": s.Cores == newer.Cores, "limits.memory_mb": s.Memory == newer.Memory,
+		"limits.sockets": s.Sockets == newer.Sockets, "settings": reflect.DeepEqual(s.Site, newer.Site),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func (r *reading) address(key, v string) {
 	if _, port, err := net.SplitHostPort(v); err != nil || port == "" {
 		r.fail(key, fmt.Sprintf("is no address with a port: %q", v))
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"dapplerouter/front"
@@ -158,21 +157,6 @@
 	}()
 }
 
-// written looks whether something has come in, whatever the deadline: between a deadline and the closing a
-// busy machine lets time pass, and a txn that came in it would be lost.
-func written(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	raw.Control(func(fd uintptr) {
-		var first [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n > 0
-}
-
 // leave ends a connection so that what was sent last arrives: no reset may overtake it. What the client has
 // written meanwhile is not taken any more; the reset tells it so, and it has read its answer by then.
 func leave(conn *net.TCPConn) {
@@ -302,7 +286,7 @@
 		}
 		if !c.r.Waiting() && c.leaving() {
 			c.conn.SetReadDeadline(time.Now().Add(lastLook)) // a read past its deadline does not look at all
-			if _, err := c.r.Watch(); err != nil && !(timedOut(err) && written(c.conn)) {
+			if _, err := c.r.Watch(); err != nil && !(timedOut(err) && come(c.conn) > 0) {
 				leave(c.conn)
 				return 0, nil, errLeaving
 			}
--- /dev/null
+++ b/sockets/look.go
@@ -0,0 +1,36 @@
+package sockets
+
+import (
+	"net"
+	"syscall"
+)
+
+// come looks whether something has come in, whatever the deadline: 1 for bytes, 0 for the end of the
+// connection, -1 for neither. Between a deadline and what follows it a busy machine lets time pass.
+func come(conn *net.TCPConn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var first [1]byte
+		var failed error
+		n, _, failed = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch failed {
+		case nil:
+		case syscall.EAGAIN, syscall.EINTR:
+			n = -1
+		default:
+			n = 0
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// quiet says whether a connection that nobody has asked anything is as it was left. What a member says there
+// unasked would be taken for the answer of the next submission.
+func quiet(conn *net.TCPConn) bool { return come(conn) < 0 }
