--- a/front/admit.go
+++ b/front/admit.go
@@ -7,6 +7,7 @@
 func (c *Core) admit(a *Arrival, t port.Txn) {
 	a.expiry = a.At + a.Statement.Wait
 	a.ref = c.doors.Open(a)
+	c.ids[string(a.Statement.ID)] = struct{}{}
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
 	c.book.taken++
 	c.decider.Begin(c.now, t)
--- a/front/book.go
+++ b/front/book.go
@@ -73,6 +73,7 @@
 		return
 	}
 	d.Closed = true
+	delete(c.ids, string(d.What.Statement.ID))
 	switch f.Word {
 	case Served:
 		c.book.served++
@@ -80,6 +81,8 @@
 		c.book.declined++
 	case Undone:
 		c.book.undone++
+	case Senseless:
+		c.book.senseless++
 	}
 	a := d.What
 	slog.Debug("answered", "type", string(a.Statement.Type), "word", f.Word, "after", c.now-a.At,
@@ -91,6 +94,7 @@
 	a := g.Arrival
 	if d := c.doors.At(a.ref); d != nil && !d.Closed {
 		d.Closed = true
+		delete(c.ids, string(a.Statement.ID))
 		c.book.left++
 		slog.Debug("left", "type", string(a.Statement.Type), "after", now-a.At, "of", a.Statement.Wait,
 			"submissions", d.Hops)
--- a/front/core.go
+++ b/front/core.go
@@ -66,6 +66,7 @@
 	members   *Index[string]
 	groups    *Index[int64]
 	doors     Doors[*Arrival]
+	ids       map[string]struct{} // of the txns in hand
 	alarms    alarms
 	later     []Event // came of the batch in hand; they open the next one
 	book      Book
@@ -77,7 +78,7 @@
 	c := &Core{links: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
 		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
-		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64]()}
+		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}}
 	c.decider = decide(c, seed, s.Topology, s.TxnTypes, s.Shares, s.Replication, s.Guardrails, s.Allowance, s.Tariff)
 	return c
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -209,7 +210,7 @@
 	m.wish = func(m *module) { m.Decline(m.begun[0].Ref, 40*ms) }
 	c.batch(20 * ms)
 	assert.Equal(t, []Final{{Word: Declined, Come: 40 * ms}}, w.final)
-	arrive(t, c, w, browse)
+	arrive(t, c, w, strings.Replace(browse, "id=1", "id=2", 1))
 	c.batch(30 * ms)
 	assert.NotEqual(t, m.begun[0].Ref.Place, m.begun[1].Ref.Place)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
@@ -222,9 +223,9 @@
 
 func TestAStatementThatNamesNothingKnownGoesNowhere(t *testing.T) {
 	for _, text := range []string{
-		"SELECT 'k' /* c=unheard,d=1,cluster=9 */", "SELECT 'k' /* c=order,d=1,cluster=9 */",
-		"SELECT 'k' /* c=browse,d=1,cluster=8 */", "SELECT 'k' /* c=browse,d=1,cluster=9,t=nobody */",
-		"INSERT INTO facts (code, data) VALUES ('k', '') /* c=browse,d=1,cluster=9 */",
+		"SELECT 'k' /* id=7,c=unheard,d=1,cluster=9 */", "SELECT 'k' /* id=7,c=order,d=1,cluster=9 */",
+		"SELECT 'k' /* id=7,c=browse,d=1,cluster=8 */", "SELECT 'k' /* id=7,c=browse,d=1,cluster=9,t=nobody */",
+		"INSERT INTO facts (code, data) VALUES ('k', '') /* id=7,c=browse,d=1,cluster=9 */",
 	} {
 		c, m, w := newFront(t)
 		a := arrive(t, c, w, text)
@@ -260,11 +261,40 @@
 
 func TestAllAtHandIsOneBatch(t *testing.T) {
 	c, m, w := newFront(t)
-	for range 3 {
-		arrive(t, c, w, browse)
+	for _, id := range []string{"id=1", "id=2", "id=3"} {
+		arrive(t, c, w, strings.Replace(browse, "id=1", id, 1))
 	}
 	before := m.settled
 	c.batch(5 * ms)
 	assert.Len(t, m.begun, 3)
 	assert.Equal(t, before+1, m.settled)
 }
+
+// Ten members turned each such statement away, and the module counted ten failures for it.
+func TestAStatementThatAMemberCannotUseIsAnsweredAtOnce(t *testing.T) {
+	for _, code := range []string{"42601", "08P01", "22P02"} {
+		c, m, w := newFront(t)
+		out(t, c, m, w)
+		w.begin(t, 0)
+		c.Post(&Ended{S: w.sent[0], Answer: pgwire.Answer{Code: code}})
+		c.batch(20 * ms)
+		assert.Equal(t, Senseless, w.final[0].Word)
+		assert.Equal(t, code, w.final[0].Code)
+		assert.True(t, m.ended[0].Closed && m.ended[0].Ending == port.Missed, "the member is well")
+	}
+}
+
+func TestAnIDInHandIsNotTakenTwice(t *testing.T) {
+	c, m, w := newFront(t)
+	out(t, c, m, w)
+	w.begin(t, 0)
+	thief := &wires{}
+	arrive(t, c, thief, browse)
+	c.batch(20 * ms)
+	assert.Equal(t, Senseless, thief.final[0].Word)
+	c.Post(&Ended{S: w.sent[0], Answer: row()})
+	arrive(t, c, w, browse)
+	c.batch(30 * ms)
+	assert.Len(t, m.begun, 2, "free again once it is answered")
+	assert.Empty(t, w.final[1:])
+}
--- a/front/relay.go
+++ b/front/relay.go
@@ -55,8 +55,13 @@
 			o.Load = c.report(a.Value())
 		}
 	}
-	if d := c.doors.At(e.S.ref); d != nil && o.Ending == port.Committed {
-		c.answer(d, Final{Word: Served, Rows: e.Answer.Rows})
+	if d := c.doors.At(e.S.ref); d != nil {
+		switch {
+		case o.Ending == port.Committed:
+			c.answer(d, Final{Word: Served, Rows: e.Answer.Rows})
+		case e.Answer.Senseless(): // as it would be anywhere: other members are spared it
+			c.answer(d, Final{Word: Senseless, Code: e.Answer.Code, Reason: "the statement cannot be served"})
+		}
 	}
 	var why error
 	if e.Failure != nil {
@@ -81,8 +86,8 @@
 		return port.Broken
 	case f != nil:
 		return port.Unreachable
-	case a.Code == pgwire.ReadOnly || a.Code == pgwire.TooFarBehind:
-		return port.Missed
+	case a.Code == pgwire.ReadOnly || a.Code == pgwire.TooFarBehind || a.Senseless():
+		return port.Missed // the member is well, and nothing ran
 	case a.Code == pgwire.TooManyConnections:
 		return port.Full
 	case a.Code != "":
--- a/front/takein.go
+++ b/front/takein.go
@@ -62,6 +62,10 @@
 			return
 		}
 	}
+	if _, taken := c.ids[string(s.ID)]; taken {
+		a.refuse(c, "id names a txn in hand")
+		return
+	}
 	if t.Group, ok = c.groups.Find(s.Group); !ok {
 		a.refuse(c, "cluster names no group on the list")
 		return
--- a/pgwire/answer.go
+++ b/pgwire/answer.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -24,6 +26,51 @@
 // Value is the one column of the row.
 func (a *Answer) Value() []byte { return a.row }
 
+// Early is a Check for the messages of an answer. Members that answer nonsense often keep the connection open,
+// and waiting for the rest would take the txn's whole time.
+func (a *Answer) Early(typ byte, size int, begun []byte) error {
+	switch typ {
+	case 'T', 'D', 'C':
+		if !a.fits(typ) {
+			return &Violation{Unexpected(typ).What + " out of its order"}
+		}
+		if typ == 'D' && (size < 6 || len(begun) >= 6 && !oneColumn(begun, size)) {
+			return &Violation{"a row that is not one column of its length"}
+		}
+	case 'Z':
+		if size != 1 {
+			return &Violation{"a ReadyForQuery of another length"}
+		}
+	case 'S', 'E', 'R', 'K', 'N', 'I', 'A':
+	default:
+		return Unexpected(typ)
+	}
+	if typ != 'D' && size > longestWord {
+		return &Violation{fmt.Sprintf("a message of type %q of %d bytes", typ, size)}
+	}
+	return nil
+}
+
+// longestWord is the longest of an answer's messages that is not the value.
+const longestWord = 8 << 10
+
+// oneColumn looks at the beginning of a row.
+func oneColumn(b []byte, size int) bool {
+	n := int32(binary.BigEndian.Uint32(b[2:]))
+	return binary.BigEndian.Uint16(b) == 1 && n >= -1 && int(max(n, 0)) == size-6
+}
+
+// fits tells whether a message of a row has its place here: they come once each, in this order.
+func (a *Answer) fits(typ byte) bool {
+	return a.parts < len(partTypes) && typ == partTypes[a.parts] && a.Code == ""
+}
+
+// Senseless says whether the error is about the statement itself: the member will not run it, nor would
+// another. By the standard's classes: feature, data, syntax or access, and a breach of the protocol.
+func (a *Answer) Senseless() bool {
+	return a.Code == ProtocolViolation || len(a.Code) == 5 && slices.Contains([]string{"0A", "22", "42"}, a.Code[:2])
+}
+
 // Take adds a message; done means that the answer has ended.
 func (a *Answer) Take(typ byte, body []byte) (done bool, err error) {
 	switch typ {
@@ -59,21 +106,15 @@
 	return false, nil
 }
 
-// part takes the messages of a row, which come once each, in this order.
+// part takes the messages of a row.
 func (a *Answer) part(typ byte, body []byte) error {
-	if a.parts == len(partTypes) || typ != partTypes[a.parts] || a.Code != "" {
+	if !a.fits(typ) {
 		return &Violation{Unexpected(typ).What + " out of its order"}
 	}
 	a.parts++
 	a.Whole = a.parts == len(partTypes)
-	if typ == 'D' {
-		if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
-			return &Violation{"a row of other than one column"}
-		}
-		n := int32(binary.BigEndian.Uint32(body[2:]))
-		if n < -1 || int(max(n, 0)) != len(body)-6 {
-			return &Violation{"a column of another length"}
-		}
+	if typ == 'D' && (len(body) < 6 || !oneColumn(body, len(body))) {
+		return &Violation{"a row that is not one column of its length"}
 	}
 	if typ == 'T' && (len(body) < 2 || binary.BigEndian.Uint16(body) != 1) {
 		return &Violation{"a row description of other than one column"}
--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -53,6 +53,10 @@
 	typ  byte
 	size int
 	body []byte
+
+	// Check, where set, looks at a message as it comes: at its type and length, then at what has come of its
+	// body. So nobody waits for the rest of what cannot be right.
+	Check func(typ byte, size int, begun []byte) error
 }
 
 // NewReader returns a Reader of r with a buffer of so many bytes, for bodies of at most so many.
@@ -122,7 +126,14 @@
 		return &Violation{fmt.Sprintf("a message of %d bytes", size)}
 	}
 	r.head, r.typ, r.size, r.body = true, typ, int(size), r.body[:0]
-	return nil
+	return r.check()
+}
+
+func (r *Reader) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check(r.typ, r.size, r.body)
 }
 
 // rest reads what is missing of the body. Room is made as bytes come, not as a header promises.
@@ -138,6 +149,9 @@
 		if err != nil {
 			return 0, nil, cut(err, 1)
 		}
+		if err := r.check(); err != nil {
+			return 0, nil, err
+		}
 	}
 	r.head = false
 	return r.typ, r.body, nil
--- a/pgwire/pgwire_test.go
+++ b/pgwire/pgwire_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestAWriteKeepsItsMarkAndItsQuotes(t *testing.T) {
-	s, err := statement(`insert INTO facts (code, data) VALUES ('it''s; /* x', '\x9f') /* d = 5 ,c=o,r=1,k=5c,cluster=-3 */;`)
+	s, err := statement(`insert INTO facts (code, data) VALUES ('it''s; /* x', '\x9f') /* id=7,d = 5 ,c=o,r=1,k=5c,cluster=-3 */;`)
 	require.NoError(t, err)
 	assert.True(t, s.Write && s.Retry)
 	assert.Equal(t, "it''s; /* x", string(s.Key))
@@ -55,6 +55,8 @@
 		strings.Replace(read, "cluster=2", "cluster=", 1): BadValue,
 		strings.Replace(read, "cluster=2", "", 1):         BadValue,
 		strings.Replace(read, "c=basket", "", 1):          BadValue,
+		strings.Replace(read, "id=9b1f", "id=", 1):        BadValue,
+		strings.Replace(read, "id=9b1f", "", 1):           BadValue,
 		strings.Replace(read, "d=480", "d=0", 1):          BadValue,
 		strings.Replace(read, "d=480", "d=-4", 1):         BadValue,
 		strings.Replace(read, "d=480", "d", 1):            BadValue,
@@ -146,8 +148,10 @@
 
 const described = "\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
 
-func feed(parts ...[]byte) (a Answer, done bool, err error) {
+func feed(parts ...[]byte) (a *Answer, done bool, err error) {
+	a = &Answer{}
 	r := NewReader(bytes.NewReader(bytes.Join(parts, nil)), 64, 1<<16)
+	r.Check = a.Early
 	for err == nil && !done {
 		var typ byte
 		var body []byte
@@ -205,6 +209,21 @@
 	assert.True(t, err == nil && !a.Whole && a.Code == "XX000", "an error within the row")
 }
 
+// Bad members keep the connection open; whoever waits for the rest waits for the txn's whole time.
+func TestNonsenseIsToldByItsFirstBytes(t *testing.T) {
+	for name, begun := range map[string]string{
+		"an unknown type":         "?\x00\x00\x00\x08",
+		"a value of 3 GB":         "D\xb2\xd0\x5e\x00",
+		"a row before its names":  "D\x00\x00\x00\x0c",
+		"a long status":           "S\x00\x01\x00\x00",
+		"a long end":              "Z\x00\x00\x00\x0c",
+		"a column that fits less": string(frame('T', described)) + "D\x00\x00\x01\x00\x00\x01\x00\x00\x00\x02",
+	} {
+		_, done, err := feed([]byte(begun))
+		assert.True(t, !done && IsViolation(err), "%s: %v", name, err)
+	}
+}
+
 func TestPairs(t *testing.T) {
 	got := map[string]float64{}
 	assert.True(t, Pairs([]byte("inflight=7,x0=1767225600.5"), func(n string, v float64) { got[n] = v }))
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -150,6 +150,8 @@
 		at = end + 1
 	}
 	switch {
+	case len(s.ID) == 0:
+		return malformed(BadValue, "the comment lacks id")
 	case !wait:
 		return malformed(BadValue, "the comment lacks d")
 	case !group:
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -173,6 +173,7 @@
 	}
 	l.r = pgwire.NewReader(l.conn, linkBuffer, longestRow)
 	var a pgwire.Answer
+	l.r.Check = a.Early
 	for done := false; !done; {
 		done, err = l.hear(&a)
 		if a.Code != "" {
@@ -236,6 +237,7 @@
 		return false
 	}
 	e := &front.Ended{S: s}
+	l.r.Check = e.Answer.Early
 	for {
 		done, err := l.hear(&e.Answer)
 		switch {
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,8 +171,10 @@
 	return p
 }
 
+var ids atomic.Int64
+
 func read(wait string) []byte {
-	return pgwire.Query(nil, "SELECT data FROM facts WHERE code = 'k' /* id=1,c=read,d="+wait+",cluster=2 */")
+	return pgwire.Query(nil, "SELECT data FROM facts WHERE code = 'k' /* id="+strconv.FormatInt(ids.Add(1), 10)+",c=read,d="+wait+",cluster=2 */")
 }
 
 func message(typ byte, body string) []byte {
@@ -194,7 +198,7 @@
 	c := g.dial()
 	c.say(append(pgwire.Hello(nil, "portal", "crm"), read("4000")...)...)
 	m := g.memberUp()
-	assert.Regexp(t, `SELECT data FROM facts WHERE code = 'k' /\* id=1,c=read,d=\d+,cluster=2 \*/`, string(m.hear("Q")))
+	assert.Regexp(t, `SELECT data FROM facts WHERE code = 'k' /\* id=\d+,c=read,d=\d+,cluster=2 \*/`, string(m.hear("Q")))
 	value := string(bytes.Repeat([]byte{0, 255}, 32<<10))
 	m.say(whole(value)...)
 	c.hear("RSSSSZT")
@@ -276,7 +280,14 @@
 		"closed after the query": {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.Close() }, port.Broken},
 		"closed within the row":  {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say(row("v")[:40]...); m.Close() }, port.Broken},
 		"two rows":               {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say(append(row("v"), whole("w")...)...) }, port.Errored},
-		"oversized":              {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say('D', 127, 0, 0, 0) }, port.Errored},
+		"a row's wrong length, the rest never sent": {func(g *rig) {
+			m := g.memberUp()
+			m.hear("Q")
+			m.say(row("v")[:len(row(""))-25]...)
+			m.say('D', 0, 0, 9, 0, 0, 1, 0, 0, 0, 1)
+		}, port.Errored},
+		"noise":     {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say([]byte("zzzz\x00")...) }, port.Errored},
+		"oversized": {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say('D', 127, 0, 0, 0) }, port.Errored},
 		"a fatal error": {func(g *rig) {
 			m := g.memberUp()
 			m.hear("Q")
