--- a/router/router.go
+++ b/router/router.go
@@ -399,7 +399,7 @@
 	if m.bound || !m.listed && !r.onlyDraining {
 		return false
 	}
-	if float64(m.out) >= max(m.room, 1) {
+	if float64(m.out) >= max(m.room, 1, 4*r.gain) {
 		return false
 	}
 	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
@@ -737,8 +737,7 @@
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
 // Where no primary is known to write to, half of the time is left to the client, who may come back to one.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
-	orphan := !t.mayRun && ty.Level == port.Write && r.group(t.Group).primary == none &&
-		now > t.begun+t.Budget/2-2*r.beat
+	orphan := !t.mayRun && ty.Level == port.Write && now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
 	if orphan || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
