--- a/router/router.go
+++ b/router/router.go
@@ -315,6 +315,7 @@
 	jam    = 4.0     // and from which next to nothing does: an SLA time is about that long
 	worst  = 10.0    // what one answer may count for, and what one does that never came
 	few    = 5.0     // answers that it takes to be believed as much as what is known at large
+	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
 )
 
 func (r *Router) narrow(m *member, by float64) {
@@ -399,7 +400,7 @@
 	if m.bound || !m.listed && !r.onlyDraining {
 		return false
 	}
-	if float64(m.out) >= max(m.room, 1, 4*r.gain) {
+	if float64(m.out) >= max(m.room, 1, spread*r.gain) {
 		return false
 	}
 	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
@@ -735,12 +736,12 @@
 
 // hopeless tells when a txn is past hope: shortly before its expiry, or its SLA time where late is worth
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
-// Where no primary is known to write to, half of the time is left to the client, who may come back to one.
+// A write kept here leaves half of its time to its client, who may come back to a primary with room.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
-	orphan := !t.mayRun && ty.Level == port.Write && now > t.begun+t.Budget/2-2*r.beat
+	kept := !t.mayRun && ty.Level == port.Write && now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
-	if orphan || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
+	if kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
 		return true
 	}
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -166,17 +166,39 @@
 
 // One answer each, and no effect twice.
 
-func TestAWriteWithoutAPrimaryIsDeclinedAtHalfItsTimeWithATimeToComeBack(t *testing.T) {
-	p := littleSite()
-	p.at.Roles = port.RoleNever
-	y := tell(t, p).group(3)
-	y.begin(write)
-	y.pass(950 * ms)
-	assert.Zero(t, y.count("decline"))
-	y.pass(50 * ms)
-	assert.Equal(t, "decline 1, back in 200ms", y.last("decline"))
-	y.pass(time.Second)
-	assert.Equal(t, 1, y.count("decline"))
+func TestAWriteThatIsKeptIsDeclinedAtHalfItsTimeWithATimeToComeBack(t *testing.T) {
+	for name, why := range map[string]func(*story){
+		"no primary is known": func(*story) {},
+		"the primary is full": func(y *story) { y.knows(0, port.Primary, 0); y.members[0].out = 9 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := littleSite()
+			p.at.Roles = port.RoleNever
+			y := tell(t, p).group(3)
+			why(y)
+			n := y.count("decline")
+			y.begin(write)
+			y.pass(950 * ms)
+			assert.Equal(t, n, y.count("decline"))
+			y.pass(50 * ms)
+			assert.Contains(t, y.last("decline"), "back in 200ms")
+			y.pass(time.Second)
+			assert.Equal(t, n+1, y.count("decline"))
+		})
+	}
+}
+
+func TestFewFrontsDoNotLeaveASlowMembersCoresIdle(t *testing.T) {
+	for fronts, want := range map[int]int{1: 4, 2: 2, 3: 2, 4: 1, 9: 1} {
+		p := littleSite()
+		p.at.Fronts = fronts
+		y := tell(t, p).group(1)
+		y.members[0].room = 0.1
+		for range 9 {
+			y.begin(write)
+		}
+		assert.Equal(t, want, y.count("submit"), "%d fronts", fronts)
+	}
 }
 
 func TestAReferencedTxnThatMayHaveRunStaysWithinItsWindowAndIsRolledBack(t *testing.T) {
@@ -406,7 +428,9 @@
 }
 
 func TestLateAnswersNarrowTheWindowAndTheRestWaitsHere(t *testing.T) {
-	y := tell(t, littleSite()).group(1)
+	p := littleSite()
+	p.at.Fronts = 4
+	y := tell(t, p).group(1)
 	for range 20 {
 		y.now += 100 * ms
 		r := y.begin(write)
