Places of removed members are given back in module, index, links and log

Now: the module gives a place back (Host.Forget) once its member has been off the list for as long as a start counts, may not be used any more or is down, and nothing is out or asked there; its claim and its part as primary end with it. The core gives the index to the next newcomer, the pool is replaced, links still at work keep the old one and end. Covers also: lists that err (kept for a start's span). Harm: a member that returns later begins unknown.

--- a/front/core.go
+++ b/front/core.go
@@ -27,6 +27,7 @@
 type Links interface {
 	Place(member int, address string, since int64) // Unix milliseconds of its last start
 	Send(member int, s *Submission)
+	Forget(member int)
 }
 
 // Directory is asked for the list where it answers only when asked. No call blocks.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -50,13 +50,15 @@
 
 // wires is the other side of the core: what is sent, cut and answered.
 type wires struct {
-	sent  []*Submission
-	cuts  int
-	final []Final
+	sent   []*Submission
+	cuts   int
+	forgot []int
+	final  []Final
 }
 
 func (w *wires) Place(int, string, int64)  {}
 func (w *wires) Send(_ int, s *Submission) { w.sent = append(w.sent, s) }
+func (w *wires) Forget(i int)              { w.forgot = append(w.forgot, i) }
 func (w *wires) Answer(f Final)            { w.final = append(w.final, f) }
 func (w *wires) Watch(bool)                {}
 func (w *wires) Fetch()                    {}
@@ -298,3 +300,24 @@
 	assert.Len(t, m.begun, 2, "free again once it is answered")
 	assert.Empty(t, w.final[1:])
 }
+
+func TestAForgottenMembersPlaceIsAnothers(t *testing.T) {
+	c, m, w := newFront(t)
+	change := func(name string) {
+		c.Post(Listed{Kind: port.Changes, List: discovery.List{Entries: []discovery.Entry{
+			{Name: name, Address: "y", Zone: "a", Group: 9}}}})
+	}
+	m.wish = func(m *module) { m.Forget(0) }
+	c.batch(ms)
+	assert.Equal(t, []int{0}, w.forgot)
+	change("s-3")
+	change("s-4")
+	change("s-1") // back again, as one that nothing is known of
+	c.batch(2 * ms)
+	var places []int
+	for _, e := range m.listed[1:] {
+		places = append(places, e.Member)
+	}
+	assert.Equal(t, []int{0, 1, 2}, places)
+	assert.Equal(t, "s-3", c.members.Key(0))
+}
--- a/front/ids.go
+++ b/front/ids.go
@@ -7,10 +7,11 @@
 	"dapplerouter/port"
 )
 
-// Index hands out small indices in the order in which keys are first seen.
+// Index hands out small indices, one that was given back first, else the next.
 type Index[K comparable] struct {
 	at   map[K]int
 	keys []K
+	free []int
 }
 
 // NewIndex makes an Index that knows some keys already.
@@ -25,13 +26,25 @@
 // Number gives a key's index, a new one if need be.
 func (x *Index[K]) Number(k K) int {
 	i, ok := x.at[k]
-	if !ok {
-		i = len(x.keys)
-		x.at[k], x.keys = i, append(x.keys, k)
+	if ok {
+		return i
 	}
+	if n := len(x.free); n > 0 {
+		i, x.free = x.free[n-1], x.free[:n-1]
+		x.keys[i] = k
+	} else {
+		i, x.keys = len(x.keys), append(x.keys, k)
+	}
+	x.at[k] = i
 	return i
 }
 
+// Free gives an index back; it may stand for another key from now on.
+func (x *Index[K]) Free(i int) {
+	delete(x.at, x.keys[i])
+	x.free = append(x.free, i)
+}
+
 // Find gives the index of a key that is known.
 func (x *Index[K]) Find(k K) (int, bool) {
 	i, ok := x.at[k]
@@ -41,8 +54,8 @@
 // Key gives back what an index stands for.
 func (x *Index[K]) Key(i int) K { return x.keys[i] }
 
-// Len is the number of keys seen.
-func (x *Index[K]) Len() int { return len(x.keys) }
+// Len is the number of indices in use.
+func (x *Index[K]) Len() int { return len(x.at) }
 
 // Session is the fingerprint of a session's name, never 0.
 func Session(name []byte) uint64 {
--- a/front/route.go
+++ b/front/route.go
@@ -53,6 +53,16 @@
 	c.send(s, c.now+c.patience)
 }
 
+// Forget gives a member's place back: its index, its links and what the log says of it.
+func (c *Core) Forget(member int) {
+	slog.Info("forgotten", "member", c.members.Key(member))
+	c.members.Free(member)
+	c.links.Forget(member)
+	if member < len(c.book.failing) {
+		c.book.failing[member] = false
+	}
+}
+
 func (c *Core) Watch(on bool) { c.ask.Watch(on) }
 func (c *Core) Fetch()        { c.ask.Fetch() }
 
--- a/port/port.go
+++ b/port/port.go
@@ -245,6 +245,7 @@
 	Decline(r Ref, comeBackIn time.Duration) // final: trying again is harmless
 	RollBack(r Ref)                          // final: promises nothing
 	Probe(member int)
+	Forget(member int) // its index may stand for another from now on
 	Watch(on bool)
 	Fetch()
 	Tell(peer int, message []byte) // None: every peer
--- a/router/router.go
+++ b/router/router.go
@@ -56,11 +56,10 @@
 
 func newTempo(types []port.TxnType, tick time.Duration) tempo {
 	p := tempo{shortest: time.Hour}
-	p.seen, p.many = make([]time.Duration, len(types)), make([]time.Duration, len(types))
 	for _, ty := range types {
 		p.shortest = min(p.shortest, ty.SLA)
-		p.usual = append(p.usual, ty.SLA/4)
-		p.least = append(p.least, ty.SLA/4)
+		p.usual, p.least = append(p.usual, ty.SLA/4), append(p.least, ty.SLA/4)
+		p.seen, p.many = append(p.seen, 0), append(p.many, 0)
 	}
 	p.beat = max(tick, p.shortest/10)
 	return p
@@ -99,7 +98,8 @@
 
 type member struct {
 	group, zone   int
-	listed, bound bool // bound: by the drain rule, nothing new goes there
+	listed, bound bool          // bound: by the drain rule, nothing new goes there
+	on            time.Duration // when the list last spoke of it
 
 	role  port.Role
 	pos   time.Duration // highest log position known; it stays valid
@@ -119,15 +119,16 @@
 	trialAt time.Duration // earliest next trial
 	lost    time.Duration // last time that it could not be reached
 
-	started  time.Duration // latest start known
-	cold     bool
-	budget   float64 // what a cold member may still be sent, in seconds of usual latency
-	budgetAt time.Duration
+	started time.Duration // latest start known
+	budget  float64       // what a cold member may still be sent, in seconds of usual latency
 
-	probing bool
-	probed  time.Duration
+	cold, probing    bool
+	budgetAt, probed time.Duration
 }
 
+var unknown = member{group: none, pos: never, posAt: never, rate: 1, room: 4, quick: never, heard: never,
+	lost: never, started: never, probed: never}
+
 // at estimates the log position at a moment: what is known, moved on at the pace last seen.
 func (m *member) at(when time.Duration) time.Duration {
 	if m.role == port.Primary {
@@ -161,6 +162,7 @@
 	term    int
 	start   time.Duration // first position known of this term
 	wanted  bool          // something is held or sent to the primary for want of knowledge
+	floor   target        // of the sessions that are forgotten
 }
 
 // enforceable raises a target of an older term to the start of this one: a member that has applied the
@@ -174,7 +176,8 @@
 
 func (r *Router) group(g int) *group {
 	for len(r.groups) <= g {
-		r.groups = append(r.groups, group{primary: none, by: none, claim: never, start: never})
+		r.groups = append(r.groups, group{primary: none, by: none, claim: never, start: never,
+			floor: target{pos: never}})
 	}
 	return &r.groups[g]
 }
@@ -228,7 +231,6 @@
 type sessions struct {
 	carried bool
 	places  []target
-	floor   []target
 }
 
 const (
@@ -248,18 +250,11 @@
 	return s.places[i : i+ways]
 }
 
-func (s *sessions) floorOf(g int) *target {
-	for len(s.floor) <= g {
-		s.floor = append(s.floor, target{pos: never})
-	}
-	return &s.floor[g]
-}
-
-func (s *sessions) wrote(session uint64, g int, pos time.Duration, term int) {
+func (s *sessions) wrote(key uint64, g *group, pos time.Duration) {
 	if s.carried {
 		return
 	}
-	by := target{key: session + uint64(g), pos: pos, term: term}
+	by := target{key: key, pos: pos, term: g.term}
 	set := s.place(by.key)
 	oldest := &set[0]
 	for i := range set {
@@ -272,7 +267,7 @@
 		}
 	}
 	if oldest.key != 0 {
-		s.floorOf(g).raise(*oldest)
+		g.floor.raise(*oldest)
 	}
 	*oldest = by
 }
@@ -292,8 +287,7 @@
 			return g.enforceable(t.pos, t.term)
 		}
 	}
-	t := s.floorOf(in.Group)
-	return g.enforceable(t.pos, t.term)
+	return g.enforceable(g.floor.pos, g.floor.term)
 }
 
 // --- Windows and strain: how much may be out at a member, and for whom.
@@ -318,9 +312,7 @@
 	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
 )
 
-func (r *Router) narrow(m *member, by float64) {
-	m.room = max(m.room*by, r.gain/10)
-}
+func (r *Router) narrow(m *member, by float64) { m.room = max(m.room*by, r.gain/10) }
 
 // strained counts an answer for its member, its group and all members.
 func (r *Router) strained(now time.Duration, m *member, by float64) {
@@ -371,10 +363,7 @@
 
 // warmth is the least part of its capacity that a member has by now.
 func (r *Router) warmth(now time.Duration, m *member) float64 {
-	if m.cold && now-m.started >= r.warmIn {
-		m.cold = false
-	}
-	if !m.cold {
+	if m.cold = m.cold && now-m.started < r.warmIn; !m.cold {
 		return 1
 	}
 	return r.coldFrom + (1-r.coldFrom)*float64(now-m.started)/float64(r.warmIn)
@@ -397,10 +386,7 @@
 
 // admits tells whether a member may be sent a txn now.
 func (r *Router) admits(now time.Duration, m *member, t *txn) bool {
-	if m.bound || !m.listed && !r.onlyDraining {
-		return false
-	}
-	if float64(m.out) >= max(m.room, 1, spread*r.gain) {
+	if m.bound || !m.listed && !r.onlyDraining || float64(m.out) >= max(m.room, 1, spread*r.gain) {
 		return false
 	}
 	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
@@ -595,14 +581,12 @@
 	end                verdict
 	subs               int  // submissions so far
 	at, want           int  // member where it is out, where it should be
-	leaving            bool // revoked, its ending awaited
+	leaving, held      bool // leaving: revoked, its ending awaited
 	left               int  // member left last
 	missed             bool // turned away untouched: the primary is next
-	sentAt             time.Duration
 	mayRun             bool // some submission may have run:
-	ranSince           time.Duration
 	ranAt              int
-	held               bool
+	sentAt, ranSince   time.Duration
 }
 
 type lives struct {
@@ -723,13 +707,13 @@
 		t.mayRun, t.ranSince, t.ranAt = true, t.sentAt, o.Member
 	}
 	if o.Ending == port.Committed && r.types[ty].Level == port.Write && t.Session != 0 && o.HasPosition {
-		r.wrote(t.Session, t.Group, o.Position, r.group(t.Group).term)
+		r.wrote(t.Session+uint64(t.Group), r.group(t.Group), o.Position)
 	}
 	t.missed = t.missed || o.Ending == port.Missed
-	if o.Closed {
+	switch {
+	case o.Closed:
 		t.end = closed
-	}
-	if t.end == open {
+	case t.end == open:
 		r.await(t)
 	}
 }
@@ -825,6 +809,7 @@
 		if !m.bound && !m.down && r.warmth(now, m) == 1 {
 			r.warm++
 		}
+		r.forget(now, i)
 	}
 }
 
@@ -848,13 +833,12 @@
 	}
 	if kind != port.Changes {
 		for i := range r.members {
-			r.members[i].listed = false
+			r.members[i].listed, r.members[i].on = false, now
 		}
 	}
 	for _, e := range entries {
 		for len(r.members) <= e.Member {
-			r.members = append(r.members, member{group: none, pos: never, posAt: never, rate: 1,
-				room: 4, quick: never, heard: never, lost: never, started: never, probed: never})
+			r.members = append(r.members, unknown)
 		}
 		m := &r.members[e.Member]
 		g := r.group(e.Group)
@@ -862,7 +846,7 @@
 			m.group = e.Group
 			g.members = append(g.members, e.Member)
 		}
-		m.listed, m.zone = true, e.Zone
+		m.listed, m.on, m.zone = e.State != port.Removed, now, e.Zone
 		m.bound = e.State == port.Draining || e.State == port.Removed && (!r.onlyDraining || m.bound)
 		if e.HasStarted && e.Started > m.started {
 			r.starts(now, m, e.Started)
@@ -875,12 +859,29 @@
 	for i := range r.members { // a drain binds as soon as the list speaks: the grace is for what is on its way
 		m := &r.members[i]
 		m.bound = m.bound || !m.listed && !r.onlyDraining
-		if g := r.group(m.group); m.bound && g.primary == i {
-			g.primary = none
+		if m.bound && m.group != none && r.groups[m.group].primary == i {
+			r.groups[m.group].primary = none
 		}
 	}
 }
 
+// forget gives back the place of a member that has left the list, once nothing is out there and it has been
+// away for as long as a start counts: a list that errs is mended sooner. One that may still be used stays.
+func (r *Router) forget(now time.Duration, i int) {
+	m := &r.members[i]
+	if m.listed || m.group == none || now-m.on <= r.warmIn || m.out > 0 || m.probing || !m.bound && !m.down {
+		return
+	}
+	g := r.group(m.group)
+	g.members = slices.DeleteFunc(g.members, func(j int) bool { return j == i })
+	if g.by == i || g.primary == i { // it may have shown as one while it was down
+		g.by, g.primary = none, none
+	}
+	*m = unknown
+	m.bound = true // until it is a member's again
+	r.host.Forget(i)
+}
+
 // Heard takes a message from a peer; fronts say nothing to each other yet.
 func (r *Router) Heard(time.Duration, int, []byte) {}
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -53,24 +53,25 @@
 	s := newSessions(false)
 	g := &group{term: 1}
 	in := &port.Txn{Session: 9}
-	s.wrote(9, 0, 500*ms, 1)
-	s.wrote(9, 0, 400*ms, 1)
+	s.wrote(9, g, 500*ms)
+	s.wrote(9, g, 400*ms)
 	assert.Equal(t, 500*ms, s.needs(0, in, g))
 	g.term, g.start = 2, 900*ms
 	assert.Equal(t, 900*ms, s.needs(0, in, g))
-	s.wrote(9, 0, 950*ms, 2)
-	s.wrote(9, 0, 990*ms, 1)
+	s.wrote(9, g, 950*ms)
+	s.wrote(9, &group{term: 1}, 990*ms)
 	assert.Equal(t, 950*ms, s.needs(0, in, g), "an older term's position does not count in this one")
 }
 
 func TestAForgottenTargetStaysInTheFloor(t *testing.T) {
 	s := newSessions(false)
 	s.places = s.places[:ways]
+	g := &group{}
 	for i := range uint64(ways + 1) {
-		s.wrote(i+1, 0, time.Duration(i+1)*ms, 0)
+		s.wrote(i+1, g, time.Duration(i+1)*ms)
 	}
-	assert.Equal(t, ms, s.needs(0, &port.Txn{Session: 1}, &group{}), "the one that was forgotten")
-	assert.Equal(t, 3*ms, s.needs(0, &port.Txn{Session: 3}, &group{}))
+	assert.Equal(t, ms, s.needs(0, &port.Txn{Session: 1}, g), "the one that was forgotten")
+	assert.Equal(t, 3*ms, s.needs(0, &port.Txn{Session: 3}, g))
 }
 
 func TestACarriedTokenIsAnAge(t *testing.T) {
@@ -300,6 +301,31 @@
 	assert.Zero(t, y.count("submit"))
 }
 
+// On a long day members come and go without end.
+func TestAMembersPlaceIsGivenBackOnceItIsGoneAndNothingIsOut(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	r := y.begin(write)
+	y.list(port.Changes, port.Entry{Member: 0, State: port.Removed})
+	y.pass(11 * time.Second)
+	assert.Zero(t, y.count("forget"), "its submission is out")
+	y.ends(r, port.Committed, port.Primary, time.Second)
+	y.groups[0].primary = 0 // as when it shows as primary while it is down
+	y.pass(time.Second)
+	assert.Equal(t, "forget 0", y.last("forget"))
+	assert.Equal(t, none, y.groups[0].primary)
+	assert.Equal(t, []int{1}, y.groups[0].members)
+	y.pass(time.Minute)
+	assert.Equal(t, 1, y.count("forget"))
+	y.list(port.Changes, port.Entry{Member: 0, Group: 1, Primary: true})
+	y.knows(1, port.Primary, 2*time.Second)
+	assert.Equal(t, 0, y.groups[1].primary, "another's by now")
+	assert.Equal(t, 1, y.groups[0].primary, "the claim of the one that is gone does not stand against it")
+	assert.Equal(t, unknown.room, y.members[0].room)
+	y.list(port.Whole, port.Entry{Member: 0, Group: 1})
+	y.pass(11 * time.Second)
+	assert.Equal(t, "forget 1", y.last("forget"), "missing from a whole list")
+}
+
 func TestWhereOnlyDrainingBindsAMemberGoneFromTheListIsStillUsed(t *testing.T) {
 	p := littleSite()
 	p.rules.OnlyDrainingBinds = true
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -41,15 +41,15 @@
 
 // pool is the connections to one member; idle ones are used last in, first out.
 type pool struct {
-	address string
-	since   int64 // Unix milliseconds of the member's last start
+	address string // "" once the member is forgotten
+	since   int64  // Unix milliseconds of the member's last start
 	idle    []*link
 }
 
 // link is a connection to a member, served by one goroutine.
 type link struct {
 	ls      *Links
-	member  int
+	pool    *pool
 	address string
 	opened  int64 // Unix milliseconds
 	conn    *net.TCPConn
@@ -64,7 +64,18 @@
 func (ls *Links) Place(member int, address string, since int64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	p := ls.pool(member)
+	ls.pool(member).place(address, since)
+}
+
+// Forget ends the idle links of a member; its place may be another's from now on.
+func (ls *Links) Forget(member int) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.pool(member).place("", 0)
+	ls.pools[member] = &pool{} // links still at work keep the old one, which serves none
+}
+
+func (p *pool) place(address string, since int64) {
 	p.address, p.since = address, since
 	p.idle = slices.DeleteFunc(p.idle, func(l *link) bool {
 		if p.serves(l) {
@@ -88,6 +99,12 @@
 func (ls *Links) Send(member int, s *front.Submission) {
 	ls.mu.Lock()
 	p := ls.pool(member)
+	ls.mu.Unlock()
+	ls.send(p, s)
+}
+
+func (ls *Links) send(p *pool, s *front.Submission) {
+	ls.mu.Lock()
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -97,7 +114,7 @@
 	}
 	address := p.address
 	ls.mu.Unlock()
-	go ls.serve(&link{ls: ls, member: member, address: address, job: make(chan *front.Submission, 1)}, s)
+	go ls.serve(&link{ls: ls, pool: p, address: address, job: make(chan *front.Submission, 1)}, s)
 }
 
 // give hands a link that was taken from its pool what it is to do next: nil is to end. It never blocks.
@@ -145,7 +162,7 @@
 	for s != nil {
 		if l.used && (l.r.Waiting() || !quiet(l.conn)) { // nothing of it was written: another link may take it
 			l.conn.Close()
-			ls.Send(l.member, s)
+			ls.send(l.pool, s)
 			return
 		}
 		l.used = true
@@ -277,7 +294,7 @@
 	l.conn.SetReadDeadline(time.Now().Add(l.ls.idle))
 	l.ls.mu.Lock()
 	defer l.ls.mu.Unlock()
-	if p := l.ls.pool(l.member); p.serves(l) {
+	if p := l.pool; p.serves(l) {
 		p.idle = append(p.idle, l)
 	} else {
 		l.give(nil)
@@ -296,7 +313,7 @@
 		l.conn.SetReadDeadline(time.Time{})
 	} else if s != nil { // it said something, or ended, just as it was taken
 		l.conn.Close()
-		l.ls.Send(l.member, s)
+		l.ls.send(l.pool, s)
 		return nil
 	}
 	return s
@@ -306,7 +323,7 @@
 func (l *link) withdraw() bool {
 	l.ls.mu.Lock()
 	defer l.ls.mu.Unlock()
-	p := l.ls.pool(l.member)
+	p := l.pool
 	i := slices.Index(p.idle, l)
 	if i < 0 {
 		return false
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -408,7 +408,7 @@
 			g.eventually(func() bool { return g.address() != "" })
 			conn, err := net.Dial("tcp", g.member.Addr().String())
 			require.NoError(t, err)
-			l := &link{ls: g.links, address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Submission, 1),
+			l := &link{ls: g.links, pool: g.links.pool(0), address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Submission, 1),
 				r: pgwire.NewReader(conn, 4096, 4096)}
 			c, err := g.member.Accept()
 			require.NoError(t, err)
@@ -454,6 +454,19 @@
 	m.ends() // it moved
 }
 
+func TestAForgottenMembersLinksEndAndItsPlaceStartsAnew(t *testing.T) {
+	g := newRig(t, 40)
+	_, idle := g.serve()
+	g.links.mu.Lock()
+	l := g.links.pools[0].idle[0]
+	g.links.mu.Unlock()
+	g.links.Forget(0)
+	idle.ends()
+	g.links.Place(0, g.member.Addr().String(), 0)
+	l.free() // one that was at work meanwhile
+	assert.Zero(t, g.idle(), "it is the old member's")
+}
+
 func TestIdleConnectionsMakeWay(t *testing.T) {
 	g := newRig(t, 4) // three for clients
 	_, m := g.serve()
