--- a/front/admit.go
+++ b/front/admit.go
@@ -5,7 +5,7 @@
 // admit gives a txn its place and tells the module. Its time runs from its last byte, so what it has
 // waited since is off its budget.
 func (c *Core) admit(a *Arrival, t port.Txn) {
-	a.expiry = a.At + a.Statement.Wait
+	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Expiry) // nobody holds a place for longer than its type may
 	a.ref = c.doors.Open(a)
 	c.ids[string(a.Statement.ID)] = struct{}{}
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -21,6 +21,7 @@
 	SyntaxError        = "42601"
 	BadValue           = "22023"
 	RolledBack         = "40000"
+	IdleTooLong        = "57P05"
 )
 
 // Version is the protocol's, as startup messages carry it.
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -20,7 +20,8 @@
 	goodbye      = time.Second            // for the other side to read the last of what it was sent
 	newcomers    = 500 * time.Millisecond // for how long after a stop is asked for new connections may still come
 	lastLook     = 5 * time.Millisecond   // at what has come in, before an idle connection is closed
-	turnedAtOnce = 16                     // newcomers for whom there is no room and who are being told
+	turnedAtOnce = 8                      // newcomers for whom there is no room and who are being told
+	silence      = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
 )
 
 // Server serves clients.
@@ -28,7 +29,8 @@
 	post     func(front.Event)
 	room     *Room
 	clock    *Clock
-	patience time.Duration // with a client that does not read, or connects and says nothing
+	patience time.Duration // with a client that does not read
+	idle     time.Duration // after which a connection with nothing to do is closed
 
 	stopping atomic.Bool
 	turning  chan struct{}
@@ -37,10 +39,12 @@
 	open     sync.WaitGroup
 }
 
-// NewServer makes a Server; patience is the longest that a txn may take.
-func NewServer(post func(front.Event), room *Room, clock *Clock, patience time.Duration) *Server {
-	return &Server{post: post, room: room, clock: clock, patience: patience, clients: map[*client]struct{}{},
+// NewServer makes a Server; patience is the longest that a txn may take, idle how long a connection may rest.
+func NewServer(post func(front.Event), room *Room, clock *Clock, patience, idle time.Duration) *Server {
+	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: idle, clients: map[*client]struct{}{},
 		turning: make(chan struct{}, turnedAtOnce)}
+	room.spare(sv.makeWay)
+	return sv
 }
 
 // Serve accepts until a stop was asked for and nobody comes any more: what the machine has accepted is taken,
@@ -99,7 +103,8 @@
 	idle  atomic.Int64     // since when it has nothing to do, as the clock says, 0 while it has
 	leave atomic.Bool      // makes way for another
 
-	answered bool // once at least
+	until    time.Time // by which it must have asked something
+	answered bool      // once at least
 	out      *front.Arrival
 }
 
@@ -108,7 +113,7 @@
 		sv.turnAway(conn)
 		return
 	}
-	c := &client{sv: sv, conn: conn, final: make(chan front.Final, 1),
+	c := &client{sv: sv, conn: conn, final: make(chan front.Final, 1), until: time.Now().Add(silence),
 		r: pgwire.NewReader(conn, clientBuffer, longestQuery)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
@@ -145,7 +150,9 @@
 		defer func() { <-sv.turning }()
 		defer conn.Close()
 		defer guard()
-		c := &client{sv: sv, conn: conn, r: pgwire.NewReader(conn, clientBuffer/4, longestQuery)}
+		c := &client{sv: sv, conn: conn, r: pgwire.NewReader(conn, clientBuffer/4, longestQuery),
+			until: time.Now().Add(goodbye)}
+		conn.SetReadDeadline(c.until)
 		if c.start() != nil {
 			return
 		}
@@ -164,7 +171,7 @@
 	conn.SetReadDeadline(time.Now().Add(goodbye))
 	var first [1]byte
 	if n, _ := conn.Read(first[:]); n > 0 && first[0] != pgwire.Terminate {
-		slog.Info("a client wrote while its connection was closed")
+		slog.Debug("a client wrote while its connection was closed")
 		conn.SetLinger(0)
 	}
 	conn.Close()
@@ -183,7 +190,12 @@
 		c.sv.room.clientLeft()
 	}()
 	defer guard()
-	if err := c.start(); err != nil {
+	err := c.watch(c.until)
+	if err == nil || timedOut(err) {
+		c.conn.SetReadDeadline(c.until)
+		err = c.start()
+	}
+	if err != nil {
 		c.protest(err)
 		return
 	}
@@ -198,12 +210,21 @@
 	}
 }
 
-// protest tells a breach of the protocol before the connection ends.
+// protest tells why the connection ends, where that is the client's doing or its bad luck.
 func (c *client) protest(err error) {
-	if pgwire.IsViolation(err) {
-		c.write(pgwire.Error(nil, "FATAL", pgwire.ProtocolViolation, err.Error(), ""))
-		leave(c.conn)
+	code := ""
+	switch {
+	case pgwire.IsViolation(err):
+		code = pgwire.ProtocolViolation
+	case err == errSilent:
+		code = pgwire.IdleTooLong
+	case err == errCrowded:
+		code = pgwire.TooManyConnections
+	default:
+		return
 	}
+	c.write(pgwire.Error(nil, "FATAL", code, err.Error(), ""))
+	leave(c.conn)
 }
 
 // Answer passes the final answer to the connection's goroutine and wakes it.
@@ -214,11 +235,21 @@
 
 var errCancel = errors.New("a request to cancel, which has no effect here")
 
+// start takes the first message, which must come whole in time.
 func (c *client) start() error {
-	c.conn.SetReadDeadline(time.Now().Add(c.sv.patience))
 	for {
 		s, err := c.r.Startup()
 		switch {
+		case err != nil && timedOut(err):
+			if c.leave.Load() {
+				return errCrowded
+			}
+			if !time.Now().Before(c.until) {
+				return errSilent
+			}
+			if err := c.watch(c.until); err != nil && !timedOut(err) {
+				return err
+			}
 		case err != nil:
 			return err
 		case s.Cancel:
@@ -231,7 +262,6 @@
 			if !c.write(pgwire.Welcome(nil)) {
 				return net.ErrClosed
 			}
-			c.conn.SetReadDeadline(time.Time{})
 			return nil
 		}
 	}
@@ -263,36 +293,73 @@
 // leaving says whether the connection is to end between txns.
 func (c *client) leaving() bool { return c.sv.stopping.Load() || c.leave.Load() }
 
-var errLeaving = errors.New("leaving")
+// Why a connection ends.
+var (
+	errLeaving = errors.New("leaving")
+	errSilent  = errors.New("nothing was asked in time")
+	errCrowded = errors.New("too many clients")
+)
 
-// next waits for a message. A stop, or another client's need of room, ends the wait between txns; but one who
-// has just been answered may be writing already, and one who came after the stop still sends its first.
+// next waits for a message. Once it has begun it must come whole within a span: half a message holds a
+// descriptor that is never idle.
 func (c *client) next() (byte, []byte, error) {
-	if c.leaving() {
-		look := lastLook
-		if !c.answered {
-			look = c.sv.patience
-		}
-		c.conn.SetReadDeadline(time.Now().Add(look))
+	if err := c.rest(); err != nil {
+		return 0, nil, err
+	}
+	until := c.until
+	if c.answered {
+		until = time.Now().Add(silence)
 	}
 	for {
-		if !c.r.Waiting() {
-			c.idle.Store(int64(c.sv.clock.Now()))
-		}
+		c.conn.SetReadDeadline(until)
 		typ, body, err := c.r.Next()
-		c.idle.Store(0)
-		if err == nil || !timedOut(err) {
+		switch {
+		case err == nil || !timedOut(err):
 			return typ, body, err
+		case !time.Now().Before(until):
+			return 0, nil, errSilent
+		}
+	}
+}
+
+// rest waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but
+// one who has just been answered may be writing already, and one who came after the stop still sends its first.
+func (c *client) rest() error {
+	for !c.r.Waiting() {
+		until := c.until
+		if c.answered {
+			until = time.Now().Add(c.sv.idle)
 		}
-		if !c.r.Waiting() && c.leaving() {
+		err := c.watch(until)
+		switch {
+		case err == nil:
+		case !timedOut(err):
+			return err
+		case !c.answered && c.leave.Load():
+			return errCrowded
+		case !c.answered && !time.Now().Before(until):
+			return errSilent
+		case c.answered && (c.leaving() || !time.Now().Before(until)):
 			c.conn.SetReadDeadline(time.Now().Add(lastLook)) // a read past its deadline does not look at all
 			if _, err := c.r.Watch(); err != nil && !(timedOut(err) && come(c.conn) > 0) {
 				leave(c.conn)
-				return 0, nil, errLeaving
+				return errLeaving
 			}
 		}
-		c.conn.SetReadDeadline(time.Time{})
 	}
+	return nil
+}
+
+// watch blocks until something comes in, until a moment at most, as one who may be asked to make way.
+func (c *client) watch(until time.Time) error {
+	c.conn.SetReadDeadline(until)
+	c.idle.Store(int64(c.sv.clock.Now()))
+	defer c.idle.Store(0)
+	if c.leave.Load() || c.answered && c.sv.stopping.Load() { // looked at after the setting: a wake after it sets it anew
+		c.conn.SetReadDeadline(past)
+	}
+	_, err := c.r.Watch()
+	return err
 }
 
 // extended refuses what is not a simple query and skips to its Sync.
--- a/sockets/room.go
+++ b/sockets/room.go
@@ -7,26 +7,30 @@
 	"time"
 )
 
-// Room keeps the descriptors within their limit. Clients may hold three quarters: most of them wait for the
-// few that are out at members, and those must always find the rest.
+// Room keeps the descriptors within their limit. Clients may hold three quarters, most of them idle or silent,
+// and make way for each other; links to members, of which few are out at a time, must always find room, so
+// idle clients make way for them too.
 type Room struct {
 	mu                   sync.Mutex
 	clients, links, peak int
 	mostClients, mostAll int
+	closing              int         // how many may be too many for a moment, while others end
+	idleClient           func() bool // asks one to leave
 }
 
 // NewRoom shares out a limit, less what is needed aside of clients and members.
 func NewRoom(limit, aside int) *Room {
 	all := limit - aside
-	return &Room{mostAll: all, mostClients: all * 3 / 4}
+	return &Room{mostAll: all, mostClients: all * 3 / 4, closing: max(2, aside/4),
+		idleClient: func() bool { return false }}
 }
 
-// client takes room for a client's connection, link for one to a member. Where there is none, an idle one of
-// the same sort must make way; it ends by itself, so for a moment there is one too many.
+// client takes room for a client's connection, link for one to a member. Where there is none, an idle one
+// must make way; it ends by itself, so for a moment there are too many, but never by more than a few.
 func (r *Room) client(makeWay func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clients >= r.mostClients && !makeWay() {
+	if r.clients >= r.mostClients && !makeWay() || r.full() {
 		return false
 	}
 	r.clients++
@@ -37,7 +41,7 @@
 func (r *Room) link(makeWay func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clients+r.links >= r.mostAll && !makeWay() {
+	if r.clients+r.links >= r.mostAll && !makeWay() && !r.idleClient() || r.full() {
 		return false
 	}
 	r.links++
@@ -45,6 +49,11 @@
 	return true
 }
 
+// spare says who asks an idle client to leave.
+func (r *Room) spare(idleClient func() bool) { r.mu.Lock(); r.idleClient = idleClient; r.mu.Unlock() }
+
+func (r *Room) full() bool { return r.clients+r.links >= r.mostAll+r.closing }
+
 func (r *Room) clientLeft() { r.mu.Lock(); r.clients--; r.mu.Unlock() }
 func (r *Room) linkLeft()   { r.mu.Lock(); r.links--; r.mu.Unlock() }
 
