--- a/router/router.go
+++ b/router/router.go
@@ -321,6 +321,18 @@
 	}
 }
 
+// vain counts what never came for the worst, but where patience was short for no more than it proves: clients
+// that come back with little time left must not make the members seem busy that their first tries found well.
+func (r *Router) vain(now time.Duration, m *member, ty int, waited time.Duration) {
+	if ty != none && waited < 4*r.usual[ty] {
+		r.narrow(m, shrink)
+		r.strained(now, m, float64(waited)/float64(r.least[ty]))
+		return
+	}
+	r.narrow(m, halve)
+	r.strained(now, m, worst)
+}
+
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
 	all := r.overall.mean(now, 3*few, 1, &r.tempo)
 	return m.strain.mean(now, few, r.group(m.group).strain.mean(now, 2*few, all, &r.tempo), &r.tempo)
@@ -464,15 +476,15 @@
 		if !r.mayProbe { // else the probe tells whether it was down
 			m.lost = now
 		}
-		r.takeDown(now, o.Member)
+		if m.fails++; m.fails > 1 { // one link may break where the member is well
+			r.takeDown(now, o.Member)
+		}
 	case port.TimedOut:
 		if m.quick > now-o.Latency {
 			r.loses(m, 1)
 			return // later ones came back quickly: this one was lost, not queued
 		}
-		r.narrow(m, halve)
-		r.strained(now, m, worst)
-		if now-m.heard <= o.Latency {
+		if r.vain(now, m, ty, o.Latency); now-m.heard <= o.Latency {
 			return
 		}
 		if m.fails++; m.fails > 1 { // one may be lost or long
@@ -675,9 +687,7 @@
 	}
 	t.end = closed
 	if t.at != none {
-		m := &r.members[t.at]
-		r.narrow(m, halve)
-		r.strained(now, m, worst)
+		r.vain(now, &r.members[t.at], t.Type, now-t.sentAt)
 	}
 	r.leave(t)
 }
