--- a/router/router.go
+++ b/router/router.go
@@ -732,7 +732,7 @@
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
 // A write kept here leaves half of its time to its client, who may come back to a primary with room.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
-	kept := !t.mayRun && ty.Level == port.Write && now > t.begun+t.Budget/2-2*r.beat
+	kept := !t.mayRun && !t.missed && now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
 	if kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
