--- a/router/router.go
+++ b/router/router.go
@@ -321,18 +321,6 @@
 	}
 }
 
-// vain counts what never came for the worst, but where patience was short for no more than it proves: clients
-// that come back with little time left must not make the members seem busy that their first tries found well.
-func (r *Router) vain(now time.Duration, m *member, ty int, waited time.Duration) {
-	if ty != none && waited < 4*r.usual[ty] {
-		r.narrow(m, shrink)
-		r.strained(now, m, float64(waited)/float64(r.least[ty]))
-		return
-	}
-	r.narrow(m, halve)
-	r.strained(now, m, worst)
-}
-
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
 	all := r.overall.mean(now, 3*few, 1, &r.tempo)
 	return m.strain.mean(now, few, r.group(m.group).strain.mean(now, 2*few, all, &r.tempo), &r.tempo)
@@ -484,7 +472,9 @@
 			r.loses(m, 1)
 			return // later ones came back quickly: this one was lost, not queued
 		}
-		if r.vain(now, m, ty, o.Latency); now-m.heard <= o.Latency {
+		r.narrow(m, halve)
+		r.strained(now, m, worst)
+		if now-m.heard <= o.Latency {
 			return
 		}
 		if m.fails++; m.fails > 1 { // one may be lost or long
@@ -687,7 +677,9 @@
 	}
 	t.end = closed
 	if t.at != none {
-		r.vain(now, &r.members[t.at], t.Type, now-t.sentAt)
+		m := &r.members[t.at]
+		r.narrow(m, halve)
+		r.strained(now, m, worst)
 	}
 	r.leave(t)
 }
@@ -732,7 +724,8 @@
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
 // A write kept here leaves half of its time to its client, who may come back to a primary with room.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
-	kept := !t.mayRun && !t.missed && now > t.begun+t.Budget/2-2*r.beat
+	kept := (ty.Level == port.Write || t.value < ty.Value) && !t.mayRun && !t.missed &&
+		now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
 	if kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
