--- a/router/host_test.go
+++ b/router/host_test.go
@@ -112,6 +112,15 @@
 	y.settle()
 }
 
+// dies ends a submission by a failure, and the next one of its txn at the same member by being refused.
+func (y *story) dies(r port.Ref, e port.Ending) {
+	member := y.where[r]
+	y.ends(r, e, port.Unknown, 0)
+	if y.where[r] == member {
+		y.ends(r, port.Unreachable, port.Unknown, 0)
+	}
+}
+
 // knows tells the instance what a member says of itself, as a probe would.
 func (y *story) knows(i int, role port.Role, pos time.Duration) {
 	y.Probed(y.now, i, port.Committed, ms, port.Load{Held: 0, Role: role, Position: pos, HasPosition: true})
--- a/router/router.go
+++ b/router/router.go
@@ -677,9 +677,8 @@
 	}
 	t.end = closed
 	if t.at != none {
-		m := &r.members[t.at]
-		r.narrow(m, halve)
-		r.strained(now, m, worst)
+		r.narrow(&r.members[t.at], halve)
+		r.strained(now, &r.members[t.at], worst)
 	}
 	r.leave(t)
 }
@@ -722,17 +721,15 @@
 
 // hopeless tells when a txn is past hope: shortly before its expiry, or its SLA time where late is worth
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
-// A write kept here leaves half of its time to its client, who may come back to a primary with room.
+// A write or a retry of which nothing went out leaves half of its time to its client, who may find more room.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
 	kept := (ty.Level == port.Write || t.value < ty.Value) && !t.mayRun && !t.missed &&
 		now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
-	if kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat {
-		return true
-	}
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
-	return ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
+	return kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat ||
+		ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
 
 // plan decides what should be out for a txn: nothing, if it is held or ends here.
