--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -66,7 +66,8 @@
 	allowed := told.Site.Allowance
 	var core *front.Core
 	post := func(e front.Event) { core.Post(e) }
-	links := sockets.NewLinks(post, room, user, database, allowed.DialTimeout, allowed.LinkIdle)
+	links := sockets.NewLinks(post, room, user, database, allowed.DialTimeout, allowed.LinkIdle,
+		told.Memory)
 	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), post,
 		spread(told.Seed))
 	core = front.NewCore(clock.Born, told.Seed, told.Site, router.New, links, directory)
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -16,10 +16,9 @@
 	"dapplerouter/pgwire"
 )
 
-// Sizes of buffers, and the longest message that a member may send: a value of 64 KiB and its frame.
+// Sizes of buffers.
 const (
 	linkBuffer = 4 << 10
-	longestRow = 80 << 10
 	bodyKept   = 16 << 10
 )
 
@@ -29,16 +28,22 @@
 	room           *Room
 	user, database string
 	dial, idle     time.Duration
+	longest        int // message that a member may send
 
 	mu    sync.Mutex
 	pools []*pool
 }
 
 // NewLinks makes the pools. A connection is not used again after idle, less a margin for what is on its way.
-func NewLinks(post func(front.Event), room *Room, user, database string, dial, idle time.Duration) *Links {
-	return &Links{post: post, room: room, user: user, database: database, dial: dial, idle: idle - idle/20}
+// Members' values are longer on some days than the protocol's page has it: a message may be a part of the
+// memory told that leaves room for all that are out at once.
+func NewLinks(post func(front.Event), room *Room, user, database string, dial, idle time.Duration, memory int64) *Links {
+	return &Links{post: post, room: room, user: user, database: database, dial: dial, idle: idle - idle/20,
+		longest: int(memory / messages)}
 }
 
+const messages = 64 // of the longest, fill the memory
+
 // pool is the connections to one member; idle ones are used last in, first out.
 type pool struct {
 	address string // "" once the member is forgotten
@@ -188,7 +193,7 @@
 	if _, err := l.conn.Write(pgwire.Hello(nil, l.ls.user, l.ls.database)); err != nil {
 		return err
 	}
-	l.r = pgwire.NewReader(l.conn, linkBuffer, longestRow)
+	l.r = pgwire.NewReader(l.conn, linkBuffer, l.ls.longest)
 	var a pgwire.Answer
 	l.r.Check = a.Early
 	for done := false; !done; {
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -76,7 +76,7 @@
 	g.listen, g.member = listen(t), listen(t)
 	clock := NewClock()
 	post := func(e front.Event) { g.core.Post(e) }
-	g.links = NewLinks(post, g.room, "portal", "crm", 5*time.Second, time.Minute)
+	g.links = NewLinks(post, g.room, "portal", "crm", 5*time.Second, time.Minute, 32<<20)
 	s := &site.Site{Types: []string{"read"}, Zones: []string{"a"}, TxnTypes: []port.TxnType{{Expiry: time.Minute}},
 		Allowance: port.Allowance{Submissions: 9, DialTimeout: 5 * time.Second}}
 	g.core = front.NewCore(clock.Born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType,
@@ -200,7 +200,7 @@
 	c.say(append(pgwire.Hello(nil, "portal", "crm"), read("4000")...)...)
 	m := g.memberUp()
 	assert.Regexp(t, `SELECT data FROM facts WHERE code = 'k' /\* id=\d+,c=read,d=\d+,cluster=2 \*/`, string(m.hear("Q")))
-	value := string(bytes.Repeat([]byte{0, 255}, 32<<10))
+	value := string(bytes.Repeat([]byte{0, 255}, 200<<10)) // the day of slow clients has values of 400 KB
 	m.say(whole(value)...)
 	c.hear("RSSSSZT")
 	assert.Equal(t, value, string(c.hear("D")[6:]))
