--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -89,7 +89,7 @@
 	for _, ty := range told.Site.TxnTypes {
 		longest = max(longest, ty.Expiry)
 	}
-	server := sockets.NewServer(post, room, clock, longest, allowed.LinkIdle)
+	server := sockets.NewServer(post, room, clock, longest)
 	slog.Info("serving", "name", told.Name, "listen", told.Listen, "cores", told.Cores, "memory", told.Memory,
 		"sockets", told.Sockets, "members", len(told.Known.Entries))
 	go totals(ctx, core, room)
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -21,6 +21,7 @@
 	newcomers    = 500 * time.Millisecond // for how long after a stop is asked for new connections may still come
 	lastLook     = 5 * time.Millisecond   // at what has come in, before an idle connection is closed
 	turnedAtOnce = 8                      // newcomers for whom there is no room and who are being told
+	resting      = 2 * time.Second        // idle: clients that ask once and stay would keep others out of their own limit
 	silence      = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
 )
 
@@ -39,9 +40,9 @@
 	open     sync.WaitGroup
 }
 
-// NewServer makes a Server; patience is the longest that a txn may take, idle how long a connection may rest.
-func NewServer(post func(front.Event), room *Room, clock *Clock, patience, idle time.Duration) *Server {
-	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: idle, clients: map[*client]struct{}{},
+// NewServer makes a Server; patience is the longest that a txn may take.
+func NewServer(post func(front.Event), room *Room, clock *Clock, patience time.Duration) *Server {
+	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: resting, clients: map[*client]struct{}{},
 		turning: make(chan struct{}, turnedAtOnce)}
 	room.spare(sv.makeWay)
 	return sv
@@ -224,7 +225,9 @@
 		return
 	}
 	c.write(pgwire.Error(nil, "FATAL", code, err.Error(), ""))
-	leave(c.conn)
+	if come(c.conn) > 0 || code == pgwire.ProtocolViolation {
+		leave(c.conn)
+	} // else nothing unread could make a reset of the closing: who stays silent must not hold a descriptor longer
 }
 
 // Answer passes the final answer to the connection's goroutine and wakes it.
@@ -342,8 +345,7 @@
 		case c.answered && (c.leaving() || !time.Now().Before(until)):
 			c.conn.SetReadDeadline(time.Now().Add(lastLook)) // a read past its deadline does not look at all
 			if _, err := c.r.Watch(); err != nil && !(timedOut(err) && come(c.conn) > 0) {
-				leave(c.conn)
-				return errLeaving
+				return errLeaving // closed at once: nothing is on its way to the client that it has not read
 			}
 		}
 	}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -85,7 +85,8 @@
 		return g.d
 	}, g.links, nobody{})
 	g.list(g.member.Addr().String(), 0)
-	g.server = NewServer(post, g.room, clock, 5*time.Second, time.Minute)
+	g.server = NewServer(post, g.room, clock, 5*time.Second)
+	g.server.idle = time.Minute
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() { g.core.Run(clock, stop) })
