--- a/sockets/room.go
+++ b/sockets/room.go
@@ -7,13 +7,15 @@
 	"time"
 )
 
-// Room keeps the descriptors within their limit. Clients may hold three quarters, most of them idle or silent,
-// and make way for each other; links to members, of which few are out at a time, must always find room, so
+// Room keeps the descriptors within their limit. Usual clients hold a third at most: from a quarter on, a
+// newcomer ends the connection longest at rest, or those that ask once and stay would use up that third. Where
+// none rests, clients may hold three quarters. Links to members, of which few are out at a time, must always find room, so
 // idle clients make way for them too.
 type Room struct {
 	mu                   sync.Mutex
 	clients, links, peak int
 	mostClients, mostAll int
+	share                int         // of clients, beyond which those at rest make way
 	closing              int         // how many may be too many for a moment, while others end
 	idleClient           func() bool // asks one to leave
 }
@@ -21,7 +23,7 @@
 // NewRoom shares out a limit, less what is needed aside of clients and members.
 func NewRoom(limit, aside int) *Room {
 	all := limit - aside
-	return &Room{mostAll: all, mostClients: all * 3 / 4, closing: max(2, aside/4),
+	return &Room{mostAll: all, mostClients: all * 3 / 4, share: limit / 4, closing: max(2, aside/4),
 		idleClient: func() bool { return false }}
 }
 
@@ -30,7 +32,7 @@
 func (r *Room) client(makeWay func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clients >= r.mostClients && !makeWay() || r.full() {
+	if r.clients >= r.share && !makeWay() && r.clients >= r.mostClients || r.full() {
 		return false
 	}
 	r.clients++
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -471,6 +471,7 @@
 
 func TestIdleConnectionsMakeWay(t *testing.T) {
 	g := newRig(t, 4) // three for clients
+	g.room.share = 3
 	c, m := g.serve()
 	g.resting()
 	g.client()
@@ -481,7 +482,7 @@
 	c.ends()
 	g = newRig(t, 40)
 	g.room.mu.Lock()
-	g.room.mostClients = 3
+	g.room.mostClients, g.room.share = 3, 3
 	g.room.mu.Unlock()
 	silent := g.client()
 	g.resting()
@@ -535,6 +536,19 @@
 	}
 }
 
+// The recorded day: connections that had asked once held the third that clients may have, and no txn came in.
+func TestClientsAtRestMakeWayLongBeforeTheLimit(t *testing.T) {
+	g := newRig(t, 40) // a quarter is 10
+	c, _ := g.serve()
+	g.resting()
+	for range 9 {
+		g.client().say(read("4000")...)
+		<-g.d.begun
+	}
+	g.client()
+	c.ends()
+}
+
 func TestAClientThatRestsTooLongIsLetGo(t *testing.T) {
 	g := newRig(t, 40)
 	g.server.idle = time.Millisecond
