Stories of the sockets set shares under their lock: the race run is green again

Seen: one race run in two failed at TestIdleConnectionsMakeWay: the story wrote the share without the lock. Four race runs in a row pass now.

--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -471,7 +471,9 @@
 
 func TestIdleConnectionsMakeWay(t *testing.T) {
 	g := newRig(t, 4) // three for clients
+	g.room.mu.Lock()
 	g.room.share = 3
+	g.room.mu.Unlock()
 	c, m := g.serve()
 	g.resting()
 	g.client()
@@ -551,7 +553,9 @@
 
 func TestAClientThatRestsTooLongIsLetGo(t *testing.T) {
 	g := newRig(t, 40)
+	g.server.mu.Lock()
 	g.server.idle = time.Millisecond
+	g.server.mu.Unlock()
 	c, _ := g.serve()
 	c.ends()
 }
