Reread: one look at an idle link, one table of an answer's rules, one place that closes a door

Send takes its lock once. Surplus bytes end a link by the same lines as a failure. pgwire: Take goes by Early, whose rules stood again in Take and part. front: answer and Gone closed a door each by itself.

--- a/front/book.go
+++ b/front/book.go
@@ -72,8 +72,7 @@
 	if d.Closed {
 		return
 	}
-	d.Closed = true
-	delete(c.ids, string(d.What.Statement.ID))
+	c.close(d)
 	switch f.Word {
 	case Served:
 		c.book.served++
@@ -90,11 +89,16 @@
 	a.Client.Answer(f)
 }
 
+// close ends a door's txn for its client; its id may come again.
+func (c *Core) close(d *Door[*Arrival]) {
+	d.Closed = true
+	delete(c.ids, string(d.What.Statement.ID))
+}
+
 func (g Gone) take(c *Core, now time.Duration) {
 	a := g.Arrival
 	if d := c.doors.At(a.ref); d != nil && !d.Closed {
-		d.Closed = true
-		delete(c.ids, string(a.Statement.ID))
+		c.close(d)
 		c.book.left++
 		slog.Debug("left", "type", string(a.Statement.Type), "after", now-a.At, "of", a.Statement.Wait,
 			"submissions", d.Hops)
@@ -111,8 +115,8 @@
 	e := &b.endings
 	slog.Info("totals", append([]any{"taken", b.taken, "committed", b.served, "declined", b.declined,
 		"rolled_back", b.undone, "left", b.left, "senseless", b.senseless, "in_hand", c.doors.Held(),
-		"submissions", b.submissions, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt, "full", e[port.Full],
-		"timed_out", e[port.TimedOut], "unreachable", e[port.Unreachable], "broken", e[port.Broken],
+		"submissions", b.submissions, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt,
+		"full", e[port.Full], "timed_out", e[port.TimedOut], "unreachable", e[port.Unreachable], "broken", e[port.Broken],
 		"withdrawn", e[port.Withdrawn], "missed", e[port.Missed], "alarm_late", b.lateMost,
 		"batch_took", b.tookMost}, r.Extra...)...)
 	b.lateMost, b.tookMost = 0, 0
--- a/pgwire/answer.go
+++ b/pgwire/answer.go
@@ -26,12 +26,12 @@
 // Value is the one column of the row.
 func (a *Answer) Value() []byte { return a.row }
 
-// Early is a Check for the messages of an answer. Members that answer nonsense often keep the connection open,
+// Early is a Check for the messages of an answer, and what Take goes by. Members that answer nonsense often keep the connection open,
 // and waiting for the rest would take the txn's whole time.
 func (a *Answer) Early(typ byte, size int, begun []byte) error {
 	switch typ {
 	case 'T', 'D', 'C':
-		if !a.fits(typ) {
+		if a.parts == len(partTypes) || typ != partTypes[a.parts] || a.Code != "" { // once each, in this order
 			return &Violation{Unexpected(typ).What + " out of its order"}
 		}
 		if typ == 'D' && (size < 6 || len(begun) >= 6 && !oneColumn(begun, size)) {
@@ -60,11 +60,6 @@
 	return binary.BigEndian.Uint16(b) == 1 && n >= -1 && int(max(n, 0)) == size-6
 }
 
-// fits tells whether a message of a row has its place here: they come once each, in this order.
-func (a *Answer) fits(typ byte) bool {
-	return a.parts < len(partTypes) && typ == partTypes[a.parts] && a.Code == ""
-}
-
 // Senseless says whether the error is about the statement itself: the member will not run it, nor would
 // another. By the standard's classes: feature, data, syntax or access, and a breach of the protocol.
 func (a *Answer) Senseless() bool {
@@ -73,6 +68,9 @@
 
 // Take adds a message; done means that the answer has ended.
 func (a *Answer) Take(typ byte, body []byte) (done bool, err error) {
+	if err := a.Early(typ, len(body), body); err != nil {
+		return false, err
+	}
 	switch typ {
 	case 'T', 'D', 'C':
 		return false, a.part(typ, body)
@@ -92,30 +90,18 @@
 		}
 		a.Whole = false
 	case 'Z':
-		if len(body) != 1 {
-			return false, &Violation{"a ReadyForQuery of another length"}
-		}
 		if a.Code == "" && !a.Whole && a.parts > 0 {
 			return false, &Violation{"an end within the row"}
 		}
 		return true, nil
-	case 'R', 'K', 'N', 'I', 'A':
-	default:
-		return false, Unexpected(typ)
 	}
 	return false, nil
 }
 
 // part takes the messages of a row.
 func (a *Answer) part(typ byte, body []byte) error {
-	if !a.fits(typ) {
-		return &Violation{Unexpected(typ).What + " out of its order"}
-	}
 	a.parts++
 	a.Whole = a.parts == len(partTypes)
-	if typ == 'D' && (len(body) < 6 || !oneColumn(body, len(body))) {
-		return &Violation{"a row that is not one column of its length"}
-	}
 	if typ == 'T' && (len(body) < 2 || binary.BigEndian.Uint16(body) != 1) {
 		return &Violation{"a row description of other than one column"}
 	}
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -225,9 +225,10 @@
 		return
 	}
 	c.write(pgwire.Error(nil, "FATAL", code, err.Error(), ""))
+	// Only what is unread could make a reset of the closing; who stays silent holds its descriptor no longer.
 	if come(c.conn) > 0 || code == pgwire.ProtocolViolation {
 		leave(c.conn)
-	} // else nothing unread could make a reset of the closing: who stays silent must not hold a descriptor longer
+	}
 }
 
 // Answer passes the final answer to the connection's goroutine and wakes it.
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -60,7 +60,6 @@
 	conn    *net.TCPConn
 	r       *pgwire.Reader
 	job     chan *front.Submission // holds one, given by whoever takes the link from its pool
-	used    bool                   // carried a submission
 	ending  atomic.Bool            // cut
 }
 
@@ -103,23 +102,19 @@
 // Send gives a submission to the link that was idle last, or to a new one.
 func (ls *Links) Send(member int, s *front.Submission) {
 	ls.mu.Lock()
-	p := ls.pool(member)
-	ls.mu.Unlock()
-	ls.send(p, s)
+	defer ls.mu.Unlock()
+	ls.send(ls.pool(member), s)
 }
 
+// send is called with the lock held.
 func (ls *Links) send(p *pool, s *front.Submission) {
-	ls.mu.Lock()
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		l.give(s)
-		ls.mu.Unlock()
 		return
 	}
-	address := p.address
-	ls.mu.Unlock()
-	go ls.serve(&link{ls: ls, pool: p, address: address, job: make(chan *front.Submission, 1)}, s)
+	go ls.serve(&link{ls: ls, pool: p, address: p.address, job: make(chan *front.Submission, 1)}, s)
 }
 
 // give hands a link that was taken from its pool what it is to do next: nil is to end. It never blocks.
@@ -165,12 +160,6 @@
 		return
 	}
 	for s != nil {
-		if l.used && (l.r.Waiting() || !quiet(l.conn)) { // nothing of it was written: another link may take it
-			l.conn.Close()
-			ls.send(l.pool, s)
-			return
-		}
-		l.used = true
 		if !l.submit(s) {
 			return
 		}
@@ -265,12 +254,8 @@
 		switch {
 		case timedOut(err) && l.goOn():
 			continue
+		case done && err == nil && l.r.Waiting(): // more than was asked for must not answer the next submission
 		case done && err == nil:
-			if l.r.Waiting() { // more than was asked for: it must not answer the next submission
-				l.conn.Close()
-				l.ls.post(e)
-				return false
-			}
 			l.r.Shed(bodyKept)
 			l.free() // before its answer is told, so that the next submission finds it
 			l.ls.post(e)
@@ -282,7 +267,7 @@
 		case e.Answer.Code == "":
 			e.Failure, e.Answer = &front.Failure{Reach: front.Written, Err: err}, pgwire.Answer{}
 		}
-		l.conn.Close() // before the failure is told: what takes its place must find it ended
+		l.conn.Close() // before it is told: what takes a failed one's place must find this one ended
 		l.ls.post(e)   // a fatal error ends its connection without more
 		return false
 	}
@@ -307,20 +292,21 @@
 }
 
 // rest waits for the next submission; nil when the connection is to end. Whatever the member says meanwhile
-// ends it.
+// ends it, and another link takes a submission that came at the same time: nothing of it was written.
 func (l *link) rest() *front.Submission {
-	_, err := l.r.Watch()
+	l.r.Watch()
 	if l.withdraw() {
 		return nil
 	}
 	s := <-l.job
-	if err != nil && timedOut(err) {
-		l.conn.SetReadDeadline(time.Time{})
-	} else if s != nil { // it said something, or ended, just as it was taken
+	if s != nil && (l.r.Waiting() || !quiet(l.conn)) {
 		l.conn.Close()
+		l.ls.mu.Lock()
+		defer l.ls.mu.Unlock()
 		l.ls.send(l.pool, s)
 		return nil
 	}
+	l.conn.SetReadDeadline(time.Time{})
 	return s
 }
 
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -13,21 +13,16 @@
 		return 0
 	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
+	raw.Control(func(fd uintptr) {
 		var first [1]byte
-		var failed error
-		n, _, failed = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		got, _, failed := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch failed {
 		case nil:
+			n = got
 		case syscall.EAGAIN, syscall.EINTR:
 			n = -1
-		default:
-			n = 0
 		}
 	})
-	if err != nil {
-		return 0
-	}
 	return n
 }
 
--- a/sockets/room.go
+++ b/sockets/room.go
@@ -9,8 +9,8 @@
 
 // Room keeps the descriptors within their limit. Usual clients hold a third at most: from a quarter on, a
 // newcomer ends the connection longest at rest, or those that ask once and stay would use up that third. Where
-// none rests, clients may hold three quarters. Links to members, of which few are out at a time, must always find room, so
-// idle clients make way for them too.
+// none rests, clients may hold three quarters. Links to members, of which few are out at a time, must always
+// find room, so idle clients make way for them too.
 type Room struct {
 	mu                   sync.Mutex
 	clients, links, peak int
