shape: statements are classed by all they call, and kept by their form in a bounded cache

Need: statements are told apart by their first word, so a SELECT that calls a writing function would reach a replica. Change: a scanner of PostgreSQL's lexical rules that allocates nothing, a classer (read, write, not known) with the reason and its place, a normal form compared by its bytes, a guess of cost that measured times correct, a cache on otter bounded in bytes. Not used by the front yet.

--- /dev/null
+++ b/shape/bench_test.go
@@ -0,0 +1,53 @@
+package shape
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// known is a statement of 200 bytes.
+const known = `SELECT b.id, b.guests, t.name FROM bookings b JOIN tables t ON t.id = b.table_id ` +
+	`WHERE b.house = 'momo-house-7' AND b.day = '2026-12-01' AND b.state IN (1, 2, 3) ORDER BY b.at LIMIT 50 /* c=browser */`
+
+func BenchmarkKnown(b *testing.B) {
+	c := New(Options{Bytes: 8 << 20})
+	text := []byte(known)
+	c.Take(text)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Take(text)
+	}
+}
+
+func BenchmarkKnownParallel(b *testing.B) {
+	c := New(Options{Bytes: 8 << 20})
+	text := []byte(known)
+	c.Take(text)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c.Take(text)
+		}
+	})
+}
+
+func BenchmarkUnknown(b *testing.B) {
+	c := New(Options{Bytes: 8 << 20})
+	b.ReportAllocs()
+	text := []byte(known)
+	for i := 0; b.Loop(); i++ {
+		copy(text[7:], fmt.Appendf(nil, "b%06d,", i%1000000))
+		c.Take(text)
+	}
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	c := New(Options{Bytes: 8 << 20})
+	s, f, _ := c.Take([]byte(known))
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Learn(s, &f, 3*time.Millisecond)
+		c.Estimate(s, &f)
+	}
+}
--- /dev/null
+++ b/shape/corpus_test.go
@@ -0,0 +1,57 @@
+package shape
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// labelled is a statement of the corpus with the class that it was given by hand; every label but read is a write.
+type labelled struct{ Label, Why, SQL string }
+
+// corpusLists are what the operator's file would say of the functions and types that the corpus calls.
+func corpusLists() *Lists {
+	return NewLists([]string{"seat_name", "seats_of", "price_of", "geo.distance", "mood"},
+		[]string{"next_seat", "hold_table", "writing_view"}, nil)
+}
+
+func corpus(t testing.TB) (all []labelled) {
+	f, err := os.Open("testdata/corpus.jsonl")
+	require.NoError(t, err)
+	defer f.Close()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		var l labelled
+		require.NoError(t, json.Unmarshal(in.Bytes(), &l))
+		all = append(all, l)
+	}
+	return all
+}
+
+func TestNoWriteOfTheCorpusIsARead(t *testing.T) {
+	c := New(Options{Lists: corpusLists(), Bytes: 8 << 20})
+	reads, told := 0, 0
+	all := corpus(t)
+	require.GreaterOrEqual(t, len(all), 600)
+	for _, l := range all {
+		s, _, fault := c.Take([]byte(l.SQL))
+		if l.Label == "read" {
+			require.Nil(t, fault, l.SQL)
+			reads++
+			if s.Class == Read {
+				told++
+			} else {
+				t.Logf("not told: %s (%s)", l.SQL, s.Why)
+			}
+			continue
+		}
+		if fault == nil {
+			assert.NotEqual(t, Read, s.Class, "%s: %s", l.Why, l.SQL)
+		}
+	}
+	t.Logf("%d statements, %d reads, %d told (%.1f%%)", len(all), reads, told, 100*float64(told)/float64(reads))
+	assert.GreaterOrEqual(t, float64(told), 0.95*float64(reads))
+}
--- /dev/null
+++ b/shape/shape_test.go
@@ -0,0 +1,336 @@
+package shape
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func formOf(t testing.TB, text string) string {
+	var s Scanner
+	b, _, fault := s.Form(nil, []byte(text))
+	require.Nil(t, fault, text)
+	return string(b)
+}
+
+func TestFormsFoldWhatDoesNotMatter(t *testing.T) {
+	for _, c := range []struct{ a, b string }{
+		{"SELECT A FROM t WHERE x = 'it''s'", "select a /* x /* y */ */ from T where X=5 -- end"},
+		{"SELECT 1 IN (1, 2, -3)", "SELECT 1 IN ($1)"},
+		{"INSERT INTO t VALUES (1, 'a'), (2, 'b')", "INSERT INTO t VALUES (1, E'a\\'')"},
+		{"SELECT ARRAY[1,2]", "SELECT ARRAY[3]"},
+		{"SELECT $q$ ; $q$", "SELECT U&'\\0061'"},
+		{"SELECT 'a'\n 'b', 0x1F, 1.5e-3, .5", "SELECT 'a', 1, 1, 1"},
+	} {
+		assert.Equal(t, formOf(t, c.a), formOf(t, c.b))
+	}
+	for _, c := range []struct{ a, b string }{
+		{`SELECT a ? 'b'`, `SELECT a 'b' 'c'`}, {`SELECT "A"`, `SELECT a`}, {`SELECT a - -1`, `SELECT a --1`},
+		{`SELECT 'a\' '`, `SELECT 'a' '`}, {`SELECT f(1), (2)`, `SELECT f(1)`},
+	} {
+		var s Scanner
+		a, _, _ := s.Form(nil, []byte(c.a))
+		first := string(a)
+		b, _, _ := s.Form(nil, []byte(c.b))
+		assert.NotEqual(t, first, string(b))
+	}
+}
+
+func TestTextsCutOffAreFaultsWithTheirPlace(t *testing.T) {
+	c := New(Options{Bytes: LeastBytes})
+	for text, at := range map[string]int{
+		"SELECT 'abc": 7, "SELECT 1 /* a /* b */ ": 9, `SELECT "a`: 7, "SELECT $x$ a $y$": 7, "SELECT E'a\\'": 7,
+		"SELECT U&\"a": 7, "SELECT 'a'\n'b": 7, "SELECT 'é\xff'": 10, "SELECT $": 7, "SELECT \x00": 7,
+	} {
+		_, _, fault := c.Take([]byte(text))
+		require.NotNil(t, fault, text)
+		assert.Equal(t, at, fault.At, "%q: %v", text, fault)
+	}
+	assert.Zero(t, c.Totals().Shapes)
+}
+
+func TestReasonsNameTheirPlace(t *testing.T) {
+	c := New(Options{Bytes: LeastBytes, Lists: corpusLists()})
+	for text, want := range map[string]string{
+		"SELECT 1, unlisted(2)":                                          "calls unlisted, which is on no list of reading functions and types@10",
+		"SELECT * FROM t FOR UPDATE":                                     "locks rows@20",
+		"WITH x AS (DELETE FROM t) TABLE x":                              "changes data by delete@11",
+		"SELECT 1; SELECT 2":                                             "several statements@10",
+		"SELECT t.next_seat FROM t":                                      "calls next_seat in field notation, which the operator's file lists as writing@9",
+		strings.Repeat("(", 200) + "SELECT 1" + strings.Repeat(")", 200): "parentheses too deep within each other@100",
+	} {
+		v := c.Explain([]byte(text))
+		assert.Equal(t, want, fmt.Sprintf("%s@%d", v.Why, v.At))
+		assert.NotEqual(t, Read, v.Class)
+	}
+}
+
+func TestFieldsMayBeHeldToAList(t *testing.T) {
+	c := New(Options{Bytes: LeastBytes, Lists: NewLists(nil, nil, []string{"id", "house"})})
+	for text, class := range map[string]Class{
+		"SELECT b.id, b.house FROM public.bookings b": Read, "SELECT (b).id FROM bookings b": Read,
+		"SELECT b.other FROM bookings b": Unknown, "SELECT b.* FROM bookings b": Read,
+	} {
+		assert.Equal(t, class, c.Explain([]byte(text)).Class, text)
+	}
+}
+
+// Whatever a client does to comments, spaces, case and literals, the class stays; and the form too.
+func TestClassesDoNotHangOnSpelling(t *testing.T) {
+	all := corpus(t)
+	c := New(Options{Bytes: 4 << 20, Lists: corpusLists()})
+	rapid.Check(t, func(t *rapid.T) {
+		l := all[rapid.IntRange(0, len(all)-1).Draw(t, "statement")]
+		shape, _, fault := c.Take([]byte(l.SQL))
+		if fault != nil {
+			return
+		}
+		other := respell(t, l.SQL)
+		again, _, fault := c.Take([]byte(other))
+		if fault != nil {
+			t.Fatalf("%q became %q: %v", l.SQL, other, fault)
+		}
+		if again.Class != shape.Class || again.Bound != shape.Bound || string(again.Form()) != string(shape.Form()) {
+			t.Fatalf("%s %q\n%s %q", shape.Class, l.SQL, again.Class, other)
+		}
+	})
+}
+
+// respell changes what must not matter, token by token.
+func respell(t *rapid.T, text string) string {
+	var s Scanner
+	s.Reset([]byte(text))
+	var b strings.Builder
+	gap := rapid.SampledFrom([]string{" ", "\n", "\t ", " /* DELETE */ ", " /* a /* b */ ; */ ", " -- ' \"\n "})
+	flip := rapid.Bool()
+	before, beforeKind := "", End
+	for tok := s.Next(); tok.Kind != End && tok.Kind != Broken; tok = s.Next() {
+		piece := text[tok.From:tok.To]
+		// A text behind a text would go on with it over a line's end; signs side by side would become one.
+		if beforeKind == Text && tok.Kind == Text {
+			b.WriteString(" /* apart */ ")
+		} else {
+			b.WriteString(gap.Draw(t, "gap"))
+		}
+		switch {
+		case tok.Kind == Word && flip.Draw(t, "case"):
+			piece = strings.ToUpper(piece)
+			for i := range text[tok.From:tok.To] {
+				if text[tok.From+i] >= 0x80 {
+					piece = text[tok.From:tok.To]
+				}
+			}
+		case tok.Kind == Number && flip.Draw(t, "number"):
+			piece = "17"
+		case tok.Kind == Text && !tok.Doubtful && flip.Draw(t, "text") && before != "U&":
+			piece = rapid.SampledFrom([]string{"'x'", "'it''s; --'", `E'\''`, "$z$ ' $z$", "''"}).Draw(t, "literal")
+		}
+		b.WriteString(piece)
+		before, beforeKind = piece, tok.Kind
+	}
+	return b.String()
+}
+
+// A client that finds two forms with one checksum must gain nothing: here every form has the same.
+func TestFormsOfOneChecksumKeepTheirClasses(t *testing.T) {
+	c := New(Options{Bytes: 1 << 20, Lists: corpusLists()})
+	read, _, _ := c.Take([]byte("SELECT seat_name(1)"))
+	w := &scratch{}
+	form, _, _ := w.scan.Form(nil, []byte("SELECT next_seat(1)"))
+	w.digest.ResetWithSeed(c.seed)
+	w.digest.Write(form)
+	c.kept.Set(w.digest.Sum64(), read) // as if both had it
+	got, _, fault := c.Take([]byte("SELECT next_seat(1)"))
+	require.Nil(t, fault)
+	assert.Equal(t, Write, got.Class)
+	assert.EqualValues(t, 1, c.Totals().Collisions)
+	again, _, _ := c.Take([]byte("SELECT next_seat(1)"))
+	assert.Equal(t, Write, again.Class, "the first stays in its place, and does no harm there")
+}
+
+func TestLongStatementsAreClassedWithinBounds(t *testing.T) {
+	c := New(Options{Bytes: 1 << 20})
+	list := "SELECT * FROM t WHERE id IN (" + strings.Repeat("1, ", 80000) + "2)"
+	s, f, fault := c.Take([]byte(list))
+	require.Nil(t, fault)
+	assert.Equal(t, Read, s.Class)
+	assert.Equal(t, 80001, f.Items)
+	names := "SELECT " + strings.Repeat("a_name, ", 30000) + "b FROM t"
+	s, _, fault = c.Take([]byte(names))
+	require.Nil(t, fault)
+	assert.Equal(t, Read, s.Class)
+	assert.EqualValues(t, 1, c.Totals().TooLong)
+	assert.EqualValues(t, 1, c.Totals().Shapes)
+	began := time.Now()
+	for _, nasty := range []string{strings.Repeat("(", 250000), strings.Repeat("/*", 120000), strings.Repeat("$a$b", 60000),
+		"SELECT " + strings.Repeat("a.", 120000) + "b", strings.Repeat("'a'\n", 60000), strings.Repeat("$", 250000)} {
+		c.Take([]byte(nasty))
+	}
+	assert.Less(t, time.Since(began), 5*time.Second, "each byte is looked at a bounded number of times")
+}
+
+// One client that never asks the same twice must cost no memory and no other client's shapes.
+func TestAFloodOfShapesKeepsMemoryFlatAndHotShapesIn(t *testing.T) {
+	flood, hot := 200_000, 200
+	if testing.Short() {
+		flood = 50_000
+	}
+	calm, _, _ := hitRate(t, hot, 50_000, 0)
+	rate, half, full := hitRate(t, hot, 50_000, flood)
+	t.Logf("hot shapes found: %.3f calm, %.3f in a flood of %d; heap %d KiB at half, %d KiB at the end", calm, rate, flood,
+		half>>10, full>>10)
+	assert.Greater(t, rate, calm-0.05)
+	assert.Less(t, float64(full), float64(half)*1.05+float64(256<<10))
+}
+
+// hitRate takes hot shapes by a Zipf law among a flood of new ones and says what part of the hot ones was found,
+// and the heap in the middle and at the end.
+func hitRate(t testing.TB, hot, takes, flood int) (rate float64, half, full uint64) {
+	c := New(Options{Bytes: 1 << 20, Lists: corpusLists(), Seed: 7})
+	r := rand.New(rand.NewPCG(1, 2))
+	z := rand.NewZipf(r, 1.1, 4, uint64(hot-1))
+	texts := make([][]byte, hot)
+	for i := range texts {
+		texts[i] = fmt.Appendf(nil, "SELECT c%d, d FROM bookings WHERE house = 'x' AND e%d > 3 ORDER BY d", i, i)
+	}
+	each := float64(flood) / float64(takes)
+	due, fresh, found, counted := 0.0, 0, 0, 0
+	for i := range takes {
+		for due += each; due >= 1; due-- {
+			fresh++
+			c.Take(fmt.Appendf(nil, "SELECT f%d, g FROM bookings b JOIN tables t ON t.id = b.x%d WHERE house = 'x'", fresh, fresh))
+		}
+		text := texts[z.Uint64()]
+		before := c.Totals().Hits
+		c.Take(text)
+		if i >= takes/10 { // warm by then
+			counted++
+			found += int(c.Totals().Hits - before)
+		}
+		if i == takes/2 {
+			half = heap()
+		}
+	}
+	full = heap()
+	runtime.KeepAlive(c)
+	return float64(found) / float64(counted), half, full
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func TestManyMayUseOneCacheAtOnce(t *testing.T) {
+	c := New(Options{Bytes: LeastBytes, Lists: corpusLists()})
+	all := corpus(t)
+	done := make(chan string, 8)
+	for g := range 8 {
+		go func() {
+			r := rand.New(rand.NewPCG(uint64(g), 1))
+			for range 3000 {
+				l := all[r.IntN(len(all))]
+				s, f, fault := c.Take([]byte(l.SQL))
+				if fault == nil && l.Label != "read" && s.Class == Read {
+					done <- l.SQL
+					return
+				}
+				if fault == nil {
+					c.Learn(s, &f, time.Millisecond)
+					c.Estimate(s, &f)
+				}
+			}
+			done <- ""
+		}()
+	}
+	for range 8 {
+		assert.Empty(t, <-done)
+	}
+}
+
+func TestEstimatesFollowWhatWasMeasuredAndForgetSlowly(t *testing.T) {
+	c := New(Options{Bytes: 1 << 20})
+	take := func(text string) (*Shape, Facts) {
+		s, f, fault := c.Take([]byte(text))
+		require.Nil(t, fault)
+		return s, f
+	}
+	s, f := take("SELECT * FROM a WHERE id = 1")
+	scan, all := take("SELECT * FROM a WHERE name LIKE 'x%' ORDER BY at")
+	assert.Less(t, c.Estimate(s, &f), c.Estimate(scan, &all), "before anything was measured")
+	for range 40 {
+		c.Learn(s, &f, 80*time.Millisecond)
+		c.Learn(scan, &all, 5*time.Millisecond)
+	}
+	assert.InDelta(t, 80, c.Estimate(s, &f).Seconds()*1e3, 15)
+	assert.InDelta(t, 5, c.Estimate(scan, &all).Seconds()*1e3, 2)
+	for range 200 {
+		c.Learn(s, &f, 2*time.Millisecond)
+	}
+	assert.InDelta(t, 2, c.Estimate(s, &f).Seconds()*1e3, 1, "what has changed is followed")
+	short, few := take("SELECT * FROM a WHERE id IN (1, 2)")
+	_, many := take("SELECT * FROM a WHERE id IN (" + strings.Repeat("1, ", 900) + "2)")
+	assert.Greater(t, c.Estimate(short, &many), c.Estimate(short, &few), "a longer list costs more under one form")
+	_, ten := take("SELECT * FROM a LIMIT 10")
+	whole, thousand := take("SELECT * FROM a LIMIT 1000")
+	assert.Less(t, c.Estimate(whole, &ten), c.Estimate(whole, &thousand))
+	assert.False(t, math.IsNaN(float64(c.Estimate(s, &f))))
+}
+
+func TestRulesNameTheTypeByClassVerbTablesAndCost(t *testing.T) {
+	c := New(Options{Bytes: 1 << 20, Rules: []Rule{
+		{Type: "book", Class: Write, Verbs: []string{"insert"}, Tables: []string{"bookings"}},
+		{Type: "other-write", Class: Write},
+		{Type: "report", Class: Read, Above: 20 * time.Millisecond},
+		{Type: "browse", Class: Read, Tables: []string{"slots", "houses"}, Below: 20 * time.Millisecond},
+	}})
+	for _, q := range []struct {
+		text string
+		took time.Duration
+		want int
+	}{
+		{"INSERT INTO bookings VALUES (1)", 0, 0}, {"UPDATE bookings SET a = 1", 0, 1}, {"SELECT unlisted(1)", 0, 1},
+		{"SELECT * FROM public.slots", time.Millisecond, 3}, {"SELECT * FROM slots", time.Second, 2},
+		{"SELECT * FROM elsewhere", time.Millisecond, -1},
+	} {
+		s, _, fault := c.Take([]byte(q.text))
+		require.Nil(t, fault)
+		assert.Equal(t, q.want, c.Rule(s, q.took), q.text)
+	}
+}
+
+func FuzzClass(f *testing.F) {
+	for _, l := range corpus(f) {
+		f.Add(l.SQL)
+	}
+	c := New(Options{Bytes: 1 << 20, Lists: corpusLists()})
+	f.Fuzz(func(t *testing.T, text string) {
+		s, _, fault := c.Take([]byte(text))
+		if fault != nil {
+			return
+		}
+		// The form is read off the same way again: spelled in lower case, its comments gone, its literals one.
+		other := strings.ReplaceAll(string(s.Form()), "?+", "1")
+		if strings.ContainsAny(text, `"\?$`) { // names and operators that the form spells by itself
+			return
+		}
+		again, _, fault := c.Take([]byte(strings.ReplaceAll(other, "?", "1")))
+		if fault != nil {
+			t.Fatalf("%q, whose form is %q: %v", text, s.Form(), fault)
+		}
+		if (again.Class == Read) != (s.Class == Read) {
+			t.Fatalf("%q is %s, its form %q is %s", text, s.Class, s.Form(), again.Class)
+		}
+	})
+}
--- /dev/null
+++ b/shape/words.go
@@ -0,0 +1,154 @@
+package shape
+
+import "strings"
+
+// wordSort says what a word means to the classer.
+type wordSort uint16
+
+const (
+	kKnown    wordSort = 1 << iota // a keyword of some kind: no operand ends with it
+	kReserved                      // never the name of a function, so a ( behind it opens something else
+	kDML                           // changes data where a statement begins
+	kBound                         // leaves something on the connection, or needs what another left there
+	kChange                        // another verb that writes, or may
+	kQuery                         // begins a query
+	kFrom                          // a table's name may follow
+	kHolds                         // a ( behind it holds a table, and an alias may follow its )
+)
+
+var (
+	keywords = map[string]wordSort{}
+	words    = map[string]*keyword{} // the same, with names that need no copy
+)
+
+// The lists are those of PostgreSQL's manual, appendix C, for its versions 13 to 17.
+func init() {
+	add := func(sort wordSort, words string) {
+		for _, w := range strings.Fields(words) {
+			keywords[w] |= sort | kKnown
+		}
+	}
+	add(kReserved, `all analyse analyze and any array as asc asymmetric both case cast check collate column constraint
+		create current_catalog current_date current_role current_time current_timestamp current_user default
+		deferrable desc distinct do else end except false fetch for foreign from grant group having in initially
+		intersect into lateral leading limit localtime localtimestamp not null offset on only or order placing
+		primary references returning select session_user some symmetric system_user table then to trailing true
+		union unique user using variadic when where window with`)
+	// Column names that are no functions' names: their ( is the grammar's own. Those whose insides call nothing by
+	// themselves are held for reserved too; the rest (between, exists, values, row, ...) are listed as reading.
+	add(kReserved, `between exists grouping values row setof none inout out treat`)
+	add(0, `bigint bit boolean char character coalesce dec decimal extract float greatest int integer interval
+		json json_array json_arrayagg json_exists json_object json_objectagg json_query json_scalar json_serialize
+		json_table json_value least merge_action national nchar normalize nullif numeric overlay position precision
+		real smallint substring time timestamp trim varchar xmlattributes xmlconcat xmlelement xmlexists xmlforest
+		xmlnamespaces xmlparse xmlpi xmlroot xmlserialize xmltable`)
+	// These may name functions, so only what stands before them tells.
+	add(0, `authorization binary collation concurrently cross current_schema freeze full ilike inner is isnull join left
+		like natural notnull outer overlaps right similar tablesample verbose`)
+	add(0, `abort absent absolute access action add admin after aggregate also alter always asensitive assertion
+		assignment at atomic attach attribute backward before begin breadth by cache call called cascade cascaded
+		catalog chain characteristics checkpoint class close cluster columns comment comments commit committed
+		compression conditional configuration conflict connection constraints content continue conversion copy cost
+		csv cube current cursor cycle data database day deallocate declare defaults deferred definer delete delimiter
+		delimiters depends depth detach dictionary disable discard document domain double drop each empty enable
+		encoding encrypted enforced enum error escape event exclude excluding exclusive execute explain expression
+		extension external family filter finalize first following force format forward function functions generated
+		global granted groups handler header hold hour identity if immediate immutable implicit import include
+		including increment indent index indexes inherit inherits inline input insensitive insert instead invoker
+		isolation keep key keys label language large last leakproof level listen load local location lock locked
+		logged mapping match matched materialized maxvalue merge method minute minvalue mode month move name names
+		nested new next nfc nfd nfkc nfkd no normalized nothing notify nowait nulls object objects of off oids old
+		omit operator option options ordinality others over overriding owned owner parallel parameter parser partial
+		partition passing password path period plan plans policy preceding prepare prepared preserve prior privileges
+		procedural procedure procedures program publication quote quotes range read reassign recursive ref referencing
+		refresh reindex relative release rename repeatable replace replica reset restart restrict return returns
+		revoke role rollback rollup routine routines rows rule savepoint scalar schema schemas scroll search second
+		security sequence sequences serializable server session set sets share show simple skip snapshot source split
+		sql stable standalone start statement statistics stdin stdout storage stored strict string strip subscription
+		support sysid system tables tablespace target temp template temporary text ties transaction transform trigger
+		truncate trusted type types uescape unbounded uncommitted unconditional unencrypted unknown unlisten unlogged
+		until update vacuum valid validate validator value varying version view views virtual volatile whitespace
+		within without work wrapper write xml year yes zone`)
+	add(kDML, `insert update delete merge`)
+	add(kQuery, `select values table with`)
+	add(kBound, `begin start commit end abort rollback savepoint release set reset discard prepare execute deallocate
+		declare fetch move close listen unlisten load lock copy`)
+	add(kChange, `call do create alter drop truncate grant revoke vacuum analyze analyse cluster reindex refresh comment
+		security import reassign notify checkpoint`)
+	add(kFrom, `from join into update table only`)
+	add(kHolds, `from join lateral only in any all some exists values row array cast using by and or not where on
+		having select when then else case limit offset over filter union intersect except distinct`)
+	keywords["with"] &^= kHolds
+	for w, s := range keywords {
+		words[w] = &keyword{w, s}
+	}
+}
+
+// Functions of PostgreSQL's own that read, or only reckon, and types that a cast may name. What is not here
+// and not on the operator's list is not known. Left out on purpose: all that writes, locks, signals, sleeps,
+// sets, reads files of the server, or runs a text as a statement (query_to_xml, ts_stat, dblink).
+const readingNames = `abs acos acosd age array_agg array_append array_cat array_dims array_fill array_length array_lower
+	array_ndims array_position array_positions array_prepend array_remove array_replace array_to_json array_to_string
+	array_upper ascii asin asind atan atan2 avg bit_and bit_count bit_length bit_or bool_and bool_or box btrim
+	cardinality cbrt ceil ceiling center char_length character_length chr circle clock_timestamp coalesce
+	concat concat_ws convert_from convert_to corr cos cosd cot count covar_pop covar_samp cume_dist current_database
+	current_schema current_schemas current_setting date_bin date_part date_trunc decode degrees dense_rank diameter div
+	encode enum_first enum_last enum_range every exp extract factorial first_value floor format format_type
+	gcd generate_series generate_subscripts get_bit get_byte greatest grouping height host initcap
+	isempty isfinite json_agg json_array_elements json_array_elements_text json_array_length json_build_array
+	json_build_object json_each json_each_text json_extract_path json_extract_path_text json_object json_object_agg
+	json_object_keys json_populate_record json_strip_nulls json_to_record json_to_recordset json_typeof jsonb_agg
+	jsonb_array_elements jsonb_array_elements_text jsonb_array_length jsonb_build_array jsonb_build_object jsonb_each
+	jsonb_each_text jsonb_extract_path jsonb_extract_path_text jsonb_insert jsonb_object jsonb_object_agg
+	jsonb_object_keys jsonb_path_exists jsonb_path_query jsonb_path_query_array jsonb_path_query_first jsonb_pretty
+	jsonb_set jsonb_strip_nulls jsonb_to_record jsonb_to_recordset jsonb_typeof justify_days justify_hours
+	justify_interval lag last_value lcm lead least left length ln localtime localtimestamp log log10 lower lower_inc lower_inf
+	lpad ltrim make_date make_interval make_time make_timestamp make_timestamptz masklen max md5 min mod mode
+	multirange netmask network normalize now nth_value ntile nullif num_nonnulls num_nulls numnode octet_length
+	overlay percent_rank percentile_cont percentile_disc pg_column_size pg_get_indexdef pg_get_viewdef
+	pg_is_in_recovery pg_relation_size pg_size_pretty pg_table_size pg_total_relation_size pg_typeof
+	phraseto_tsquery pi plainto_tsquery point polygon position power pg_last_wal_replay_lsn pg_current_wal_lsn
+	quote_ident quote_literal quote_nullable radians radius range_agg rank regexp_count regexp_instr regexp_like
+	regexp_match regexp_matches regexp_replace regexp_split_to_array regexp_split_to_table regexp_substr regr_count
+	regr_intercept regr_r2 regr_slope repeat replace reverse right round row_number row_to_json rpad rtrim scale
+	set_bit set_byte setweight sha224 sha256 sha384 sha512 sign sin sind split_part sqrt starts_with statement_timestamp
+	stddev stddev_pop stddev_samp string_agg string_to_array string_to_table strip strpos substr substring sum tan
+	timeofday to_char to_date to_hex to_json to_jsonb to_number to_timestamp to_tsquery to_tsvector transaction_timestamp
+	translate trim trim_array trim_scale trunc ts_headline ts_rank ts_rank_cd tsvector_to_array unnest upper upper_inc
+	upper_inf uuid_nil uuid_generate_v4 gen_random_uuid var_pop var_samp variance version websearch_to_tsquery width
+	width_bucket xmlagg random rank bernoulli system rollup cube sets
+	bigint bit bool boolean bpchar bytea char character cidr cstring date daterange dec decimal double float float4 float8
+	inet int int2 int4 int4range int8 int8range integer interval json jsonb line lseg macaddr macaddr8 money name
+	national nchar numeric numrange oid path pg_lsn real regclass regnamespace regproc regrole regtype smallint text time
+	timestamp timestamptz timetz tsquery tsrange tstzrange tsvector uuid varbit varchar varying xid xid8 xml`
+
+// Functions of PostgreSQL's own that write; writing names stand above reading ones.
+const writingNames = `nextval setval currval lastval lo_create lo_creat lo_unlink lo_import lo_export lo_from_bytea lo_put
+	lowrite lo_truncate pg_notify txid_current pg_current_xact_id pg_create_restore_point
+	pg_switch_wal pg_terminate_backend pg_cancel_backend pg_reload_conf pg_rotate_logfile pg_promote
+	pg_logical_emit_message pg_drop_replication_slot pg_stat_reset dblink dblink_exec query_to_xml`
+
+// Functions that leave something on the connection.
+const boundNames = `set_config pg_advisory_lock pg_advisory_lock_shared pg_try_advisory_lock pg_try_advisory_lock_shared
+	pg_advisory_unlock pg_advisory_unlock_shared pg_advisory_unlock_all lo_open loread dblink_connect setseed`
+
+// Operators of PostgreSQL's own. One that an extension or the operator's own SQL brought may call anything.
+const knownSigns = `+ - * / % ^ < > <= >= = <> != ~ ~* !~ !~* ~~ ~~* !~~ !~~* || && @> <@ -> ->> #> #>> ? ?| ?& @@ @@@ << >>
+	& | # @ |/ ||/ <-> &< &> <<| |>> &<| |&> -|- #- @? :: := => <^ >^ ?# ?- ?-| ?|| ~= ~>=~ ~<=~ ~>~ ~<~ ^@ <<= >>= !!`
+
+func set(words string) map[string]bool {
+	m := map[string]bool{}
+	for _, w := range strings.Fields(words) {
+		m[w] = true
+	}
+	return m
+}
+
+var (
+	builtinReads  = set(readingNames)
+	builtinWrites = set(writingNames)
+	builtinBound  = set(boundNames)
+	builtinSigns  = set(knownSigns)
+	aggregates    = set(`array_agg avg bool_and bool_or count every json_agg json_object_agg jsonb_agg jsonb_object_agg max
+		min percentile_cont percentile_disc stddev string_agg sum variance`)
+)
