Classing in the front: conf, command line on kong, any verb where the operator's file says so

Need: statements of any verb, typed by rules where the comment names no type, a read type's writes held to the primary. Without the form nothing changes. What a transaction left open on a link would do to the next txn is guarded: such a link is closed.

--- /dev/null
+++ b/cmd/dapplerouter/file.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"dapplerouter/conf"
+	"dapplerouter/front"
+	"dapplerouter/shape"
+	"dapplerouter/site"
+)
+
+// operator is what the operator's file says: a form that is absent is off.
+type operator struct {
+	classing *shape.Settings
+	place    conf.Place // of the form
+}
+
+// readFile reads an operator's file. The error is conf.Faults where the text is at fault.
+func readFile(path string) (*operator, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f, err := conf.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	r := f.Read()
+	o := &operator{}
+	if form := r.Forms(shape.FormName)[shape.FormName]; form != nil {
+		o.classing, o.place = shape.ReadSettings(form), form.Place
+	}
+	return o, r.Err()
+}
+
+// checkAt finds what the file says against what a front is told.
+func (o *operator) checkAt(told *site.Start) error {
+	if o.classing == nil {
+		return nil
+	}
+	if o.classing.Bytes > told.Memory/4 {
+		return conf.Faults{{Place: o.place, What: fmt.Sprintf("a cache of %d bytes is more than a quarter of the %d told",
+			o.classing.Bytes, told.Memory), Remedy: "make the cache smaller"}}
+	}
+	return front.CheckClassing(o.classing, told.Site)
+}
+
+// classingOf makes what the file turns on; nil where there is no file or no such form.
+func classingOf(path string, told *site.Start) (*front.Classing, error) {
+	if path == "" {
+		return nil, nil
+	}
+	o, err := readFile(path)
+	if err == nil {
+		err = o.checkAt(told)
+	}
+	if err != nil || o.classing == nil {
+		return nil, err
+	}
+	return &front.Classing{Classing: o.classing.New(), Settings: o.classing}, nil
+}
+
+// faultsOf takes an error apart.
+func faultsOf(err error) (all []error) {
+	var faults conf.Faults
+	if !errors.As(err, &faults) {
+		return []error{err}
+	}
+	for _, f := range faults {
+		all = append(all, f)
+	}
+	return all
+}
+
+type checkCall struct {
+	File   string `arg:"" help:"The operator's file."`
+	Config string `type:"path" placeholder:"FILE" help:"What a front is told (EDGE_CONFIG's file); the file is checked against it too."`
+	JSON   bool   `help:"A line of JSON for each fault instead."`
+}
+
+func (c *checkCall) run() int {
+	o, err := readFile(c.File)
+	if err == nil && c.Config != "" {
+		told, fault := site.Load(func(name string) string {
+			if name == site.FileVariable {
+				return c.Config
+			}
+			return ""
+		}, os.ReadFile)
+		if fault != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", c.Config, fault)
+			return unable
+		}
+		err = o.checkAt(told)
+	}
+	var faults conf.Faults
+	switch {
+	case err == nil:
+		if !c.JSON {
+			fmt.Printf("%s: good\n", c.File)
+		}
+		return done
+	case !errors.As(err, &faults):
+		fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", err)
+		return unable
+	}
+	out := json.NewEncoder(os.Stdout)
+	for _, f := range faults {
+		if c.JSON {
+			out.Encode(map[string]any{"file": f.File, "line": f.Line, "column": f.Column, "what": f.What, "remedy": f.Remedy})
+		} else {
+			fmt.Fprintln(os.Stderr, f)
+		}
+	}
+	return notSo
+}
--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -1,167 +1,63 @@
-// Command dapplerouter is a front: it takes txns from clients and passes each to the member that the
-// decision module names.
+// Command dapplerouter is a front, and the operator's command line around it. Without a command it serves: it takes
+// txns from clients and passes each to the member that the decision module names.
 package main
 
 import (
-	"context"
-	"hash/crc32"
-	"log/slog"
-	"math"
-	"net"
+	"encoding/json"
+	"fmt"
+	"io"
 	"os"
-	"os/signal"
 	"runtime"
-	"runtime/debug"
-	"strconv"
-	"syscall"
-	"time"
 
-	"dapplerouter/discovery"
-	"dapplerouter/front"
-	"dapplerouter/port"
-	"dapplerouter/router"
-	"dapplerouter/site"
-	"dapplerouter/sockets"
+	"github.com/alecthomas/kong"
 )
 
-// The user and database that members are greeted with.
+// Exit codes of every command.
 const (
-	user     = "portal"
-	database = "crm"
+	done   = 0
+	notSo  = 1 // the thing asked is not so: a fault found, a difference
+	unable = 2 // the call or its input cannot be used
 )
 
-func main() { os.Exit(run()) }
+const version = "0.3.0"
 
-func run() int {
-	level := slog.LevelInfo
-	if os.Getenv("EDGE_LOG") == "debug" {
-		level = slog.LevelDebug
-	}
-	out := newLines(os.Stderr)
-	defer out.end()
-	slog.SetDefault(slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})))
-	told, err := site.Load(os.Getenv, os.ReadFile)
-	if err != nil {
-		slog.Error("what is told at the start cannot be used", "why", err)
-		return 2
-	}
-	if err := serve(told); err != nil {
-		slog.Error("ended", "why", err)
-		return 1
-	}
-	return 0
+type commands struct {
+	Serve    serveCall    `cmd:"" default:"1" help:"Be a front, as EDGE_CONFIG tells; the default."`
+	Check    checkCall    `cmd:"" help:"Check an operator's file."`
+	Classify classifyCall `cmd:"" help:"Say of statements what they do, what they may cost and which txn type they are."`
+	Version  versionCall  `cmd:"" help:"Say which version this is."`
 }
 
-func serve(told *site.Start) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(told.Cores))))
-	debug.SetMemoryLimit(told.Memory / 4 * 3)
-	stopAsked, rereadAsked := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stopAsked, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(rereadAsked, syscall.SIGHUP)
+// command is one that was called.
+type command interface{ run() int }
 
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
-	clock := sockets.NewClock()
-	room := sockets.NewRoom(told.Sockets, site.Aside)
-	allowed := told.Site.Allowance
-	var core *front.Core
-	post := func(e front.Event) { core.Post(e) }
-	links := sockets.NewLinks(post, room, user, database, allowed.DialTimeout, allowed.LinkIdle,
-		told.Memory)
-	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), post,
-		spread(told.Seed))
-	core = front.NewCore(clock.Born, told.Seed, told.Site, router.New, links, directory)
-	for _, why := range told.Passed {
-		slog.Warn("an entry of the known list is passed over", "why", why)
-	}
-	core.Post(front.Listed{Kind: port.Cached, List: told.Known})
-	go core.Run(clock, ctx.Done())
-	if !told.Site.Topology.Ask {
-		directory.Follow()
-	}
+func main() { os.Exit(call(os.Args[1:], os.Stderr)) }
 
-	l, err := net.Listen("tcp", told.Listen)
-	if err != nil {
-		return err
-	}
-	listener := l.(*net.TCPListener)
-	longest := time.Duration(0)
-	for _, ty := range told.Site.TxnTypes {
-		longest = max(longest, ty.Expiry)
+func call(args []string, errors io.Writer) int {
+	var all commands
+	exit, asked := unable, false
+	p := kong.Must(&all, kong.Name("dapplerouter"), kong.Description("A query router for sharded, replicated databases."),
+		kong.Writers(os.Stdout, errors), kong.Exit(func(code int) { exit, asked = code, true }))
+	k, err := p.Parse(args)
+	if asked { // help
+		return exit
 	}
-	server := sockets.NewServer(post, room, clock, longest)
-	slog.Info("serving", "name", told.Name, "listen", told.Listen, "cores", told.Cores, "memory", told.Memory,
-		"sockets", told.Sockets, "members", len(told.Known.Entries))
-	go totals(ctx, core, room)
-	go reread(ctx, rereadAsked, told, directory.Move)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	select {
-	case err := <-served:
-		return err
-	case <-stopAsked:
-	}
-	slog.Info("draining")
-	server.Stop(listener)
-	if err := <-served; err != nil {
-		return err
-	}
-	all := server.Wait(longest + time.Second)
-	core.Post(front.Report{Extra: usage(room)})
-	slog.Info("drained", "all", all)
-	return nil
-}
-
-// reread takes the file in again each time that it is asked for. What cannot be used is logged and changes
-// nothing; what takes a restart is logged too. It goes on while the front drains.
-func reread(ctx context.Context, asked <-chan os.Signal, told *site.Start, move func(address string)) {
-	for {
-		select {
-		case <-asked:
-		case <-ctx.Done():
-			return
-		}
-		next, err := site.Reload(os.Getenv, os.ReadFile)
-		if err != nil {
-			slog.Error("the new file cannot be used; the old values stay", "why", err)
-			continue
-		}
-		slog.Info("the file is read again", "discovery", next.Discovery)
-		for _, key := range told.Fixed(next) {
-			slog.Warn("a change takes a restart", "key", key)
-		}
-		move(next.Discovery)
+	if err != nil {
+		fmt.Fprintf(errors, "dapplerouter: %v; see dapplerouter --help\n", err)
+		return unable
 	}
+	return k.Selected().Target.Addr().Interface().(command).run()
 }
 
-// spread gives even numbers between 0 and 1 that differ from front to front.
-func spread(seed uint64) func() float64 {
-	n := uint64(0)
-	return func() float64 {
-		n++
-		sum := crc32.ChecksumIEEE([]byte(strconv.FormatUint(seed, 16) + "." + strconv.FormatUint(n, 10)))
-		return float64(sum) / (1 << 32)
-	}
+type versionCall struct {
+	JSON bool `help:"A line of JSON instead."`
 }
 
-// totals writes what passed and what is held to the log at intervals.
-func totals(ctx context.Context, core *front.Core, room *sockets.Room) {
-	t := time.NewTicker(10 * time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			core.Post(front.Report{Extra: usage(room)})
-		case <-ctx.Done():
-			return
-		}
+func (v *versionCall) run() int {
+	if v.JSON {
+		json.NewEncoder(os.Stdout).Encode(map[string]string{"version": version, "go": runtime.Version()})
+	} else {
+		fmt.Println("dapplerouter", version, runtime.Version())
 	}
-}
-
-func usage(room *sockets.Room) []any {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	clients, links, peak := room.Held()
-	return []any{"clients", clients, "links", links, "peak", peak, "goroutines", runtime.NumGoroutine(),
-		"memory", m.Sys - m.HeapReleased, "collections", m.NumGC}
+	return done
 }
--- a/front/book.go
+++ b/front/book.go
@@ -11,6 +11,7 @@
 // Book counts what passed, for the log.
 type Book struct {
 	taken, served, declined, undone, left, senseless int
+	undeclared                                       int // writes under a type that reads
 	submissions, probes, spoilt                      int
 	endings                                          [port.Missed + 1]int
 	lateMost, tookMost                               time.Duration
@@ -118,6 +119,6 @@
 		"submissions", b.submissions, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt,
 		"full", e[port.Full], "timed_out", e[port.TimedOut], "unreachable", e[port.Unreachable], "broken", e[port.Broken],
 		"withdrawn", e[port.Withdrawn], "missed", e[port.Missed], "alarm_late", b.lateMost,
-		"batch_took", b.tookMost}, r.Extra...)...)
+		"batch_took", b.tookMost}, append(c.classReport(), r.Extra...)...)...)
 	b.lateMost, b.tookMost = 0, 0
 }
--- /dev/null
+++ b/front/classing.go
@@ -0,0 +1,121 @@
+package front
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+
+	"dapplerouter/conf"
+	"dapplerouter/port"
+	"dapplerouter/shape"
+	"dapplerouter/site"
+)
+
+// classes is what a core knows of classing, where the operator's file turns it on: which txn type a rule names,
+// and the type under which a write of a reading type goes to the module.
+type classes struct {
+	by         *shape.Classing
+	types      []int // by rule
+	undeclared []int // by txn type: the same but writing, itself where it writes anyway
+
+	found, byRule, noRule int
+}
+
+// Classing is the operator's settings with the Classing made of them.
+type Classing struct {
+	*shape.Classing
+	*shape.Settings
+}
+
+// CheckClassing finds what the settings say against a site's txn types. The error is conf.Faults.
+func CheckClassing(s *shape.Settings, at *site.Site) error {
+	var faults conf.Faults
+	for i, r := range s.Rules {
+		t := slices.Index(at.Types, r.Type)
+		switch {
+		case t < 0:
+			faults = append(faults, conf.Fault{Place: s.Places[i], What: r.Type + " is no txn type of this site",
+				Remedy: fmt.Sprint("its types are ", at.Types)})
+		case r.Class == shape.Write && at.TxnTypes[t].Level != port.Write:
+			faults = append(faults, conf.Fault{Place: s.Places[i], What: r.Type + " reads, and the rule is for writes",
+				Remedy: "name a type that writes, or take (class write) away"})
+		}
+	}
+	if faults == nil {
+		return nil
+	}
+	return faults
+}
+
+// withUndeclared adds to the types, for each that reads, one like it that writes with the effect that the operator
+// gave to writes that their type does not tell of. So the module decides these as it does all others: to the
+// primary only, and again only as far as the effect allows.
+func (k *classes) withUndeclared(types []port.TxnType, effect port.Effect) []port.TxnType {
+	all := slices.Clone(types)
+	for i, ty := range types {
+		k.undeclared = append(k.undeclared, i)
+		if ty.Level == port.Write {
+			continue
+		}
+		k.undeclared[i] = len(all)
+		ty.Level, ty.Effect, ty.Bound = port.Write, effect, 0
+		if effect == port.Referenced && ty.Window == 0 {
+			ty.Effect = port.OnceOnly // nothing says for how long a mark is remembered
+		}
+		all = append(all, ty)
+	}
+	return all
+}
+
+// class gives an arrival that was classed its txn type, or says why it has none.
+func (a *Arrival) class(c *Core, t *port.Txn) (refusal string) {
+	s, k := &a.Statement, c.classes
+	k.found++
+	t.Hint = k.by.Estimate(s.Shape, &s.Facts)
+	if len(s.Type) > 0 {
+		var ok bool
+		if t.Type, ok = c.typeIDs.Find(string(s.Type)); !ok {
+			return "c names no txn type of this site"
+		}
+	} else {
+		rule := k.by.Rule(s.Shape, t.Hint)
+		if rule < 0 {
+			k.noRule++
+			return "the comment names no txn type, and no rule of the operator's file fits the statement"
+		}
+		k.byRule++
+		t.Type = k.types[rule]
+	}
+	if s.Write && c.types[t.Type].Level != port.Write {
+		slog.Debug("undeclared write", "id", string(s.ID), "type", c.typeIDs.Key(t.Type), "class", s.Shape.Class,
+			"why", s.Shape.Why, "fingerprint", s.Shape.Fingerprint())
+		c.book.undeclared++
+		t.Type = k.undeclared[t.Type]
+	}
+	ty := &c.types[t.Type]
+	t.Write = ty.Level == port.Write // a read under a writing type runs where its type says
+	if ty.Level == port.Session && len(s.Key) == 0 {
+		return "a read of this txn type belongs to a session: s=NAME in the comment, or a quoted key"
+	}
+	return ""
+}
+
+// learns tells what a statement took at a member.
+func (c *Core) learns(s *Submission) {
+	if d := c.doors.At(s.ref); c.classes != nil && d != nil && d.What.Statement.Shape != nil {
+		st := &d.What.Statement
+		c.classes.by.Learn(st.Shape, &st.Facts, c.now-s.sent)
+	}
+}
+
+// classReport adds what classing did to the totals.
+func (c *Core) classReport() []any {
+	k := c.classes
+	if k == nil {
+		return nil
+	}
+	t := k.by.Totals()
+	return []any{"classed", k.found, "by_rule", k.byRule, "no_rule", k.noRule, "undeclared_writes", c.book.undeclared,
+		"shapes", t.Shapes, "shape_bytes", t.Bytes, "shape_hits", t.Hits, "shape_misses", t.Misses,
+		"shape_collisions", t.Collisions, "shape_too_long", t.TooLong}
+}
--- a/front/core.go
+++ b/front/core.go
@@ -71,16 +71,25 @@
 	alarms    alarms
 	later     []Event // came of the batch in hand; they open the next one
 	book      Book
+	classes   *classes // nil where statements are not classed
 	entries   []port.Entry
 }
 
-// NewCore makes a Core; born is the moment from which its clock counts.
-func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Links, ask Directory) *Core {
+// NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
+// the one form that the users' protocol has.
+func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Links, ask Directory, classing *Classing) *Core {
 	c := &Core{links: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
 		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}}
-	c.decider = decide(c, seed, s.Topology, s.TxnTypes, s.Shares, s.Replication, s.Guardrails, s.Allowance, s.Tariff)
+	if classing != nil {
+		c.classes = &classes{by: classing.Classing}
+		for _, r := range classing.Settings.Rules {
+			c.classes.types = append(c.classes.types, c.typeIDs.Number(r.Type)) // checked before: CheckClassing
+		}
+		c.types = c.classes.withUndeclared(c.types, classing.Undeclared)
+	}
+	c.decider = decide(c, seed, s.Topology, c.types, s.Shares, s.Replication, s.Guardrails, s.Allowance, s.Tariff)
 	return c
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -75,7 +75,7 @@
 		_ port.Replication, _ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
 		m.Host = h
 		return m
-	}, w, w)
+	}, w, w, nil)
 	c.Post(Listed{Kind: port.Cached, List: discovery.List{Entries: []discovery.Entry{
 		{Name: "s-1", Address: "x", Zone: "a", Group: 9, Since: 1_000_500},
 		{Name: "s-2", Address: "x", Zone: "nowhere", Group: 9}}}})
--- a/front/relay.go
+++ b/front/relay.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"time"
@@ -58,9 +59,12 @@
 	if d := c.doors.At(e.S.ref); d != nil {
 		switch {
 		case o.Ending == port.Committed:
+			c.learns(e.S)
 			c.answer(d, Final{Word: Served, Rows: e.Answer.Rows})
 		case e.Answer.Senseless(): // as it would be anywhere: other members are spared it
-			c.answer(d, Final{Word: Senseless, Code: e.Answer.Code, Reason: "the statement cannot be served"})
+			c.answer(d, Final{Word: Senseless, Code: e.Answer.Code, Reason: cmp.Or(e.Answer.Message, "the statement cannot be served")})
+		case e.Answer.TooLong: // it ran; another member would answer as much
+			c.answer(d, Final{Word: Senseless, Code: pgwire.TooLarge, Reason: e.Answer.Message})
 		}
 	}
 	var why error
@@ -86,6 +90,8 @@
 		return port.Broken
 	case f != nil:
 		return port.Unreachable
+	case a.TooLong:
+		return port.Errored
 	case a.Code == pgwire.ReadOnly || a.Code == pgwire.TooFarBehind || a.Senseless():
 		return port.Missed // the member is well, and nothing ran
 	case a.Code == pgwire.TooManyConnections:
--- a/front/takein.go
+++ b/front/takein.go
@@ -47,12 +47,17 @@
 	s := &a.Statement
 	t := port.Txn{Customer: port.None, Retry: s.Retry, Write: s.Write}
 	var ok bool
-	if t.Type, ok = c.typeIDs.Find(string(s.Type)); !ok {
+	if s.Shape != nil {
+		if why := a.class(c, &t); why != "" {
+			a.refuse(c, why)
+			return
+		}
+	} else if t.Type, ok = c.typeIDs.Find(string(s.Type)); !ok {
 		a.refuse(c, "c names no txn type of this site")
 		return
 	}
 	ty := &c.types[t.Type]
-	if s.Write != (ty.Level == port.Write) {
+	if s.Shape == nil && s.Write != (ty.Level == port.Write) {
 		a.refuse(c, "the statement does not fit its txn type")
 		return
 	}
@@ -70,7 +75,7 @@
 		a.refuse(c, "cluster names no group on the list")
 		return
 	}
-	if ty.Level == port.Write || ty.Level == port.Session {
+	if (ty.Level == port.Write || ty.Level == port.Session) && (s.Shape == nil || len(s.Key) > 0) {
 		t.Session = Session(s.Key)
 	}
 	if s.After > 0 {
--- a/pgwire/answer.go
+++ b/pgwire/answer.go
@@ -19,6 +19,13 @@
 	Load       []byte // name=value pairs set apart by commas
 	row        []byte
 	parts      int // how many of partTypes came
+
+	// Any lets an answer be what a statement of any verb gets: rows in any number and of any width, or none.
+	Any     bool
+	Most    int    // bytes that Rows may hold, where Any; an answer that is longer ends in TooMuch
+	TooLong bool   // it was longer, and is not held: the statement ran
+	Message string // of the error, where Any
+	Open    bool   // a transaction is left open: the connection must not serve another txn
 }
 
 const partTypes = "TDC" // the messages of a row
@@ -30,7 +37,13 @@
 // and waiting for the rest would take the txn's whole time.
 func (a *Answer) Early(typ byte, size int, begun []byte) error {
 	switch typ {
-	case 'T', 'D', 'C':
+	case 'T', 'D', 'C', 'I':
+		if a.Any {
+			return a.earlyAny(typ, size)
+		}
+		if typ == 'I' {
+			break
+		}
 		if a.parts == len(partTypes) || typ != partTypes[a.parts] || a.Code != "" { // once each, in this order
 			return &Violation{Unexpected(typ).What + " out of its order"}
 		}
@@ -41,16 +54,35 @@
 		if size != 1 {
 			return &Violation{"a ReadyForQuery of another length"}
 		}
-	case 'S', 'E', 'R', 'K', 'N', 'I', 'A':
+	case 'S', 'E', 'R', 'K', 'N', 'A':
 	default:
 		return Unexpected(typ)
 	}
-	if typ != 'D' && size > longestWord {
+	if typ != 'D' && size > longestWord && !(a.Any && typ == 'E') {
+		return &Violation{fmt.Sprintf("a message of type %q of %d bytes", typ, size)}
+	}
+	return nil
+}
+
+// earlyAny is Early for the rows of an answer to any statement: a description, rows, one end; or the end alone.
+func (a *Answer) earlyAny(typ byte, size int) error {
+	switch {
+	case a.parts == len(partTypes) || a.Code != "" || typ == 'T' && a.parts > 0 || typ == 'D' && a.parts == 0,
+		typ == 'I' && a.parts > 0:
+		return &Violation{Unexpected(typ).What + " out of its order"}
+	case typ == 'C' && size > longestWord:
 		return &Violation{fmt.Sprintf("a message of type %q of %d bytes", typ, size)}
+	case len(a.Rows)+size > a.Most:
+		return &TooMuch{a.Most}
 	}
 	return nil
 }
 
+// TooMuch is an answer longer than may be held.
+type TooMuch struct{ Most int }
+
+func (t *TooMuch) Error() string { return fmt.Sprintf("the answer is longer than %d bytes", t.Most) }
+
 // longestWord is the longest of an answer's messages that is not the value.
 const longestWord = 8 << 10
 
@@ -63,6 +95,9 @@
 // Senseless says whether the error is about the statement itself: the member will not run it, nor would
 // another. By the standard's classes: feature, data, syntax or access, and a breach of the protocol.
 func (a *Answer) Senseless() bool {
+	if a.Any && len(a.Code) == 5 && slices.Contains([]string{"21", "23", "2B", "44", "54", "P0"}, a.Code[:2]) {
+		return true // the data or the statement's own code said no, and would again; a statement that ends so did nothing
+	}
 	return a.Code == ProtocolViolation || len(a.Code) == 5 && slices.Contains([]string{"0A", "22", "42"}, a.Code[:2])
 }
 
@@ -72,7 +107,14 @@
 		return false, err
 	}
 	switch typ {
-	case 'T', 'D', 'C':
+	case 'T', 'D', 'C', 'I':
+		if a.Any {
+			a.partAny(typ, body)
+			return false, nil
+		}
+		if typ == 'I' {
+			return false, nil
+		}
 		return false, a.part(typ, body)
 	case 'S':
 		name, value, ok := cutText(body)
@@ -87,12 +129,16 @@
 		}
 		if a.Code == "" {
 			a.Code = string(code)
+			if a.Any {
+				a.Message = string(field(body, 'M'))
+			}
 		}
 		a.Whole = false
 	case 'Z':
 		if a.Code == "" && !a.Whole && a.parts > 0 {
 			return false, &Violation{"an end within the row"}
 		}
+		a.Open = a.Any && body[0] != 'I'
 		return true, nil
 	}
 	return false, nil
@@ -121,6 +167,24 @@
 	return nil
 }
 
+// partAny takes the messages of an answer to any statement.
+func (a *Answer) partAny(typ byte, body []byte) {
+	switch typ {
+	case 'T', 'D':
+		a.parts = 1
+	default:
+		a.parts = len(partTypes)
+		a.Whole = true
+	}
+	a.Rows = append(a.Rows, typ)
+	a.Rows = binary.BigEndian.AppendUint32(a.Rows, uint32(len(body)+4))
+	at := len(a.Rows)
+	a.Rows = append(a.Rows, body...)
+	if typ == 'D' && len(body) >= 6 && oneColumn(body, len(body)) {
+		a.row = a.Rows[at+6:]
+	}
+}
+
 func (a *Answer) status(name, value []byte) error {
 	switch string(name) {
 	case "role":
--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -21,6 +21,7 @@
 	SyntaxError        = "42601"
 	BadValue           = "22023"
 	RolledBack         = "40000"
+	TooLarge           = "54000"
 	IdleTooLong        = "57P05"
 )
 
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 	"time"
+
+	"dapplerouter/shape"
 )
 
 // Statement is a client's query with what its comment says. The slices lie within the text.
@@ -20,6 +22,9 @@
 	Retry              bool
 	After              int64 // Unix milliseconds of the session's last write, 0 for none
 	waitAt, waitEnd    int
+
+	Shape *shape.Shape // where statements are classed, else nil
+	Facts shape.Facts
 }
 
 // Malformed is a statement that cannot be served; the connection lives on.
@@ -58,7 +63,7 @@
 	if s.Key == nil {
 		return s, malformed(SyntaxError, "the statement names no key")
 	}
-	return s, s.comment(comment[0], comment[1])
+	return s, s.comment(comment[0], comment[1], true)
 }
 
 // scan finds the quoted key, the comment and the end of the only statement.
@@ -109,7 +114,7 @@
 	return comment, nil
 }
 
-func (s *Statement) comment(from, to int) error {
+func (s *Statement) comment(from, to int, typed bool) error {
 	group, wait := false, false
 	for at := from; at < to; {
 		end := to
@@ -126,6 +131,10 @@
 			s.Type = value
 		case "t":
 			s.Customer = value
+		case "s":
+			if s.Shape != nil {
+				s.Key = value
+			}
 		case "r":
 			s.Retry = string(value) == "1"
 		case "cluster":
@@ -156,7 +165,7 @@
 		return malformed(BadValue, "the comment lacks d")
 	case !group:
 		return malformed(BadValue, "the comment lacks cluster")
-	case len(s.Type) == 0:
+	case typed && len(s.Type) == 0:
 		return malformed(BadValue, "the comment lacks c")
 	}
 	return nil
--- /dev/null
+++ b/shape/settings.go
@@ -0,0 +1,194 @@
+package shape
+
+import (
+	"slices"
+	"strings"
+
+	"dapplerouter/conf"
+	"dapplerouter/port"
+)
+
+// FormName is the operator's form that turns classing on.
+const FormName = "classing"
+
+// Settings are what the operator's file says of classing. Its form, with all that it may hold:
+//
+//	(classing
+//	  (cache 8MiB)                        ; what the shapes kept may take, 64KiB to 1GiB; 8MiB where left out
+//	  (functions
+//	    (reads seat_name geo.distance mood) ; functions, types and schema-qualified ones that only read
+//	    (writes next_seat busy_view))       ; functions, views and tables that write whatever the verb
+//	  (columns id house at)               ; all that t.name may mean; where left out any name may be a column
+//	  (undeclared-writes once-only)       ; a write under a type that reads: once-only, referenced or repeatable
+//	  (types                              ; for statements whose comment names none; the first that fits counts
+//	    (book-table (class write) (verbs insert update) (tables bookings))
+//	    (report (class read) (above 20ms))
+//	    (slot-browse (class read) (below 20ms))))
+type Settings struct {
+	Bytes      int64
+	Lists      *Lists
+	Rules      []Rule
+	Undeclared port.Effect  // of a write whose txn type reads
+	Places     []conf.Place // of the rules
+}
+
+const (
+	usualBytes = 8 << 20
+	mostBytes  = 1 << 30
+)
+
+// ReadSettings reads the form; what is wrong with it is noted with its reading.
+func ReadSettings(f *conf.Form) *Settings {
+	s := &Settings{Bytes: usualBytes, Undeclared: port.OnceOnly}
+	forms := f.Forms("cache", "functions", "columns", "undeclared-writes", "types")
+	if c := forms["cache"]; c != nil {
+		s.Bytes = c.Size(LeastBytes, mostBytes)
+	}
+	var reads, writes, columns []string
+	if fs := forms["functions"]; fs != nil {
+		lists := fs.Forms("reads", "writes")
+		listed := map[string]conf.Place{}
+		if w := lists["writes"]; w != nil {
+			for _, n := range w.Words() {
+				if name, ok := listedName(w, n); ok {
+					writes = append(writes, name)
+					listed[lower(string(lastPart([]byte(name))))] = n.Place
+				}
+			}
+		}
+		if r := lists["reads"]; r != nil {
+			for _, n := range r.Words() {
+				name, ok := listedName(r, n)
+				last := lower(string(lastPart([]byte(name))))
+				at, twice := listed[last]
+				switch {
+				case !ok:
+				case twice:
+					r.Fault(n.Place, "a name that writes in any schema stands on no list of reading ones",
+						"%s is listed as writing too, at %s", n.Name, at)
+				case Writes(last):
+					r.Fault(n.Place, "take it off the list", "%s is PostgreSQL's own and writes", n.Name)
+				default:
+					reads = append(reads, name)
+				}
+			}
+		}
+	}
+	if c := forms["columns"]; c != nil {
+		columns = []string{}
+		for _, n := range c.Words() {
+			if n.Exact {
+				columns = append(columns, n.Name)
+			} else {
+				columns = append(columns, lower(n.Name))
+			}
+		}
+	}
+	s.Lists = NewLists(reads, writes, columns)
+	if u := forms["undeclared-writes"]; u != nil {
+		switch u.Choice("once-only", "referenced", "repeatable") {
+		case "referenced":
+			s.Undeclared = port.Referenced
+		case "repeatable":
+			s.Undeclared = port.Repeatable
+		}
+	}
+	if ts := forms["types"]; ts != nil {
+		for _, t := range ts.Each() {
+			s.rule(ts, t)
+		}
+	}
+	return s
+}
+
+// listedName checks a name of a list: parts of letters, digits and _, at most a schema and a name.
+func listedName(f *conf.Form, w conf.Word) (string, bool) {
+	name := w.Name
+	if !w.Exact {
+		name = lower(name)
+	}
+	parts := strings.Split(name, ".")
+	for _, p := range parts {
+		bad := p == ""
+		for i := range len(p) {
+			bad = bad || !w.Exact && (charClass[p[i]]&cInner == 0 || i == 0 && charClass[p[i]]&cStart == 0)
+		}
+		if bad || len(parts) > 2 {
+			f.Fault(w.Place, "a name is name or schema.name; one with other characters or capitals stands between two \"",
+				"%s is no name of a function", w.Name)
+			return "", false
+		}
+	}
+	return name, true
+}
+
+func (s *Settings) rule(ts, f *conf.Form) {
+	r := Rule{Type: f.Name}
+	forms := f.Forms("class", "verbs", "tables", "below", "above")
+	if c := forms["class"]; c != nil {
+		switch c.Choice("read", "write") {
+		case "read":
+			r.Class = Read
+		case "write":
+			r.Class = Write
+		}
+	}
+	if v := forms["verbs"]; v != nil {
+		for _, w := range v.Words() {
+			verb := lower(w.Name)
+			sort := keywords[verb]
+			switch {
+			case sort&kBound != 0:
+				v.Fault(w.Place, "connections are shared", "%s is never served", w.Name)
+			case sort&(kDML|kQuery|kChange) == 0 && verb != "show" || verb == "with":
+				v.Fault(w.Place, "a verb is select, insert, update, delete, merge, call or another first word of a statement",
+					"%s is no verb", w.Name)
+			}
+			r.Verbs = append(r.Verbs, verb)
+		}
+	}
+	if t := forms["tables"]; t != nil {
+		for _, w := range t.Words() {
+			name := lower(w.Name)
+			if w.Exact {
+				name = w.Name
+			}
+			r.Tables = append(r.Tables, name)
+		}
+	}
+	if b := forms["below"]; b != nil {
+		r.Below = b.Span()
+	}
+	if a := forms["above"]; a != nil {
+		r.Above = a.Span()
+	}
+	switch {
+	case r.Below > 0 && r.Above >= r.Below:
+		f.Fault(forms["above"].Place, "above must be less than below", "%s fits no statement", f.Name)
+	case len(s.Rules) == MostRules:
+		f.Fault(f.Place, "put some together", "more than %d types", MostRules)
+		return
+	}
+	for i, q := range s.Rules { // an earlier one that takes all that this would
+		if q.covers(&r) {
+			f.Fault(f.Place, "put the narrower one first", "%s can never fit: %s at %s takes all that it would", f.Name, q.Type,
+				s.Places[i])
+			break
+		}
+	}
+	s.Rules, s.Places = append(s.Rules, r), append(s.Places, f.Place)
+}
+
+// covers tells whether q fits all that r fits.
+func (q *Rule) covers(r *Rule) bool {
+	within := func(few, many []string) bool {
+		return len(many) == 0 || len(few) > 0 && !slices.ContainsFunc(few, func(w string) bool { return !slices.Contains(many, w) })
+	}
+	return (q.Class == Unknown || q.Class == r.Class) && within(r.Verbs, q.Verbs) && within(r.Tables, q.Tables) &&
+		q.Above <= r.Above && (q.Below == 0 || r.Below > 0 && r.Below <= q.Below)
+}
+
+// New makes the Classing of the settings.
+func (s *Settings) New() *Classing {
+	return New(Options{Bytes: s.Bytes, Lists: s.Lists, Rules: s.Rules})
+}
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -12,6 +12,7 @@
 
 	"dapplerouter/front"
 	"dapplerouter/pgwire"
+	"dapplerouter/shape"
 )
 
 const (
@@ -32,6 +33,7 @@
 	clock    *Clock
 	patience time.Duration // with a client that does not read
 	idle     time.Duration // after which a connection with nothing to do is closed
+	parse    func(body []byte) (pgwire.Statement, error)
 
 	stopping atomic.Bool
 	turning  chan struct{}
@@ -42,12 +44,17 @@
 
 // NewServer makes a Server; patience is the longest that a txn may take.
 func NewServer(post func(front.Event), room *Room, clock *Clock, patience time.Duration) *Server {
-	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: resting, clients: map[*client]struct{}{},
+	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: resting, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
 		turning: make(chan struct{}, turnedAtOnce)}
 	room.spare(sv.makeWay)
 	return sv
 }
 
+// Class lets statements of any verb in, classed.
+func (sv *Server) Class(by *shape.Classing) {
+	sv.parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, by) }
+}
+
 // Serve accepts until a stop was asked for and nobody comes any more: what the machine has accepted is taken,
 // so once newcomers are over, what still stands in line is served too.
 func (sv *Server) Serve(l *net.TCPListener) error {
@@ -385,7 +392,7 @@
 
 func (c *client) query(body []byte) bool {
 	at := c.sv.clock.Now()
-	s, err := pgwire.ParseStatement(body)
+	s, err := c.sv.parse(body)
 	var m *pgwire.Malformed
 	switch {
 	case errors.As(err, &m):
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -28,7 +28,8 @@
 	room           *Room
 	user, database string
 	dial, idle     time.Duration
-	longest        int // message that a member may send
+	longest        int  // message that a member may send
+	any            bool // answers may be those of any statement
 
 	mu    sync.Mutex
 	pools []*pool
@@ -42,6 +43,9 @@
 		longest: int(memory / messages)}
 }
 
+// Any lets members answer as any statement is answered: rows of any number and width, up to the longest message in all.
+func (ls *Links) Any() { ls.any = true }
+
 const messages = 64 // of the longest, fill the memory
 
 // pool is the connections to one member; idle ones are used last in, first out.
@@ -248,13 +252,14 @@
 		return false
 	}
 	e := &front.Ended{S: s}
+	e.Answer.Any, e.Answer.Most = l.ls.any, l.ls.longest
 	l.r.Check = e.Answer.Early
 	for {
 		done, err := l.hear(&e.Answer)
 		switch {
 		case timedOut(err) && l.goOn():
 			continue
-		case done && err == nil && l.r.Waiting(): // more than was asked for must not answer the next submission
+		case done && err == nil && (l.r.Waiting() || e.Answer.Open): // more than was asked for must not answer the next submission
 		case done && err == nil:
 			l.r.Shed(bodyKept)
 			l.free() // before its answer is told, so that the next submission finds it
@@ -262,6 +267,8 @@
 			return true
 		case err == nil:
 			continue
+		case tooMuch(err):
+			e.Answer = pgwire.Answer{Any: true, TooLong: true, Message: err.Error()}
 		case pgwire.IsViolation(err):
 			e.Failure, e.Answer = &front.Failure{Reach: front.Spoilt, Err: err}, pgwire.Answer{}
 		case e.Answer.Code == "":
@@ -323,6 +330,11 @@
 	return true
 }
 
+func tooMuch(err error) bool {
+	var t *pgwire.TooMuch
+	return errors.As(err, &t)
+}
+
 func timedOut(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout()
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -83,7 +83,7 @@
 		_ []port.Customer, _ port.Replication, _ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
 		g.d.Host = h
 		return g.d
-	}, g.links, nobody{})
+	}, g.links, nobody{}, nil)
 	g.list(g.member.Addr().String(), 0)
 	g.server = NewServer(post, g.room, clock, 5*time.Second)
 	g.server.idle = time.Minute
