--- a/shape/caches_test.go
+++ b/shape/caches_test.go
@@ -71,7 +71,7 @@
 					}
 				}
 				b.ReportMetric(float64(found)/float64(counted), "hot-found")
-				b.ReportMetric(float64(heap()-before)/(1<<10), "KiB")
+				b.ReportMetric(float64(int64(heap())-int64(before))/(1<<10), "KiB")
 				runtime.KeepAlive(c)
 			}
 		})
