--- /dev/null
+++ b/cmd/dapplerouter/keys.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"dapplerouter/gateway/link"
+)
+
+// keysCalls make and look at the keys of a gateway's link.
+type keysCalls struct {
+	New   keysNew   `cmd:"" help:"Make a site's key and certificate, or with --root the operator's own root."`
+	Sign  keysSign  `cmd:"" help:"Sign a site's certificate with the root."`
+	Show  keysShow  `cmd:"" help:"Say what a certificate is for, whose it is and when it ends."`
+	Check keysCheck `cmd:"" help:"Check the keys that an operator's file names."`
+}
+
+type keysNew struct {
+	Site string `arg:"" help:"The site's name, as the gateway form has it; the root's own name with --root."`
+	Root bool   `help:"Make a root that signs certificates."`
+	Days int    `default:"365" help:"Until it ends."`
+	Dir  string `default:"." type:"path" help:"Where SITE.key and SITE.crt are written."`
+}
+
+func (k *keysNew) run() int {
+	key, cert, err := link.NewKey(k.Site, k.Root, k.Days)
+	if err == nil {
+		err = writeNew(filepath.Join(k.Dir, k.Site+".key"), key, 0o600)
+	}
+	if err == nil {
+		err = writeNew(filepath.Join(k.Dir, k.Site+".crt"), cert, 0o644)
+	}
+	return sayKeys(err, fmt.Sprintf("%s.key (keep it here) and %s.crt (give it to the peer, or have the root sign it)", k.Site, k.Site))
+}
+
+// writeNew writes a file that must not be there yet: a key written over is lost.
+func writeNew(path string, data []byte, mode fs.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("%s is there already; name another folder by --dir, or move it away", path)
+	}
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write(data)
+	return err
+}
+
+func sayKeys(err error, good string) int {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", err)
+		return unable
+	}
+	fmt.Println(good)
+	return done
+}
+
+type keysSign struct {
+	Certificate string `arg:"" type:"existingfile" help:"The site's certificate, as keys new made it."`
+	Root        string `required:"" type:"existingfile" help:"The root's certificate; its key stands beside it as .key unless --root-key names it."`
+	RootKey     string `type:"existingfile" help:"The root's key."`
+	Days        int    `default:"365" help:"Until it ends."`
+	Out         string `required:"" type:"path" help:"Where the signed certificate is written."`
+}
+
+func (k *keysSign) run() int {
+	rootKey := k.RootKey
+	if rootKey == "" {
+		rootKey = k.Root[:len(k.Root)-len(filepath.Ext(k.Root))] + ".key"
+	}
+	var parts [3][]byte
+	for i, path := range []string{k.Certificate, k.Root, rootKey} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return sayKeys(err, "")
+		}
+		parts[i] = data
+	}
+	signed, err := link.Sign(parts[0], parts[1], parts[2], k.Days)
+	if err == nil {
+		err = writeNew(k.Out, signed, 0o644)
+	}
+	return sayKeys(err, k.Out)
+}
+
+type keysShow struct {
+	Files []string `arg:"" type:"existingfile" help:"Certificates."`
+	JSON  bool     `help:"A line of JSON a certificate instead."`
+}
+
+func (k *keysShow) run() int {
+	exit := done
+	for _, path := range k.Files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return sayKeys(err, "")
+		}
+		all, err := link.Parse(data)
+		if err != nil {
+			return sayKeys(fmt.Errorf("%s: %w", path, err), "")
+		}
+		for _, c := range all {
+			print := fmt.Sprintf("%x", sha256.Sum256(c.Raw))
+			if k.JSON {
+				json.NewEncoder(os.Stdout).Encode(map[string]any{"file": path, "site": c.Subject.CommonName, "root": c.IsCA,
+					"signed_by": c.Issuer.CommonName, "from": c.NotBefore, "until": c.NotAfter, "sha256": print})
+			} else {
+				kind := "site"
+				if c.IsCA {
+					kind = "root"
+				}
+				fmt.Printf("%s: %s %s, signed by %s, until %s, sha256 %s\n", path, kind, c.Subject.CommonName, c.Issuer.CommonName,
+					c.NotAfter.Format(time.DateOnly), print)
+			}
+			if time.Now().After(c.NotAfter) {
+				exit = notSo
+			}
+		}
+	}
+	return exit
+}
+
+type keysCheck struct {
+	File string `required:"" env:"DAPPLEROUTER_FILE" type:"path" placeholder:"FILE" help:"The operator's file, with its gateway form."`
+}
+
+func (k *keysCheck) run() int {
+	o, err := readFile(k.File)
+	if err != nil {
+		for _, why := range faultsOf(err) {
+			fmt.Fprintln(os.Stderr, why)
+		}
+		return unable
+	}
+	g := o.gateway
+	if g == nil || g.Key == "" {
+		fmt.Fprintf(os.Stderr, "%s: no keys are named; see (gateway (peer ... (key ...)))\n", k.File)
+		return unable
+	}
+	ends, err := link.Files{Key: g.Key, Certificate: g.Certificate, Trust: g.Trust}.Check(time.Now())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notSo
+	}
+	fmt.Printf("good until %s\n", ends.Format(time.DateOnly))
+	return done
+}
--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -24,6 +24,7 @@
 type commands struct {
 	Serve    serveCall    `cmd:"" default:"1" help:"Be a front, as EDGE_CONFIG tells; the default."`
 	Gateway  gatewayCall  `cmd:"" help:"Be one site's instance of a gateway between two."`
+	Keys     keysCalls    `cmd:"" help:"Make and look at the keys of a gateway's link."`
 	Check    checkCall    `cmd:"" help:"Check an operator's file."`
 	Classify classifyCall `cmd:"" help:"Say of statements what they do, what they may cost and which txn type they are."`
 	Version  versionCall  `cmd:"" help:"Say which version this is."`
