--- a/adapter/adapter_test.go
+++ b/adapter/adapter_test.go
@@ -17,6 +17,7 @@
 	entries int
 }
 
+func (e *echo) Target(port.Ref) (time.Duration, bool)                          { return 0, false }
 func (e *echo) List(_ time.Duration, _ port.ListKind, _ int64, l []port.Entry) { e.entries = len(l) }
 func (e *echo) Begin(_ time.Duration, t port.Txn)                              { e.Submit(t.Ref, 0, 0) }
 func (e *echo) Ended(time.Duration, port.Outcome)                              {}
--- a/cmd/dapplerouter/classing_test.go
+++ b/cmd/dapplerouter/classing_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -41,6 +42,9 @@
    "RetryAfter": true, "MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false}
  }}`
 
+// checks is what members do with a read for which they lag too far.
+var checks = "bounce"
+
 const operatorFile = `; what the stand-ins' functions do
 (classing
   (cache 2MiB)
@@ -78,7 +82,7 @@
 	list := g.List()
 	dir := t.TempDir()
 	config, file := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.sexp")
-	require.NoError(t, os.WriteFile(config, fmt.Appendf(nil, told, list.Listener.Addr(), g.Listed()), 0o600))
+	require.NoError(t, os.WriteFile(config, fmt.Appendf(nil, strings.Replace(told, `"bounce"`, strconv.Quote(checks), 1), list.Listener.Addr(), g.Listed()), 0o600))
 	start, err := site.Load(func(name string) string {
 		if name == site.FileVariable {
 			return config
--- a/cmd/dapplerouter/gateway_test.go
+++ b/cmd/dapplerouter/gateway_test.go
@@ -374,3 +374,121 @@
 	assert.Empty(t, a.Code)
 	_ = oldKey
 }
+
+// The far instance restarts and has forgotten who wrote what, its members check nothing and its replica lags: a diner
+// must see the own booking all the same, since its position crosses with the read.
+func TestASessionsReadSeesItsOwnWriteAcrossARestartOfTheFarInstance(t *testing.T) {
+	checks = "silent"
+	defer func() { checks = "bounce" }()
+	s := startSites(t, [2]string{})
+	s.far.Lag.Store(int64(time.Hour))
+	c := dial(t, s.here.address)
+	for i := range 3 {
+		id := fmt.Sprintf("diner%d", i)
+		var wrote int64
+		require.Eventually(t, func() bool {
+			a, err := c.Query(fmt.Sprintf("INSERT INTO bookings (id, house) VALUES ('%s', '1') RETURNING id /* id=w%d.%d,c=book,k=%d,d=3000,cluster=1 */",
+				id, i, time.Now().UnixNano(), time.Now().UnixNano()))
+			wrote = time.Now().UnixMilli()
+			return err == nil && a.Code == ""
+		}, 10*time.Second, 10*time.Millisecond)
+		s.restart()
+		s.up()
+		for k := range 4 {
+			a, err := c.Query(fmt.Sprintf("SELECT '%s', 'age_of_data' /* id=r%d.%d,c=mine,d=3000,cluster=1 */", id, i, k))
+			require.NoError(t, err)
+			require.Empty(t, a.Code)
+			at, err := strconv.ParseInt(a.Rows[0][0], 10, 64)
+			require.NoError(t, err)
+			assert.GreaterOrEqual(t, at, wrote, "the read saw the data of %d, the write was answered at %d", at, wrote)
+		}
+	}
+}
+
+// A client that goes away while its txn is across calls it off there too: nothing of it stays in hand at either site.
+func TestAClientThatLeavesWhileItsTxnIsAcrossCallsItOffThere(t *testing.T) {
+	s := startSites(t, [2]string{})
+	arrived := make(chan struct{}, 1)
+	for _, m := range s.far.Members {
+		m.Break(func(_ int, sql string) store.Fault {
+			if strings.Contains(sql, "id=leaves") {
+				arrived <- struct{}{}
+				return store.Fault{Delay: 500 * time.Millisecond}
+			}
+			return store.Fault{}
+		})
+	}
+	c, err := store.Dial(s.here.address)
+	require.NoError(t, err)
+	go c.Query(pay("leaves", 1))
+	<-arrived
+	c.Close()
+	for name, at := range map[string]*instance{"here": s.here, "there": s.there} {
+		require.Eventually(t, func() bool {
+			_, _, ours, theirs := at.link.link.Counts()
+			return ours+theirs == 0
+		}, 400*time.Millisecond, time.Millisecond, name)
+	}
+	a, err := dial(t, s.here.address).Query(pay("stays", 1))
+	require.NoError(t, err)
+	assert.Empty(t, a.Code)
+}
+
+// Both sites stop under load, one after the other: what they had taken is answered, nothing doubled.
+func TestBothSitesRestartUnderLoad(t *testing.T) {
+	s := startSites(t, [2]string{})
+	var heard, wrong atomic.Int64
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	var ids []string
+	for k := range 6 {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				mu.Lock()
+				address := s.here.address
+				mu.Unlock()
+				c, err := store.Dial(address)
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				id := fmt.Sprintf("b%d.%d", k, i)
+				a, err := c.Query(pay(id, 1))
+				c.Close()
+				if err != nil { // the connection was closed before the txn was taken: the client's to send again, under a new id here
+					continue
+				}
+				heard.Add(1)
+				if a.Code == "" && (len(a.Rows) != 1 || a.Rows[0][0] != id) {
+					wrong.Add(1)
+				}
+				mu.Lock()
+				ids = append(ids, id)
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.restart()
+	old := s.here
+	next := startInstance(t, s.near, strings.Replace(fmt.Sprintf(plainLink, "kathmandu", "pokhara", "address", "HOP", 1), "HOP", s.hop.Address(), 1))
+	mu.Lock()
+	s.here = next
+	mu.Unlock()
+	old.end()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	all.Wait()
+	s.up()
+	for _, id := range ids {
+		assert.LessOrEqual(t, s.far.Committed(id), 1, id)
+	}
+	assert.Zero(t, wrong.Load())
+	assert.Greater(t, heard.Load(), int64(50))
+}
--- a/deploy/dapplerouter.sexp
+++ b/deploy/dapplerouter.sexp
@@ -10,3 +10,8 @@
 ;   (types                                  ; for statements whose comment names none; the first that fits
 ;     (book-table (class write))
 ;     (slot-browse (class read))))
+;
+; (gateway                                  ; docs/operate/gateway.md; dapplerouter gateway --file this
+;   (here kathmandu)
+;   (peer pokhara (address "192.0.2.7:7443") (groups 3 4)
+;     (key "kathmandu.key") (certificate "kathmandu.crt") (trust "pokhara.crt")))
--- /dev/null
+++ b/front/far_test.go
@@ -0,0 +1,91 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dapplerouter/discovery"
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+)
+
+// far makes member 0 stand for another site, behind a site that allows so many submissions.
+func far(t *testing.T, most int) (*Core, *module, *wires) {
+	c, m, w := newFront(t)
+	c.most = most
+	c.Post(Listed{Kind: port.Changes, List: discovery.List{Entries: []discovery.Entry{
+		{Name: "s-1", Address: FarAddress + "b/9", Zone: "a", Group: 9}}}})
+	c.batch(ms)
+	return c, m, w
+}
+
+// Two sites submit; together they must stay within what the type allows.
+func TestGrantsToAnotherSiteStayWithinTheCapAndLeaveSomeForFurtherTries(t *testing.T) {
+	for most, want := range map[int][]int{10: {5, 2, 1, 1, 1}, 2: {1, 1}, 1: {1}} {
+		c, m, w := far(t, most)
+		arrive(t, c, w, browse)
+		var grants []int
+		for range 8 {
+			before := len(w.sent)
+			m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+			c.batch(10 * ms)
+			c.batch(10 * ms)
+			if len(w.sent) == before {
+				break
+			}
+			s := w.sent[len(w.sent)-1]
+			way, probe := s.Way()
+			assert.False(t, probe)
+			grants = append(grants, way.Grant)
+			c.Post(&Ended{S: s, Failure: &Failure{Reach: Unwritten, Err: assert.AnError}})
+			c.batch(10 * ms)
+		}
+		assert.Equal(t, want, grants)
+	}
+}
+
+func TestARunForAnotherSiteStaysWithinItsGrant(t *testing.T) {
+	c, m, w := newFront(t)
+	a := arrive(t, c, w, browse)
+	a.Most = 2
+	for range 4 {
+		m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+		c.batch(10 * ms)
+		c.batch(10 * ms)
+		if n := len(w.sent); n > 0 {
+			c.Post(&Ended{S: w.sent[n-1], Failure: &Failure{Reach: Unwritten, Err: assert.AnError}})
+		}
+		c.batch(10 * ms)
+	}
+	assert.Len(t, w.sent, 2)
+	void := 0
+	for _, o := range m.ended {
+		if o.Ending == port.Void {
+			void++
+		}
+	}
+	assert.Equal(t, 2, void, "what is beyond the grant is never sent")
+}
+
+// What crossed and grew too old on its way is a miss for the module, and no answer for the client.
+func TestAnAnswerFromAnotherSiteThatIsOlderThanItsBoundIsAMiss(t *testing.T) {
+	for _, story := range []struct {
+		age   time.Duration
+		aged  bool
+		final int
+	}{{200 * ms, true, 1}, {301 * ms, true, 0}, {0, false, 0}} {
+		c, m, w := far(t, 9)
+		c.types[0].Level, c.types[0].Bound = port.Bounded, 300*ms
+		out(t, c, m, w)
+		w.begin(t, 0)
+		c.Post(&Ended{S: w.sent[0], Answer: pgwire.Answer{Whole: true, Rows: []byte("r")}, Crossed: true,
+			Age: story.age, Aged: story.aged})
+		c.batch(20 * ms)
+		assert.Len(t, w.final, story.final)
+		if story.final == 0 {
+			assert.Equal(t, port.Missed, m.ended[0].Ending)
+		}
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -40,6 +40,7 @@
 func (m *module) Probed(_ time.Duration, _ int, _ port.Ending, _ time.Duration, l port.Load) {
 	m.probed = append(m.probed, l)
 }
+func (m *module) Target(port.Ref) (time.Duration, bool) { return 0, false }
 func (m *module) Settle(time.Duration) {
 	m.settled++
 	if w := m.wish; w != nil {
--- a/front/route.go
+++ b/front/route.go
@@ -34,7 +34,11 @@
 	s.Message = a.Statement.Query(until - c.now)
 	if c.far[member] {
 		s.way = Way{ID: uint64(r.Place)<<32 | uint64(r.Turn), Try: s.hop, Group: a.Statement.Group, Until: until, Grant: grant,
-			Write: a.Statement.Write}
+			Write: a.Statement.Write, After: a.Statement.After}
+		if pos, ok := c.decider.Target(r); ok {
+			at := c.born.Round(0).Add(pos + time.Millisecond - 1) // rounded up: never too low
+			s.way.After = max(s.way.After, at.UnixMilli())
+		}
 	}
 	c.send(s, until)
 }
--- a/front/send.go
+++ b/front/send.go
@@ -33,6 +33,7 @@
 	Until time.Duration // when it is given up
 	Grant int           // submissions that it may make there
 	Write bool
+	After int64 // position that a read must see there, Unix milliseconds; 0 for none
 }
 
 // Way tells it; a probe has none.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,7 @@
 	Wait   time.Duration // Cross: how long its sender will wait
 	Grant  uint32        // Cross: submissions that it may make there
 	Write  bool          // Cross
+	After  int64         // Cross: position of the log that a read must see, Unix milliseconds; 0 for none
 	Data   []byte        // Cross: the statement; Result: the rows
 	Word   Word
 	Code   string
@@ -140,6 +141,7 @@
 	Until   time.Duration // when its txn gives it up; nothing is held longer
 	Grant   uint32
 	Write   bool
+	After   int64 // position that a read must see, 0 for none
 	Message []byte
 }
 
@@ -160,6 +162,7 @@
 	Group int64
 	Wait  time.Duration
 	Grant uint32
+	After int64
 	Data  []byte
 }
 
@@ -519,7 +522,7 @@
 		s.Concluded(now, r.number, Frame{Word: Declined})
 		return nil
 	}
-	s.starts = append(s.starts, Start{Run: r.number, Group: f.Group, Wait: f.Wait, Grant: f.Grant, Data: f.Data})
+	s.starts = append(s.starts, Start{Run: r.number, Group: f.Group, Wait: f.Wait, Grant: f.Grant, After: f.After, Data: f.Data})
 	return nil
 }
 
@@ -626,7 +629,7 @@
 		}
 		x := s.queue[g][0]
 		f = Frame{Kind: Cross, ID: x.ID, Try: x.Try, Serial: s.serial + 1, Group: x.Group, Wait: x.Until - now, Grant: x.Grant,
-			Write: x.Write, Data: x.Message}
+			Write: x.Write, After: x.After, Data: x.Message}
 		if s.onWay+f.cost() > s.window {
 			return f, false
 		}
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -400,7 +400,7 @@
 		return
 	}
 	x := gateway.Crossing{ID: w.ID, Try: uint32(w.Try), Group: w.Group, Until: w.Until, Grant: uint32(w.Grant),
-		Write: w.Write, Message: s.Message[headed:]}
+		Write: w.Write, After: w.After, Message: s.Message[headed:]}
 	l.subs[x.ID] = s
 	l.side.Cross(l.o.Clock.Now(), x)
 	l.carryOut()
@@ -523,7 +523,7 @@
 		r.Answer(front.Final{Word: front.Senseless, Code: code, Reason: what})
 		return
 	}
-	st.Wait = min(st.Wait, s.Wait)
+	st.Wait, st.After = min(st.Wait, s.Wait), max(st.After, s.After)
 	a := &front.Arrival{Client: r, Statement: st, At: l.o.Clock.Now(), Most: int(s.Grant)}
 	l.mu.Lock()
 	l.runs(s.Run, a)
--- a/port/port.go
+++ b/port/port.go
@@ -237,6 +237,7 @@
 	Heard(now time.Duration, peer int, message []byte)
 	Woken(now time.Duration)
 	Settle(now time.Duration)
+	Target(r Ref) (position time.Duration, ok bool) // that a read in hand must see; not ok for none
 }
 
 // Host is what a Decider may ask for.
--- a/router/router.go
+++ b/router/router.go
@@ -276,20 +276,26 @@
 
 // needs is the position that a session's read must see, never for none.
 func (s *sessions) needs(now time.Duration, in *port.Txn, g *group) time.Duration {
-	switch {
-	case s.carried && in.TokenAge <= 0 || !s.carried && in.Session == 0:
-		return never
-	case s.carried:
-		// A carried age names a moment, not a term; one before this term's start is of an older term.
-		return max(now-in.TokenAge, g.start)
+	token := never
+	if in.TokenAge > 0 { // it names a moment, not a term; one before this term's start is of an older term
+		token = max(now-in.TokenAge, g.start)
+	}
+	if s.carried || in.Session == 0 {
+		return token
 	}
 	key := in.Session + uint64(in.Group)
 	for _, t := range s.place(key) {
 		if t.key == key {
-			return g.enforceable(t.pos, t.term)
+			return max(token, g.enforceable(t.pos, t.term))
 		}
 	}
-	return g.enforceable(g.floor.pos, g.floor.term)
+	return max(token, g.enforceable(g.floor.pos, g.floor.term))
+}
+
+// Target tells the position that a read in hand must see, for an instance of another site that decides further.
+func (r *Router) Target(ref port.Ref) (time.Duration, bool) {
+	t := &r.slab[ref.Place]
+	return t.needs, t.Ref == ref && t.needs != never
 }
 
 // --- Windows and strain: how much may be out at a member, and for whom.
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -30,6 +30,7 @@
 	out   []port.Ref
 }
 
+func (d *direct) Target(port.Ref) (time.Duration, bool)                  { return 0, false }
 func (d *direct) List(time.Duration, port.ListKind, int64, []port.Entry) {}
 func (d *direct) Begin(_ time.Duration, t port.Txn) {
 	d.out = append(d.out, t.Ref)
