--- a/shape/form.go
+++ b/shape/form.go
@@ -88,10 +88,78 @@
 			}
 			continue
 		}
-		var t Token
+		if first == leadMark {
+			i++
+			switch c {
+			case '[':
+				list, at, items, run = true, len(b), 0, -1
+				b = append(b, "[ "...)
+				last = '('
+			case ']':
+				if list && literal {
+					f.Items = min(f.Items+items, longestList)
+					b = append(b[:at], "[?+] "...)
+				} else {
+					b = append(b, "] "...)
+				}
+				list, last = false, 0
+			case '(':
+				if last == 'v' || last == ',' && run >= 0 {
+					if last == 'v' {
+						run = len(b)
+					}
+				} else {
+					run = -1
+				}
+				list, at, items = true, len(b), 0
+				b = append(b, "( "...)
+				last = '('
+			case ')':
+				if list && literal {
+					f.Items = min(f.Items+items, longestList)
+					if run >= 0 && run < at {
+						at = run
+					}
+					b = append(b[:at], "(?+) "...)
+					last = 'r'
+				} else {
+					b = append(b, ") "...)
+					last, run = 0, -1
+				}
+				list = false
+			case ',':
+				list = list && literal
+				if last == 'r' {
+					last = ','
+				} else {
+					last = 0
+				}
+				b = append(b, ", "...)
+			default: // ;
+				b = append(b, "; "...)
+				list, last = false, 0
+			}
+			limit, literal = false, false
+			continue
+		}
+		if first == leadDigit || first == leadQuote {
+			if end := simple(text, i); end > 0 {
+				if list = list && !literal; list {
+					items++
+				}
+				b = append(b, "? "...)
+				switch {
+				case first == leadDigit && limit:
+					f.Limit = whole(text[i:end])
+				case first == leadQuote && f.Key == nil:
+					f.Key = text[i+1 : end-1]
+				}
+				literal, limit, last = true, false, 0
+				i = end
+				continue
+			}
+		}
 		switch first {
-		case leadMark:
-			t.Kind, t.From, t.To = Mark, i, i+1
 		case leadDot:
 			if i+1 < len(text) && charClass[text[i+1]]&cStart != 0 {
 				b = append(b, ". "...)
@@ -99,13 +167,6 @@
 				list, last, limit, literal = false, 0, false, false
 				continue
 			}
-		case leadDigit, leadQuote:
-			if end := simple(text, i); end > 0 {
-				t.Kind, t.From, t.To = Text, i, end
-				if c != '\'' {
-					t.Kind = Number
-				}
-			}
 		case leadSign:
 			if i+1 < len(text) && c == '/' && text[i+1] == '*' {
 				if s.at = i; !s.block() {
@@ -115,6 +176,16 @@
 				i = s.at
 				continue
 			}
+			if i+1 < len(text) && charClass[text[i+1]]&cSign == 0 { // of one character, as most are
+				if c == '?' {
+					b = append(b, '\\')
+				}
+				b = append(b, c, ' ')
+				i++
+				list = list && !literal && (c == '-' || c == '+')
+				last, limit, literal = 0, false, false
+				continue
+			}
 			if i+1 < len(text) && c == '-' && text[i+1] == '-' {
 				s.at = i
 				s.line()
@@ -122,10 +193,8 @@
 				continue
 			}
 		}
-		if t.To == 0 {
-			s.at = i
-			t = s.Next()
-		}
+		s.at = i
+		t := s.Next()
 		i = t.To
 		switch t.Kind {
 		case End:
@@ -165,58 +234,10 @@
 			}
 			b = append(append(b, text[t.From:t.To]...), ' ')
 			list = list && !literal && t.To == t.From+1 && (text[t.From] == '-' || text[t.From] == '+')
-			last = 0
-		case Mark:
-			c := text[t.From]
-			switch c {
-			case '[':
-				list, at, items, run = true, len(b), 0, -1
-				b = append(b, "[ "...)
-				last = '('
-			case ']':
-				if list && literal {
-					f.Items = min(f.Items+items, longestList)
-					b = append(b[:at], "[?+] "...)
-				} else {
-					b = append(b, "] "...)
-				}
-				list, last = false, 0
-			case '(':
-				if last == 'v' || last == ',' && run >= 0 {
-					if last == 'v' {
-						run = len(b)
-					}
-				} else {
-					run = -1
-				}
-				list, at, items = true, len(b), 0
-				b = append(b, "( "...)
-				last = '('
-			case ')':
-				if list && literal {
-					f.Items = min(f.Items+items, longestList)
-					if run >= 0 && run < at {
-						at = run
-					}
-					b = append(b[:at], "(?+) "...)
-					last = 'r'
-				} else {
-					b = append(b, ") "...)
-					last, run = 0, -1
-				}
-				list = false
-			case ',':
-				list = list && literal
-				if last == 'r' {
-					last = ','
-				} else {
-					last = 0
-				}
-				b = append(b, ", "...)
-			default:
-				b = append(b, c, ' ')
-				list, last = false, 0
-			}
+			last, limit = 0, false
+		case Mark: // . and : alone
+			b = append(b, c, ' ')
+			list, last = false, 0
 			limit = false
 		}
 		literal = false
