--- a/cmd/dapplerouter/gateway_test.go
+++ b/cmd/dapplerouter/gateway_test.go
@@ -37,8 +37,14 @@
  (heartbeat 50ms) (silence 250ms) (recover 600ms) (retain 3s)))`
 
 func startSites(t testing.TB, keys [2]string) *sites {
+	return startSitesWith(t, keys, func(*sites) {})
+}
+
+// startSitesWith lets the test change the stand-ins before anything else starts.
+func startSitesWith(t testing.TB, keys [2]string, change func(*sites)) *sites {
 	s := &sites{t: t, near: startGroup(t, 2), far: startGroup(t, 2)}
 	s.far.ID, s.far.Each = 1, 3*time.Millisecond
+	change(s)
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port of its own, so that the far site can start again on it
 	require.NoError(t, err)
 	address := l.Addr().String()
@@ -492,3 +498,29 @@
 	assert.Zero(t, wrong.Load())
 	assert.Greater(t, heard.Load(), int64(50))
 }
+
+// A copy of the far group stands here. While the link is down it answers what it may; the rest is declined at once, and
+// nobody here is taken for a primary.
+func TestWhileTheLinkIsDownALocalCopyAnswersWhatItMay(t *testing.T) {
+	s := startSitesWith(t, [2]string{}, func(s *sites) { s.near.Guests = s.far.Members[1:] })
+	s.hop.Refuse(true)
+	s.hop.Break()
+	require.Eventually(t, func() bool { return !s.here.link.link.Up() }, 5*time.Second, time.Millisecond)
+	c := dial(t, s.here.address)
+	before := len(s.far.Members[0].Seen())
+	for i := range 5 {
+		a, err := c.Query(fmt.Sprintf("SELECT 'x' /* id=l%d,c=browse,d=3000,cluster=1 */", i))
+		require.NoError(t, err)
+		assert.Empty(t, a.Code)
+		began := time.Now()
+		a, err = c.Query(book(fmt.Sprintf("lw%d", i), 1))
+		require.NoError(t, err)
+		assert.Equal(t, "53300", a.Code)
+		assert.Less(t, time.Since(began), 500*time.Millisecond)
+		assert.Zero(t, s.far.Committed(fmt.Sprintf("lw%d", i)))
+	}
+	assert.Equal(t, before, len(s.far.Members[0].Seen()), "the primary at the other site")
+	for _, seen := range s.far.Members[1].Seen() {
+		assert.NotContains(t, seen.SQL, "INSERT", "a replica here was sent a write")
+	}
+}
--- a/standin/store/client.go
+++ b/standin/store/client.go
@@ -132,12 +132,12 @@
 		Role    string  `json:"role"`
 	}
 	var all []entry
-	for _, m := range g.Members {
+	for _, m := range append(append([]*Member{}, g.Members...), g.Guests...) {
 		role := "replica"
 		if m.primary() {
 			role = "primary"
 		}
-		all = append(all, entry{m.Name, m.Address(), "a", "m", g.ID, "up", 1, 0, role})
+		all = append(all, entry{m.Name, m.Address(), "a", "m", m.g.ID, "up", 1, 0, role})
 	}
 	b, err := json.Marshal(map[string]any{"index": 1, "snapshot": true, "endpoints": all})
 	if err != nil {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -22,6 +22,7 @@
 	Each    time.Duration // and a statement at least so long
 	Cores   int           // statements that run at once at a member; more wait
 	Members []*Member
+	Guests  []*Member    // of other groups, that this group's list tells of too
 	Primary atomic.Int64 // index of the primary
 	Lag     atomic.Int64 // nanoseconds by which replicas are behind
 
