Stand-ins: a guest of another group has a name of its own in a list

Cause: groups name their members alike, so a listed copy of another group took the place of the group's own member, and the story of the local copy failed. Change: a guest's name carries its group.

--- a/standin/store/client.go
+++ b/standin/store/client.go
@@ -137,7 +137,11 @@
 		if m.primary() {
 			role = "primary"
 		}
-		all = append(all, entry{m.Name, m.Address(), "a", "m", m.g.ID, "up", 1, 0, role})
+		name := m.Name
+		if m.g != g { // groups name their members alike
+			name = fmt.Sprintf("guest-%d-%s", m.g.ID, name)
+		}
+		all = append(all, entry{name, m.Address(), "a", "m", m.g.ID, "up", 1, 0, role})
 	}
 	b, err := json.Marshal(map[string]any{"index": 1, "snapshot": true, "endpoints": all})
 	if err != nil {
