--- a/cmd/dapplerouter/classing_test.go
+++ b/cmd/dapplerouter/classing_test.go
@@ -42,6 +42,12 @@
    "RetryAfter": true, "MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false}
  }}`
 
+// aim is the SLA time of every type, in nanoseconds.
+var aim = "2000000000"
+
+// descriptors is how many a front may hold.
+var descriptors = "256"
+
 // checks is what members do with a read for which they lag too far.
 var checks = "bounce"
 
@@ -82,7 +88,7 @@
 	list := g.List()
 	dir := t.TempDir()
 	config, file := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.sexp")
-	require.NoError(t, os.WriteFile(config, fmt.Appendf(nil, strings.Replace(told, `"bounce"`, strconv.Quote(checks), 1), list.Listener.Addr(), g.Listed()), 0o600))
+	require.NoError(t, os.WriteFile(config, fmt.Appendf(nil, strings.NewReplacer(`"bounce"`, strconv.Quote(checks), `"Aim": 2000000000`, `"Aim": `+aim, `"sockets": 256`, `"sockets": `+descriptors).Replace(told), list.Listener.Addr(), g.Listed()), 0o600))
 	start, err := site.Load(func(name string) string {
 		if name == site.FileVariable {
 			return config
--- /dev/null
+++ b/cmd/dapplerouter/limits_bench_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"dapplerouter/standin/store"
+)
+
+// BenchmarkCrowd has clients that ask again once answered before one stand-in member without a limit, an SLA time of 250 ms:
+// nobody should be refused, and more clients should never bring less service. -benchtime 20000x, say.
+func BenchmarkCrowd(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	aim, descriptors = "250000000", "1024"
+	defer func() { aim, descriptors = "2000000000", "256" }()
+	for _, takes := range []time.Duration{0, 5 * time.Millisecond, 40 * time.Millisecond} {
+		for _, clients := range []int{64, 200} {
+			b.Run(fmt.Sprintf("%v/%d", takes, clients), func(b *testing.B) {
+				g, err := store.Start(store.Restaurants(20, 60, 500), 1, 1000, takes, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer g.Close()
+				address := startFront(b, g, "")
+				b.ResetTimer()
+				no := ask(b, address, clients, func(n int64) string {
+					return fmt.Sprintf("SELECT data FROM facts WHERE code = 'k%d' /* id=%d,c=browse,d=1000,cluster=0 */", n%100, n)
+				})
+				b.StopTimer()
+				b.ReportMetric(float64(int64(b.N)-no)/b.Elapsed().Seconds(), "txn/s")
+				b.ReportMetric(float64(no), "refused")
+			})
+		}
+	}
+}
