--- a/router/router.go
+++ b/router/router.go
@@ -310,15 +310,14 @@
 // from all to next to nothing, worth most for its work first. All fronts that see the same strain shed
 // the same part, however little each of them sends. It could harm where few types make up the traffic.
 const (
-	swiftIn = 5       // an answer within this part of its SLA time tells of no queue that matters
-	lateBy  = 1.75    // late: over this multiple of the type's least usual latency
-	shrink  = 0.75    // for an answer that came late
-	halve   = 1.0 / 2 // for a submission that came to nothing
-	calm    = 1.3     // strain up to which all goes out: chance alone makes means of this size
-	jam     = 4.0     // and from which next to nothing does: an SLA time is about that long
-	worst   = 10.0    // what one answer may count for, and what one does that never came
-	few     = 5.0     // answers that it takes to be believed as much as what is known at large
-	spread  = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
+	lateBy = 1.75    // late: over this multiple of the type's least usual latency
+	shrink = 0.75    // for an answer that came late
+	halve  = 1.0 / 2 // for a submission that came to nothing
+	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
+	jam    = 4.0     // and from which next to nothing does: an SLA time is about that long
+	worst  = 10.0    // what one answer may count for, and what one does that never came
+	few    = 5.0     // answers that it takes to be believed as much as what is known at large
+	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
 )
 
 func (r *Router) narrow(m *member, by float64) { m.room = max(m.room*by, r.gain/10) }
@@ -441,18 +440,12 @@
 			return
 		}
 		by := float64(o.Latency) / float64(r.least[ty])
-		swift := o.Latency < r.types[ty].SLA/swiftIn // however slow for its type: nobody waits for it
-		if swift {
-			by = min(by, 1)
-		}
 		if by > lateBy {
 			r.narrow(m, shrink)
 		} else {
 			m.quick = max(m.quick, now-o.Latency)
 			if float64(m.out+1) >= m.room/2 { // a window that is not used proves nothing
-				if m.room += r.gain / max(m.room, 1); swift { // a window doubles in a round of such answers
-					m.room += r.gain
-				}
+				m.room += r.gain / max(m.room, 1)
 			}
 		}
 		r.strained(now, m, by)
