--- a/gateway/link/peer_test.go
+++ b/gateway/link/peer_test.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"bytes"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -173,3 +175,14 @@
 	assert.NoError(t, good.VerifyPeerCertificate(block(trusted), nil))
 	_ = strangeKey
 }
+
+func TestACertificateThatEndsSoonIsToldDaysBefore(t *testing.T) {
+	var said bytes.Buffer
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&said, nil)))
+	defer slog.SetDefault(before)
+	Files{}.warn(time.Now().AddDate(0, 0, 30))
+	assert.Empty(t, said.String())
+	Files{Certificate: "c"}.warn(time.Now().AddDate(0, 0, 3))
+	assert.Contains(t, said.String(), "a certificate ends soon")
+}
