Reread of the gateway: a crossing that runs out in the queue ends with a word, less state

Cause: a crossing whose time was over while it waited for credit was dropped in silence, so the link kept its submission for good: a leak while a hop stalls. A group could also take several turns, and a greeting that failed behind its acceptance left the link up until its silence. Change: such a crossing ends as never run; a group in the queue has one turn; one place takes a connection's end. Derived instead of kept: what runs and how much (going, outcome). A Cross that was not written is called off nowhere. Measured: the story of the queue fails without the change, all stories of the gateway and the model pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,8 +194,7 @@
 	number  uint64
 	try     uint32
 	serial  uint64 // the highest under which it came
-	running bool
-	outcome *Frame // nil while running
+	outcome *Frame // nil while it runs
 	at      time.Duration
 	size    int64
 }
@@ -219,14 +218,13 @@
 	forgotten uint64 // highest of the peer's present epoch whose outcome was let go
 	lastRun   uint64
 
-	ours   map[uint64]*crossing
-	queue  map[int64][]*crossing // by group, waiting for credit
-	turn   []int64               // groups that wait, in order of their turn
-	runs   map[name]*run
-	going  map[uint64]*run // by number
-	kept   []*run          // concluded, oldest first
-	bytes  int64
-	inHand int // runs
+	ours  map[uint64]*crossing
+	queue map[int64][]*crossing // by group, waiting for credit
+	turn  []int64               // groups that wait, in order of their turn
+	runs  map[name]*run
+	going map[uint64]*run // by number
+	kept  []*run          // concluded, oldest first
+	bytes int64
 
 	control []Frame // without data, to be sent first
 	results []*run  // concluded, to be told
@@ -251,7 +249,7 @@
 func (s *Side) State() State { return s.state }
 
 // InHand is how many of our crossings are not ended, and how many of the peer's run here.
-func (s *Side) InHand() (ours, theirs int) { return len(s.ours), s.inHand }
+func (s *Side) InHand() (ours, theirs int) { return len(s.ours), len(s.going) }
 
 // Hello is the greeting on connection number.
 func (s *Side) Hello(site string, number uint64) Frame {
@@ -308,6 +306,8 @@
 	s.state = Down
 	s.control, s.results = s.control[:0], s.results[:0]
 	s.window, s.onWay = 0, 0
+	clear(s.queue)
+	s.turn = s.turn[:0]
 	for _, x := range s.ours {
 		switch x.stage {
 		case queued:
@@ -319,35 +319,30 @@
 			x.stage = doubt // its time runs since the first doubt
 		}
 	}
-	clear(s.queue)
-	s.turn = s.turn[:0]
 }
 
 // Cross takes a crossing. Where the link is not up, or too much is in hand, it ends at once: nothing ran.
 func (s *Side) Cross(now time.Duration, x Crossing) {
-	c := &crossing{Crossing: x}
-	if s.state != Up {
-		s.Counts.Refused++
-		s.ends = append(s.ends, End{ID: x.ID, Try: x.Try, Never: true})
-		return
-	}
-	if _, twice := s.ours[x.ID]; twice || len(s.ours) >= s.set.Crossings || len(x.Message) > LongestData ||
+	up := s.state == Up
+	if _, twice := s.ours[x.ID]; !up || twice || len(s.ours) >= s.set.Crossings || len(x.Message) > LongestData ||
 		x.Grant == 0 {
 		s.Counts.Refused++
-		s.ends = append(s.ends, End{ID: x.ID, Try: x.Try, Never: true, Full: true})
+		s.ends = append(s.ends, End{ID: x.ID, Try: x.Try, Never: true, Full: up})
 		return
 	}
+	c := &crossing{Crossing: x}
 	s.ours[x.ID] = c
-	if len(s.queue[x.Group]) == 0 {
+	if _, waits := s.queue[x.Group]; !waits { // a group is in the queue as long as it has a turn
 		s.turn = append(s.turn, x.Group)
 	}
 	s.queue[x.Group] = append(s.queue[x.Group], c)
 }
 
-// Uncross takes back the Cross that Frame gave last: it was not written.
+// Uncross takes back the Cross that Frame gave last: it was not written, since nobody waits for it any more.
 func (s *Side) Uncross(f *Frame) {
 	s.onWay -= f.cost()
 	s.Counts.Crossed--
+	delete(s.ours, f.ID)
 }
 
 // GiveUp takes it that nobody waits for a crossing any more. It ends without a word; what of it is at the far site is
@@ -357,10 +352,15 @@
 	if x == nil || x.Try != try {
 		return
 	}
+	s.callOff(x)
+	s.drop(x)
+}
+
+// callOff tells the far site, where it may have a crossing, that nobody waits for it.
+func (s *Side) callOff(x *crossing) {
 	if x.stage == sent || x.stage == asked {
-		s.control = append(s.control, Frame{Kind: Cancel, ID: id, Try: try})
+		s.control = append(s.control, Frame{Kind: Cancel, ID: x.ID, Try: x.Try})
 	}
-	s.drop(x)
 }
 
 // drop takes a crossing out of hand.
@@ -379,7 +379,7 @@
 }
 
 func (s *Side) end(x *crossing, e End) {
-	delete(s.ours, x.ID)
+	s.drop(x)
 	e.ID, e.Try = x.ID, x.Try
 	s.ends = append(s.ends, e)
 }
@@ -405,8 +405,7 @@
 func (s *Side) keep(now time.Duration, r *run, f Frame) {
 	f.Kind, f.ID = Result, r.id
 	delete(s.going, r.number)
-	r.running, r.outcome, r.at, r.size = false, &f, now, f.cost()
-	s.inHand--
+	r.outcome, r.at, r.size = &f, now, f.cost()
 	s.bytes += r.size
 	s.kept = append(s.kept, r)
 }
@@ -453,7 +452,7 @@
 			s.end(x, End{Never: true})
 		}
 	case Cancel:
-		if r := s.runs[name{s.peerEpoch, f.ID}]; r != nil && r.try == f.Try && r.running {
+		if r := s.runs[name{s.peerEpoch, f.ID}]; r != nil && r.try == f.Try && r.outcome == nil {
 			s.starts = append(s.starts, Start{Run: r.number, Abort: true})
 			s.keep(now, r, Frame{Word: MayHaveRun})
 		}
@@ -481,7 +480,7 @@
 	case r == nil || r.try < f.Try:
 		s.control = append(s.control, Frame{Kind: Never, ID: f.ID, Try: f.Try})
 	case r.try > f.Try: // a later try came: nothing is told of this one
-	case r.running:
+	case r.outcome == nil:
 		s.control = append(s.control, Frame{Kind: Still, ID: f.ID, Try: f.Try})
 	default:
 		s.results = append(s.results, r)
@@ -499,7 +498,7 @@
 	if r != nil && f.Try <= r.try {
 		return fmt.Errorf("crossing %d came twice with try %d", f.ID, f.Try)
 	}
-	if r != nil && r.running { // the peer lost sight of it and sent again: one run, told under the newer try
+	if r != nil && r.outcome == nil { // the peer lost sight of it and sent again: one run, told under the newer try
 		r.try, r.serial = f.Try, f.Serial
 		s.Counts.Repeated++
 		return nil
@@ -514,10 +513,9 @@
 		s.forget(r)
 	}
 	s.lastRun++
-	r = &run{name: n, number: s.lastRun, try: f.Try, serial: f.Serial, running: true, at: now}
+	r = &run{name: n, number: s.lastRun, try: f.Try, serial: f.Serial, at: now}
 	s.runs[n], s.going[r.number] = r, r
-	s.inHand++
-	if s.inHand > s.set.Crossings || s.bytes+LongestData > s.set.Kept && !s.sweep(now, LongestData) {
+	if len(s.going) > s.set.Crossings || s.bytes+LongestData > s.set.Kept && !s.sweep(now, LongestData) {
 		s.Counts.Refused++
 		s.Concluded(now, r.number, Frame{Word: Declined})
 		return nil
@@ -559,12 +557,11 @@
 	s.sweep(now, 0)
 	for _, x := range s.ours {
 		switch {
-		case now >= x.Until: // its front gives it up by itself; this is the bound
-			s.GiveUp(x.ID, x.Try)
+		case now >= x.Until: // its front gives it up by itself; this is the bound, and frees what the link keeps of it
+			s.callOff(x)
+			s.end(x, End{Never: x.stage == queued})
 		case (x.stage == doubt || x.stage == asked) && now-x.doubted >= s.set.Recover:
-			if x.stage == asked {
-				s.control = append(s.control, Frame{Kind: Cancel, ID: x.ID, Try: x.Try})
-			}
+			s.callOff(x)
 			s.lose(x)
 		}
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -151,3 +151,17 @@
 	s.Tick(small.Retain + ms)
 	assert.Empty(t, s.runs)
 }
+
+// A crossing that waits for credit until its time is over ends with a word: whoever keeps something of it must hear.
+func TestACrossingWhoseTimeIsOverInTheQueueEndsAsNeverRun(t *testing.T) {
+	s := far(t, 1)
+	s.window = 0
+	s.Cross(0, Crossing{ID: 5, Until: 100 * ms, Grant: 1, Message: []byte{1}})
+	assert.Empty(t, said(s, 0))
+	require.NoError(t, s.Tick(100*ms))
+	assert.Equal(t, []End{{ID: 5, Never: true}}, s.Ends())
+	s.window = 1 << 20
+	assert.Empty(t, said(s, 100*ms), "and is not sent behind that")
+	ours, _ := s.InHand()
+	assert.Zero(t, ours)
+}
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -126,7 +126,7 @@
 		d := net.Dialer{Timeout: greeting}
 		c, err := d.DialContext(l.ctx, "tcp", l.o.Address)
 		if err == nil {
-			err = l.serve(c)
+			err = l.serve(c, func() {})
 		}
 		if l.ctx.Err() != nil {
 			return
@@ -163,18 +163,17 @@
 		l.done.Go(func() {
 			free := sync.OnceFunc(func() { <-knocking })
 			defer free()
-			if err := l.serveGreeted(c, free); err != nil && l.ctx.Err() == nil {
+			if err := l.serve(c, free); err != nil && l.ctx.Err() == nil {
 				slog.Warn("link: a connection ended", "peer", l.o.Peer, "from", c.RemoteAddr().String(), "why", err)
 			}
 		})
 	}
 }
 
-func (l *Link) serve(c net.Conn) error { return l.serveGreeted(c, func() {}) }
-
-// serveGreeted brings a connection through the greeting and reads it to its end.
-func (l *Link) serveGreeted(c net.Conn, greeted func()) (err error) {
+// serve brings a connection through the greeting and reads it to its end.
+func (l *Link) serve(c net.Conn, greeted func()) (err error) {
 	defer c.Close()
+	defer func() { l.leave(c) }() // whatever ended it, a failed greeting too
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
@@ -208,16 +207,20 @@
 	c.SetDeadline(time.Time{})
 	l.done.Go(func() { l.write(c, k) })
 	err = l.read(c, k)
+	slog.Warn("link: down", "peer", l.o.Peer, "number", number, "why", err)
+	return err
+}
+
+// leave takes the end of a connection, where it was the one in use.
+func (l *Link) leave(c net.Conn) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn == c {
 		l.conn = nil
 		l.side.Lost(l.o.Clock.Now())
 		l.carryOut()
 	}
 	l.work.Broadcast()
-	l.mu.Unlock()
-	slog.Warn("link: down", "peer", l.o.Peer, "number", number, "why", err)
-	return err
 }
 
 // greet exchanges Hellos: the one who dialled speaks first and numbers the connection.
@@ -342,8 +345,7 @@
 		if f.Kind == gateway.Cross {
 			s := l.subs[f.ID]
 			if s == nil || !s.Begin(func() { l.cut(f.ID, f.Try) }) {
-				l.side.GiveUp(f.ID, f.Try) // the front gave it up before: nothing of it goes out
-				l.side.Uncross(&f)
+				l.side.Uncross(&f) // the front gave it up before: nothing of it goes out
 				delete(l.subs, f.ID)
 				continue
 			}
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -241,7 +241,7 @@
 			lines = append(lines, fmt.Sprint(x.ID, x.Try, x.stage, x.epoch, (w.now-x.doubted)/(300*ms)))
 		}
 		for _, r := range s.runs {
-			lines = append(lines, fmt.Sprint("r", r.id, r.try, r.running))
+			lines = append(lines, fmt.Sprint("r", r.id, r.try, r.outcome == nil))
 		}
 		sort.Strings(lines)
 		fmt.Fprint(&b, s.state, lines, s.forgotten, len(s.results), len(s.control))
