Reread of the front: one look where there were two, state derived, twins made one

Cause: the reread found the end of a query checked twice, a message kept by the same three lines twice, the classed parser wrapped twice, two loops of the same ticker, a type's effect and bound copied into each arrival, a counter nobody read, and two looks at the table of far members for each submission. Behaviour stays.

--- a/cmd/dapplerouter/file.go
+++ b/cmd/dapplerouter/file.go
@@ -75,7 +75,7 @@
 	if o.classing == nil {
 		return nil
 	}
-	return &front.Classing{Classing: o.classing.New(), Settings: o.classing}
+	return &front.Classing{Classing: o.classing.New(), Undeclared: o.classing.Undeclared}
 }
 
 // faultsOf takes an error apart.
--- a/cmd/dapplerouter/gateway.go
+++ b/cmd/dapplerouter/gateway.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"log/slog"
 	"slices"
-	"time"
 
 	"dapplerouter/front"
 	"dapplerouter/gateway"
@@ -33,7 +32,7 @@
 
 // bridgeOf makes the link that a gateway form tells of, nil for none, and gives the site the peer's zone.
 func bridgeOf(c *gateway.Config, told *site.Start, clock *sockets.Clock, post func(front.Event), local front.Links,
-	classing *front.Classing) (*bridge, error) {
+	parse func([]byte) (pgwire.Statement, error)) (*bridge, error) {
 	if c == nil {
 		return nil, nil
 	}
@@ -42,10 +41,7 @@
 		told.Site.Topology.Zones++
 	}
 	o := link.Options{Here: c.Here, Peer: c.Peer, Address: c.Address, Listen: c.Listen, Settings: c.Settings, Clock: clock,
-		Groups: c.Groups, Post: post, Parse: pgwire.ParseStatement}
-	if classing != nil {
-		o.Parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, classing.Classing) }
-	}
+		Groups: c.Groups, Post: post, Parse: parse}
 	var epoch [8]byte
 	rand.Read(epoch[:])
 	o.Epoch = binary.LittleEndian.Uint64(epoch[:]) | 1
@@ -66,17 +62,10 @@
 
 // report writes the link's totals to the log at intervals.
 func (b *bridge) report(ctx context.Context) {
-	t := time.NewTicker(10 * time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
+	reports(ctx, func() {
 		n, state, ours, theirs := b.link.Counts()
 		slog.Info("link totals", "peer", b.peer, "state", state, "ours", ours, "theirs", theirs, "crossed", n.Crossed, "answered", n.Answered,
 			"doubts", n.Doubts, "recovered", n.Recovered, "proven_never", n.ProvenNever, "lost_for_good", n.LostForGood,
 			"refused", n.Refused, "late", n.Late, "repeated", n.Repeated)
-	}
+	})
 }
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -19,6 +19,7 @@
 	"dapplerouter/front"
 	"dapplerouter/gateway"
 	"dapplerouter/gateway/link"
+	"dapplerouter/pgwire"
 	"dapplerouter/port"
 	"dapplerouter/router"
 	"dapplerouter/site"
@@ -90,9 +91,12 @@
 		told.Memory)
 	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), post,
 		spread(told.Seed))
-	classing := operator.classes()
+	classing, parse := operator.classes(), pgwire.ParseStatement
+	if classing != nil {
+		parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, classing.Classing) }
+	}
 	var ways front.Links = links
-	across, err := bridgeOf(operator.gateway, told, clock, post, links, classing)
+	across, err := bridgeOf(operator.gateway, told, clock, post, links, parse)
 	if err != nil {
 		return err
 	}
@@ -127,8 +131,8 @@
 	server := sockets.NewServer(post, room, clock, longest)
 	if classing != nil {
 		links.Any()
-		server.Class(classing.Classing)
-		slog.Info("statements are classed", "cache", classing.Bytes, "rules", len(classing.Settings.Rules))
+		server.Parse(parse)
+		slog.Info("statements are classed", "cache", operator.classing.Bytes, "rules", len(classing.Rules()))
 	}
 	ready(l.Addr(), across)
 	slog.Info("serving", "name", told.Name, "listen", told.Listen, "cores", told.Cores, "memory", told.Memory,
@@ -187,12 +191,17 @@
 
 // totals writes what passed and what is held to the log at intervals.
 func totals(ctx context.Context, core *front.Core, room *sockets.Room) {
+	reports(ctx, func() { core.Post(front.Report{Extra: usage(room)}) })
+}
+
+// reports calls for a report at intervals, until ctx ends.
+func reports(ctx context.Context, each func()) {
 	t := time.NewTicker(10 * time.Second)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			core.Post(front.Report{Extra: usage(room)})
+			each()
 		case <-ctx.Done():
 			return
 		}
--- a/front/admit.go
+++ b/front/admit.go
@@ -7,11 +7,7 @@
 func (c *Core) admit(a *Arrival, t port.Txn) {
 	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Expiry) // nobody holds a place for longer than its type may
 	a.ref = c.doors.Open(a)
-	a.repeatable = c.types[t.Type].Effect == port.Repeatable
-	a.bound = -1
-	if c.types[t.Type].Level == port.Bounded {
-		a.bound = c.types[t.Type].Bound
-	}
+	a.typ = t.Type
 	c.ids[string(a.Statement.ID)] = struct{}{}
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
 	c.book.taken++
--- a/front/book.go
+++ b/front/book.go
@@ -11,8 +11,6 @@
 // Book counts what passed, for the log.
 type Book struct {
 	taken, served, declined, undone, left, senseless int
-	undeclared                                       int // writes under a type that reads
-	stale                                            int // answers of another site that were too old when they came
 	submissions, probes, spoilt                      int
 	endings                                          [port.Missed + 1]int
 	lateMost, tookMost                               time.Duration
--- a/front/classing.go
+++ b/front/classing.go
@@ -19,12 +19,13 @@
 	undeclared []int // by txn type: the same but writing, itself where it writes anyway
 
 	found, byRule, noRule int
+	undeclaredWrites      int // under a type that reads
 }
 
-// Classing is the operator's settings with the Classing made of them.
+// Classing is what the operator's settings made.
 type Classing struct {
 	*shape.Classing
-	*shape.Settings
+	Undeclared port.Effect // of a write whose txn type reads
 }
 
 // CheckClassing finds what the settings say against a site's txn types. The error is conf.Faults.
@@ -89,7 +90,7 @@
 	if s.Write && c.types[t.Type].Level != port.Write {
 		slog.Debug("undeclared write", "id", string(s.ID), "type", c.typeIDs.Key(t.Type), "class", s.Shape.Class,
 			"why", s.Shape.Why, "fingerprint", s.Shape.Fingerprint())
-		c.book.undeclared++
+		k.undeclaredWrites++
 		t.Type = k.undeclared[t.Type]
 	}
 	ty := &c.types[t.Type]
@@ -115,7 +116,7 @@
 		return nil
 	}
 	t := k.by.Totals()
-	return []any{"classed", k.found, "by_rule", k.byRule, "no_rule", k.noRule, "undeclared_writes", c.book.undeclared,
+	return []any{"classed", k.found, "by_rule", k.byRule, "no_rule", k.noRule, "undeclared_writes", k.undeclaredWrites,
 		"shapes", t.Shapes, "shape_bytes", t.Bytes, "shape_hits", t.Hits, "shape_misses", t.Misses,
 		"shape_collisions", t.Collisions, "shape_too_long", t.TooLong}
 }
--- a/front/core.go
+++ b/front/core.go
@@ -88,7 +88,7 @@
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}}
 	if classing != nil {
 		c.classes = &classes{by: classing.Classing}
-		for _, r := range classing.Settings.Rules {
+		for _, r := range classing.Rules() {
 			c.classes.types = append(c.classes.types, c.typeIDs.Number(r.Type)) // checked before: CheckClassing
 		}
 		c.types = c.classes.withUndeclared(c.types, classing.Undeclared)
@@ -203,7 +203,11 @@
 			continue
 		}
 		m := c.members.Number(e.Name)
-		c.far[m] = strings.HasPrefix(e.Address, FarAddress)
+		if strings.HasPrefix(e.Address, FarAddress) {
+			c.far[m] = true
+		} else {
+			delete(c.far, m) // the place may have been another's
+		}
 		if e.Address != "" {
 			c.links.Place(m, e.Address, e.Since)
 		}
--- a/front/relay.go
+++ b/front/relay.go
@@ -61,9 +61,9 @@
 		}
 	}
 	if d := c.doors.At(e.S.ref); d != nil {
-		if a := d.What; o.Ending == port.Committed && e.Crossed && a.bound >= 0 && (!e.Aged || e.Age > a.bound) {
+		ty := &c.types[d.What.typ]
+		if o.Ending == port.Committed && e.Crossed && ty.Level == port.Bounded && (!e.Aged || e.Age > ty.Bound) {
 			o.Ending, o.HasPosition = port.Missed, false // a read that is older than its bound by now is nobody's answer
-			c.book.stale++
 		}
 		switch {
 		case o.Ending == port.Committed:
--- a/front/route.go
+++ b/front/route.go
@@ -19,11 +19,11 @@
 		until = min(until, c.now+giveUpAfter)
 	}
 	a := d.What
-	most, grant := c.most, 1
+	most, grant, far := c.most, 1, c.far[member]
 	if a.Most > 0 {
 		most = min(most, a.Most)
 	}
-	if c.far[member] { // it may make several submissions there: half of what is left, so that a further try has some too
+	if far { // it may make several submissions there: half of what is left, so that a further try has some too
 		grant = max(1, (most-a.spent)/2)
 	}
 	a.spent += grant
@@ -32,7 +32,7 @@
 		return
 	}
 	s.Message = a.Statement.Query(until - c.now)
-	if c.far[member] {
+	if far {
 		s.way = Way{ID: uint64(r.Place)<<32 | uint64(r.Turn), Try: s.hop, Group: a.Statement.Group, Until: until, Grant: grant,
 			Write: a.Statement.Write, After: a.Statement.After}
 		if pos, ok := c.decider.Target(r); ok {
@@ -59,7 +59,7 @@
 // Decline and RollBack are final answers.
 func (c *Core) Decline(r port.Ref, comeBackIn time.Duration) {
 	a := c.doors.Must(r).What
-	c.conclude(r, Final{Word: Declined, Come: comeBackIn, MayRun: a.mayRun && !a.repeatable})
+	c.conclude(r, Final{Word: Declined, Come: comeBackIn, MayRun: a.mayRun && c.types[a.typ].Effect != port.Repeatable})
 }
 
 func (c *Core) RollBack(r port.Ref) { c.conclude(r, Final{Word: Undone}) }
--- a/front/takein.go
+++ b/front/takein.go
@@ -37,17 +37,16 @@
 
 // Arrival is a statement that came in whole at a moment of the core's clock.
 type Arrival struct {
-	Client     Client
-	Statement  pgwire.Statement
-	At         time.Duration
-	Most       int // submissions, where fewer than the site allows; 0: as the site does
-	ref        port.Ref
-	expiry     time.Duration
-	out        []*Submission // without an ending
-	spent      int           // submissions made and granted to another site
-	mayRun     bool          // something of it may have run
-	repeatable bool
-	bound      time.Duration // age that its data may have, -1 for any
+	Client    Client
+	Statement pgwire.Statement
+	At        time.Duration
+	Most      int // submissions, where fewer than the site allows; 0: as the site does
+	ref       port.Ref
+	expiry    time.Duration
+	out       []*Submission // without an ending
+	spent     int           // submissions made and granted to another site
+	mayRun    bool          // something of it may have run
+	typ       int
 }
 
 // Gone tells that the client of an arrival went away.
--- a/pgwire/answer.go
+++ b/pgwire/answer.go
@@ -157,16 +157,22 @@
 	if typ == 'D' && cap(a.Rows)-len(a.Rows) < len(body)+64 { // room for the end of the answer too
 		a.Rows = append(make([]byte, 0, len(a.Rows)+len(body)+64), a.Rows...)
 	}
-	a.Rows = append(a.Rows, typ)
-	a.Rows = binary.BigEndian.AppendUint32(a.Rows, uint32(len(body)+4))
-	at := len(a.Rows)
-	a.Rows = append(a.Rows, body...)
+	at := a.keep(typ, body)
 	if typ == 'D' {
 		a.row = a.Rows[at+6:]
 	}
 	return nil
 }
 
+// keep adds a message to the rows, and says where its body begins.
+func (a *Answer) keep(typ byte, body []byte) (at int) {
+	a.Rows = append(a.Rows, typ)
+	a.Rows = binary.BigEndian.AppendUint32(a.Rows, uint32(len(body)+4))
+	at = len(a.Rows)
+	a.Rows = append(a.Rows, body...)
+	return at
+}
+
 // partAny takes the messages of an answer to any statement.
 func (a *Answer) partAny(typ byte, body []byte) {
 	switch typ {
@@ -176,10 +182,7 @@
 		a.parts = len(partTypes)
 		a.Whole = true
 	}
-	a.Rows = append(a.Rows, typ)
-	a.Rows = binary.BigEndian.AppendUint32(a.Rows, uint32(len(body)+4))
-	at := len(a.Rows)
-	a.Rows = append(a.Rows, body...)
+	at := a.keep(typ, body)
 	if typ == 'D' && len(body) >= 6 && oneColumn(body, len(body)) {
 		a.row = a.Rows[at+6:]
 	}
--- a/pgwire/classed.go
+++ b/pgwire/classed.go
@@ -1,7 +1,6 @@
 package pgwire
 
 import (
-	"bytes"
 	"fmt"
 
 	"dapplerouter/shape"
@@ -11,10 +10,9 @@
 // known to read is a write, and the comment may leave the txn type out. Its s names the session, else the first
 // quoted text does. A statement that works on the connection itself is refused: connections to members are shared.
 func ParseClassed(body []byte, by *shape.Classing) (s Statement, err error) {
-	if len(body) == 0 || body[len(body)-1] != 0 || bytes.IndexByte(body, 0) != len(body)-1 {
-		return s, &Violation{"a query without its end"}
+	if s.text, err = queryText(body); err != nil {
+		return s, err
 	}
-	s.text = body[:len(body)-1]
 	found, facts, fault := by.Take(s.text)
 	if fault != nil {
 		return s, &Malformed{fault.Code, fault.Error()}
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -41,10 +41,9 @@
 
 // ParseStatement takes the body of a Query message apart.
 func ParseStatement(body []byte) (s Statement, err error) {
-	if len(body) == 0 || body[len(body)-1] != 0 || bytes.IndexByte(body, 0) != len(body)-1 {
-		return s, &Violation{"a query without its end"}
+	if s.text, err = queryText(body); err != nil {
+		return s, err
 	}
-	s.text = body[:len(body)-1]
 	comment, err := s.scan()
 	if err != nil || s.Empty {
 		return s, err
@@ -66,6 +65,14 @@
 	return s, s.comment(comment[0], comment[1], true)
 }
 
+// queryText is the text of a Query message, without its end.
+func queryText(body []byte) ([]byte, error) {
+	if len(body) == 0 || body[len(body)-1] != 0 || bytes.IndexByte(body, 0) != len(body)-1 {
+		return nil, &Violation{"a query without its end"}
+	}
+	return body[:len(body)-1], nil
+}
+
 // scan finds the quoted key, the comment and the end of the only statement.
 func (s *Statement) scan() (comment [2]int, err error) {
 	comment = [2]int{-1, -1}
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -12,7 +12,6 @@
 
 	"dapplerouter/front"
 	"dapplerouter/pgwire"
-	"dapplerouter/shape"
 )
 
 const (
@@ -50,10 +49,8 @@
 	return sv
 }
 
-// Class lets statements of any verb in, classed.
-func (sv *Server) Class(by *shape.Classing) {
-	sv.parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, by) }
-}
+// Parse sets how queries are taken apart; without it as pgwire.ParseStatement does. It is called before Serve.
+func (sv *Server) Parse(parse func(body []byte) (pgwire.Statement, error)) { sv.parse = parse }
 
 // Serve accepts until a stop was asked for and nobody comes any more: what the machine has accepted is taken,
 // so once newcomers are over, what still stands in line is served too.
