Reread of shape, stand-ins and commands: unused arguments, dead state and repeated folding out

Cause: the reread found arguments and a counter that nobody used, a name's folding written three times, the printing of a file's faults three times, a nested loop that parts plain SQL. Change: one of each, the loop flat; tests keep their assertions.

--- a/cmd/dapplerouter/classify.go
+++ b/cmd/dapplerouter/classify.go
@@ -69,10 +69,7 @@
 	if c.File != "" {
 		o, err := readFile(c.File)
 		if err != nil {
-			for _, why := range faultsOf(err) {
-				fmt.Fprintln(errs, why)
-			}
-			return unable
+			return sayFaults(errs, err)
 		}
 		if o.classing != nil {
 			settings = o.classing
@@ -199,32 +196,27 @@
 	from, depth, any := 0, 0, false
 	for {
 		t := s.Next()
-		ends := t.Kind == shape.End || t.Kind == shape.Broken
-		if !ends && t.Kind == shape.Mark {
-			switch text[t.From] {
-			case '(':
-				depth++
-			case ')':
-				depth--
-			case ';':
-				if ends = depth <= 0; ends && any {
-					say(c.record(text[from:t.From]))
-				}
-				if ends {
-					from, depth, any = t.To, 0, false
-					continue
-				}
-			}
+		mark := byte(0)
+		if t.Kind == shape.Mark {
+			mark = text[t.From]
 		}
-		if t.Kind == shape.End {
-			if any {
-				say(c.record(text[from:]))
-			}
-			return
-		}
-		if t.Kind == shape.Broken {
+		switch {
+		case t.Kind == shape.Broken:
 			say(c.record(text[from:]))
 			return
+		case t.Kind == shape.End || mark == ';' && depth <= 0:
+			if any {
+				say(c.record(text[from:t.From]))
+			}
+			if t.Kind == shape.End {
+				return
+			}
+			from, depth, any = t.To, 0, false
+			continue
+		case mark == '(':
+			depth++
+		case mark == ')':
+			depth--
 		}
 		any = true
 	}
--- a/cmd/dapplerouter/file.go
+++ b/cmd/dapplerouter/file.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"dapplerouter/conf"
@@ -90,6 +91,14 @@
 	return all
 }
 
+// sayFaults writes what makes a file unusable, a line each.
+func sayFaults(w io.Writer, err error) int {
+	for _, why := range faultsOf(err) {
+		fmt.Fprintln(w, why)
+	}
+	return unable
+}
+
 type checkCall struct {
 	File   string `arg:"" help:"The operator's file."`
 	Config string `type:"path" placeholder:"FILE" help:"What a front is told (EDGE_CONFIG's file); the file is checked against it too."`
--- a/cmd/dapplerouter/gateway_test.go
+++ b/cmd/dapplerouter/gateway_test.go
@@ -361,8 +361,6 @@
 	// Another key of the same name comes in place of the peer's, and the link breaks: it is refused.
 	old, err := os.ReadFile(filepath.Join(dir, "kathmandu.crt"))
 	require.NoError(t, err)
-	oldKey, err := os.ReadFile(filepath.Join(dir, "kathmandu.key"))
-	require.NoError(t, err)
 	key, cert, err := link.NewKey("kathmandu", false, 30)
 	require.NoError(t, err)
 	write("kathmandu.key", key)
@@ -378,7 +376,6 @@
 	a, err = c.Query(book("rotated", 1))
 	require.NoError(t, err)
 	assert.Empty(t, a.Code)
-	_ = oldKey
 }
 
 // The far instance restarts and has forgotten who wrote what, its members check nothing and its replica lags: a diner
--- a/cmd/dapplerouter/keys.go
+++ b/cmd/dapplerouter/keys.go
@@ -134,10 +134,7 @@
 func (k *keysCheck) run() int {
 	o, err := readFile(k.File)
 	if err != nil {
-		for _, why := range faultsOf(err) {
-			fmt.Fprintln(os.Stderr, why)
-		}
-		return unable
+		return sayFaults(os.Stderr, err)
 	}
 	g := o.gateway
 	if g == nil || g.Key == "" {
--- a/gateway/link/peer_test.go
+++ b/gateway/link/peer_test.go
@@ -161,7 +161,7 @@
 	ours := Files{Key: f.Key, Certificate: f.Certificate, Trust: put("r", root)}
 	good, err := ours.Config("kathmandu")
 	require.NoError(t, err)
-	strangeKey, strange, err := NewKey("kathmandu", false, 50)
+	_, strange, err := NewKey("kathmandu", false, 50)
 	require.NoError(t, err)
 	block := func(data []byte) [][]byte {
 		all, err := Parse(data)
@@ -173,7 +173,6 @@
 	trusted, err := Sign(strange, root, rootKey, 20)
 	require.NoError(t, err)
 	assert.NoError(t, good.VerifyPeerCertificate(block(trusted), nil))
-	_ = strangeKey
 }
 
 func TestACertificateThatEndsSoonIsToldDaysBefore(t *testing.T) {
--- a/shape/class.go
+++ b/shape/class.go
@@ -77,9 +77,6 @@
 
 func lastPart(name []byte) []byte { return name[bytes.LastIndexByte(name, '.')+1:] }
 
-// Writes tells whether PostgreSQL's own function of that name writes, so that no list may call it reading.
-func Writes(name string) bool { return builtinWrites[name] || builtinBound[name] }
-
 // frame is what stands between two parentheses.
 type frame struct {
 	start bool // the next word may begin a statement
@@ -217,7 +214,7 @@
 		if t.Doubtful {
 			c.unknown(t.From, `a \ before the end of a text, which reads otherwise where standard_conforming_strings is off`)
 		}
-		f.query.literal(c.prev, c.prevTok, c.text)
+		f.query.literal(c.prevTok, c.text)
 		c.operand, c.prev = true, ""
 	case Sign:
 		if !builtinSigns[string(c.text[t.From:t.To])] {
@@ -518,7 +515,7 @@
 		if f.opts && t.Kind == Quoted { // "analyze" is an option too
 			c.analyze = true
 		}
-		if f.start && !c.explainOption(f) && c.depth == 0 {
+		if f.start && !f.opts && c.depth == 0 {
 			c.unknown(t.From, "it begins with no verb that is known")
 		}
 		f.start = false
@@ -540,8 +537,6 @@
 	}
 }
 
-func (c *classer) explainOption(f *frame) bool { return f.opts }
-
 // keyword follows the statement by its keywords.
 func (c *classer) keyword(t Token, kw *keyword, f *frame) {
 	if f.start || f.with || f.opts {
@@ -642,7 +637,6 @@
 			c.stack[c.depth-1].query.list = false // IN (SELECT ...)
 		}
 	case !top:
-		f.start = false
 		if c.v.Verb == kw.name { // an expression in parentheses, not a verb
 			c.v.Verb = ""
 		}
@@ -726,7 +720,7 @@
 	}
 }
 
-func (b *block) literal(prev string, before Token, text []byte) {
+func (b *block) literal(before Token, text []byte) {
 	if b.where && b.clause == inWhere && before.Kind == Sign && before.To == before.From+1 && text[before.From] == '=' {
 		b.keyed = true
 	}
--- a/shape/settings.go
+++ b/shape/settings.go
@@ -66,7 +66,7 @@
 				case twice:
 					r.Fault(n.Place, "a name that writes in any schema stands on no list of reading ones",
 						"%s is listed as writing too, at %s", n.Name, at)
-				case Writes(last):
+				case builtinWrites[last] || builtinBound[last]:
 					r.Fault(n.Place, "take it off the list", "%s is PostgreSQL's own and writes", n.Name)
 				default:
 					reads = append(reads, name)
@@ -77,11 +77,7 @@
 	if c := forms["columns"]; c != nil {
 		columns = []string{}
 		for _, n := range c.Words() {
-			if n.Exact {
-				columns = append(columns, n.Name)
-			} else {
-				columns = append(columns, lower(n.Name))
-			}
+			columns = append(columns, asServer(n))
 		}
 	}
 	s.Lists = NewLists(reads, writes, columns)
@@ -95,18 +91,23 @@
 	}
 	if ts := forms["types"]; ts != nil {
 		for _, t := range ts.Each() {
-			s.rule(ts, t)
+			s.rule(t)
 		}
 	}
 	return s
 }
 
+// asServer is a name as the server knows it: folded, but where it stands between quotes.
+func asServer(w conf.Word) string {
+	if w.Exact {
+		return w.Name
+	}
+	return lower(w.Name)
+}
+
 // listedName checks a name of a list: parts of letters, digits and _, at most a schema and a name.
 func listedName(f *conf.Form, w conf.Word) (string, bool) {
-	name := w.Name
-	if !w.Exact {
-		name = lower(name)
-	}
+	name := asServer(w)
 	parts := strings.Split(name, ".")
 	for _, p := range parts {
 		bad := p == ""
@@ -122,7 +123,7 @@
 	return name, true
 }
 
-func (s *Settings) rule(ts, f *conf.Form) {
+func (s *Settings) rule(f *conf.Form) {
 	r := Rule{Type: f.Name}
 	forms := f.Forms("class", "verbs", "tables", "below", "above")
 	if c := forms["class"]; c != nil {
@@ -149,11 +150,7 @@
 	}
 	if t := forms["tables"]; t != nil {
 		for _, w := range t.Words() {
-			name := lower(w.Name)
-			if w.Exact {
-				name = w.Name
-			}
-			r.Tables = append(r.Tables, name)
+			r.Tables = append(r.Tables, asServer(w))
 		}
 	}
 	if b := forms["below"]; b != nil {
--- a/shape/shape.go
+++ b/shape/shape.go
@@ -161,7 +161,7 @@
 	case len(form) > c.longest:
 		c.tooLong.Add(1)
 	default:
-		if _, fresh1 := c.kept.SetIfAbsent(key, fresh); !fresh1 {
+		if _, first := c.kept.SetIfAbsent(key, fresh); !first {
 			if s, ok := c.kept.GetIfPresent(key); ok && bytes.Equal(s.form, form) {
 				fresh = s // another was quicker
 			}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -30,7 +30,6 @@
 	committed map[string]int       // by id: changes that took effect
 	marks     map[string]time.Time // by mark (k): when its change took effect
 	Window    time.Duration        // for which a mark is remembered
-	written   atomic.Int64         // Unix milliseconds of the last change
 }
 
 // Seen is a statement that reached a member, noted before anything is done about it.
@@ -231,9 +230,8 @@
 	}
 	m.work <- struct{}{}
 	began := time.Now()
-	if mark, known := m.known(primary, sql, id); known { // a repeat: answered as before, without an effect
+	if m.known(primary, sql) { // a repeat: answered as before, without an effect
 		<-m.work
-		_ = mark
 		return m.end(rows(b, [][]string{{id}}, "INSERT 0 1"), primary, time.Now()), true
 	}
 	snapshot := m.applied(time.Now())
@@ -245,7 +243,6 @@
 		m.g.mu.Lock()
 		m.g.committed[id]++
 		m.g.mu.Unlock()
-		m.g.written.Store(time.Now().UnixMilli())
 	}
 	if strings.Contains(sql, "age_of_data") { // what the client may hold the answer against
 		res.Rows = [][]string{{strconv.FormatInt(snapshot, 10)}}
@@ -266,18 +263,18 @@
 }
 
 // known tells whether a mark's change took effect within the window, and notes it where it is about to.
-func (m *Member) known(primary bool, sql, id string) (mark string, known bool) {
+func (m *Member) known(primary bool, sql string) bool {
 	f := markWord.FindStringSubmatch(sql)
 	if f == nil || !primary || !plainMark.MatchString(sql) {
-		return "", false
+		return false
 	}
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	if at, ok := m.g.marks[f[1]]; ok && time.Since(at) < m.g.Window {
-		return f[1], true
+		return true
 	}
 	m.g.marks[f[1]] = time.Now()
-	return f[1], false
+	return false
 }
 
 func (m *Member) refuse(code, what string) []byte {
