--- a/router/router.go
+++ b/router/router.go
@@ -114,7 +114,8 @@
 
 	heard   time.Duration // last answer of any kind
 	waiting time.Duration // since when something is out and nothing was heard
-	losing  float64       // part of what is sent there that fails or is lost while the rest is answered
+	erring  float64       // part of what is sent there that fails
+	losing  float64       // and that is lost while the rest is answered
 	fails   int           // failures in a row
 	down    bool          // to be used for trials only
 	trialAt time.Duration // earliest next trial
@@ -449,12 +450,12 @@
 			}
 		}
 		r.strained(now, m, by)
-		r.loses(m, 0)
+		r.faults(m, 0, 0)
 		r.took(now, ty, o.Latency)
 	case port.Errored: // quick, but no reason to send more
 		m.heard = now
-		r.loses(m, 1)
-		if m.losing > 2*r.losing {
+		r.faults(m, 1, 0)
+		if m.erring > 2*r.erring {
 			m.fails++
 			r.narrow(m, halve)
 		}
@@ -465,7 +466,7 @@
 		r.strained(now, m, worst)
 	case port.Unreachable, port.Broken:
 		if m.heard > now-o.Latency { // it answered meanwhile
-			r.loses(m, 1)
+			r.faults(m, 0, 1)
 			return
 		}
 		r.probe(now, o.Member)
@@ -477,7 +478,7 @@
 		}
 	case port.TimedOut:
 		if m.quick > now-o.Latency {
-			r.loses(m, 1)
+			r.faults(m, 0, 1)
 			return // later ones came back quickly: this one was lost, not queued
 		}
 		r.narrow(m, halve)
@@ -493,9 +494,10 @@
 	}
 }
 
-func (r *Router) loses(m *member, one float64) {
-	m.losing += (one - m.losing) / 20
-	r.losing += (one - r.losing) / 100
+func (r *Router) faults(m *member, erred, lost float64) {
+	m.erring += (erred - m.erring) / 20
+	r.erring += (erred - r.erring) / 100
+	m.losing += (lost - m.losing) / 20
 }
 
 // --- Choice of a member for a read.
@@ -514,7 +516,7 @@
 
 // cost compares members: strain there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
-	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m) / max(1-m.losing, 1.0/20)
+	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m) / max(1-m.erring-m.losing, 1.0/20)
 	if m.zone != r.zone {
 		c *= farther
 	}
@@ -594,6 +596,7 @@
 	leaving, held      bool // leaving: revoked, its ending awaited
 	left               int  // member left last
 	missed             bool // turned away untouched: the primary is next
+	erred, senseless   bool // the last submission ended in an error; and a repeat is no use
 	mayRun             bool // some submission may have run:
 	ranAt              int
 	sentAt, ranSince   time.Duration
@@ -719,6 +722,7 @@
 		r.wrote(t.Session+uint64(t.Group), r.group(t.Group), o.Position)
 	}
 	t.missed = t.missed || o.Ending == port.Missed
+	r.learns(t, o.Ending)
 	switch {
 	case o.Closed:
 		t.end = closed
@@ -727,6 +731,19 @@
 	}
 }
 
+// learns whether repeats after an error come good. Where they hardly do, the fault is the txn's own: it fails
+// at every member, and a repeat only takes the place of one that would be served.
+func (r *Router) learns(t *txn, e port.Ending) {
+	if good := e == port.Committed; t.erred && (good || e == port.Errored) {
+		r.mends -= r.mends / 10
+		if good {
+			r.mends += 1.0 / 10
+		}
+	}
+	t.erred = e == port.Errored
+	t.senseless = t.erred && r.draw() > max(r.mends, 1.0/20)
+}
+
 // hopeless tells when a txn is past hope: shortly before its expiry, or its SLA time where late is worth
 // nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
 // A write or a retry of which nothing went out leaves half of its time to its client, who may find more room.
@@ -736,7 +753,7 @@
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && now-t.ranSince > ty.Window*9/10)
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
-	return kept || spent || t.subs >= r.most || now > t.expiry-2*r.beat ||
+	return kept || spent || t.senseless || t.subs >= r.most || now > t.expiry-2*r.beat ||
 		ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
 
@@ -965,7 +982,8 @@
 	lister
 	overall lately      // strain of all members
 	mix     [64]float64 // work that came lately, by the logarithm of what it is worth for its length
-	losing  float64     // as of a member
+	erring  float64     // as of a member
+	mends   float64     // part of the repeats after an error that came good
 	sent    lately      // submissions, in seconds of usual latency
 	warm    int         // members that bear their full part
 	gain    float64     // what a window grows by for a round of quick answers; all fronts together grow by 1
@@ -980,6 +998,7 @@
 		chance:   chance{seed: seed},
 		tempo:    newTempo(types, at.Tick),
 		sessions: newSessions(copies.Carried),
+		mends:    1,
 		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{onlyDraining: rules.OnlyDrainingBinds, coldFrom: rules.ColdShare,
 			coldPart: 0.6 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
