--- a/router/router.go
+++ b/router/router.go
@@ -330,6 +330,12 @@
 	}
 }
 
+// multiple is a latency as strain: one for the type's least usual latency, a jam for its SLA time.
+func (r *Router) multiple(ty int, latency time.Duration) float64 {
+	least, sla := r.least[ty], r.types[ty].SLA
+	return 1 + (jam-1)*float64(latency-least)/float64(max(sla-least, sla/4))
+}
+
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
 	all := r.overall.mean(now, 3*few, 1, &r.tempo)
 	return m.strain.mean(now, few, r.group(m.group).strain.mean(now, 2*few, all, &r.tempo), &r.tempo)
@@ -440,7 +446,7 @@
 		if o.Ending == port.Missed || ty == none {
 			return
 		}
-		by := float64(o.Latency) / float64(r.least[ty])
+		by := r.multiple(ty, o.Latency)
 		if by > lateBy {
 			r.narrow(m, shrink)
 		} else {
