Positions come from reports where answers tell none; a lag fades like all else that is known

So reported() takes that age off; member.rate, a pace that one answer in ten seconds cannot give, went: a lag stays as told and fades (at). A cold member's budget starts anywhere below one txn: 200 fronts that all start at nothing sent a starting member a tenth of its part.

--- a/router/router.go
+++ b/router/router.go
@@ -105,7 +105,6 @@
 	role  port.Role
 	pos   time.Duration // highest log position known; it stays valid
 	posAt time.Duration // when it was learnt
-	rate  float64       // how fast the position moves, as a part of the clock's pace
 
 	strain lately        // multiples of the least usual latency that answers took there
 	out    int           // our submissions there without an ending
@@ -128,26 +127,21 @@
 	budgetAt, probed time.Duration
 }
 
-var unknown = member{group: none, pos: never, posAt: never, rate: 1, room: 4, quick: never, heard: never,
+var unknown = member{group: none, pos: never, posAt: never, room: 4, quick: never, heard: never,
 	lost: never, started: never, probed: never}
 
-// at estimates the log position at a moment: what is known, moved on at the pace last seen.
-func (m *member) at(when time.Duration) time.Duration {
-	if m.role == port.Primary {
+// at estimates the log position at a moment: as far behind as when it was last told, less as that grows old.
+func (r *Router) at(m *member, when time.Duration) time.Duration {
+	if m.role == port.Primary || m.posAt == never {
 		return when
 	}
-	return m.pos + time.Duration(float64(when-m.posAt)*m.rate)
+	return when - time.Duration(float64(m.posAt-m.pos)*r.fade(when-m.posAt))
 }
 
-// note takes a position. One that stands still while answers stay quick brings the rate to nothing, so
-// the estimate stands still with it.
-func (m *member) note(now, pos, span time.Duration) {
-	if dt := now - m.posAt; m.posAt != never && dt > 0 {
-		seen := min(max(float64(pos-m.pos)/float64(dt), 0), 1)
-		m.rate += (seen - m.rate) * min(1, float64(dt)/float64(span))
-	}
+// note takes a position that held at a moment.
+func (m *member) note(at, pos time.Duration) {
 	if pos >= m.pos {
-		m.pos, m.posAt = pos, now
+		m.pos, m.posAt = pos, at
 	}
 }
 
@@ -373,7 +367,7 @@
 
 func (r *Router) starts(now time.Duration, m *member, at time.Duration) { // cold from then on
 	m.started, m.cold = at, now-at < r.warmIn
-	m.budget, m.budgetAt = 0, now
+	m.budget, m.budgetAt = r.draw()*slices.Min(r.usual).Seconds(), now
 }
 
 // warmth is the least part of its capacity that a member has by now.
@@ -552,7 +546,7 @@
 			primary = i
 			continue
 		}
-		pos := m.at(now)
+		pos := r.at(m, now)
 		if r.check == port.Unchecked {
 			pos = m.pos // nothing but a proof will do
 		}
@@ -566,7 +560,7 @@
 	g.wanted = g.wanted || best == none && r.check == port.Unchecked
 	if best == none && behind != none && r.check != port.Unchecked {
 		m := &r.members[behind]
-		if m.posAt == never || m.at(now+r.hold) >= needs || g.primary == none && !t.missed {
+		if m.posAt == never || r.at(m, now+r.hold+r.reportAge) >= needs || g.primary == none && !t.missed {
 			best, least = behind, r.cost(now, m)
 		}
 	}
@@ -713,10 +707,13 @@
 	r.judge(now, o, ty)
 	if o.Role != port.Unknown {
 		if o.HasPosition {
-			m.note(now, o.Position, r.shortest)
+			m.note(now, o.Position)
 		}
 		r.claims(now, o.Member, o.Role, o.Position, o.HasPosition)
 	}
+	if r.byReport && o.Load.HasPosition {
+		r.reported(now, o.Member, &o.Load)
+	}
 	if !mine {
 		return
 	}
@@ -852,6 +849,8 @@
 
 type lister struct {
 	ask, calling bool
+	byReport     bool          // positions stand in reports alone
+	reportAge    time.Duration // how old those are
 	callAt       time.Duration // when to subscribe
 	askWithin    time.Duration
 	roles        port.Listed
@@ -924,6 +923,16 @@
 	r.host.Forget(i)
 }
 
+// reported takes a position that only a report tells, as old as that. A primary stands at the present, so what
+// its reports lag tells how old reports are. A replica is behind by what its report lags beyond that.
+func (r *Router) reported(now time.Duration, i int, l *port.Load) {
+	m := &r.members[i]
+	if l.Role == port.Primary && m.role == port.Primary {
+		r.reportAge += (now - l.Position - r.reportAge) / 4
+	}
+	m.note(now-r.reportAge, min(l.Position, now-r.reportAge))
+}
+
 // Heard takes a message from a peer; fronts say nothing to each other yet.
 func (r *Router) Heard(time.Duration, int, []byte) {}
 
@@ -944,7 +953,7 @@
 		m.quick = now
 	}
 	if l.HasPosition {
-		m.note(now, l.Position, r.shortest)
+		m.note(now, l.Position)
 	}
 	if l.Role != port.Unknown {
 		r.claims(now, i, l.Role, l.Position, l.HasPosition)
@@ -1011,6 +1020,7 @@
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
 		lives:  newLives(types, at.RetriesMarked, allowed),
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
+			byReport: copies.PiggybackLoad && !copies.AnswersTell,
 			mayProbe: allowed.Probes},
 		wakeAt: never,
 	}
