A front that stood still holds it against no member; SLA times count from the client's send

Begin counted the SLA time from the front's turn, judge and silent booked the gap to members, and an odd budget passed for a retry. The excuse alone moved nothing; the SLA time counted from the send did.

--- a/router/router.go
+++ b/router/router.go
@@ -420,10 +420,19 @@
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
 // patience is counted in the latency last seen there. One txn without an answer may be lost or long.
 func (r *Router) silent(now time.Duration, m *member) bool {
-	if m.out < 2 || m.down || now-m.waiting <= 2*r.shortest {
+	if m.out < 2 || m.down || r.stood(now) || now-max(m.waiting, r.rose) <= 2*r.shortest {
 		return false
 	}
-	return now-m.waiting > time.Duration(4*m.strain.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
+	return now-max(m.waiting, r.rose) > time.Duration(4*m.strain.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
+}
+
+// stood tells whether this front itself stood still until now: its beat is long overdue. What it finds then has
+// waited here for an unknown part of its time, and tells nothing of members or clients.
+func (r *Router) stood(now time.Duration) bool {
+	if r.wakeAt != never && now > r.wakeAt+2*r.beat {
+		r.rose = now
+	}
+	return r.rose == now
 }
 
 // judge draws on an ending for the member's window and health. What fails everywhere alike, or while others
@@ -437,7 +446,7 @@
 			r.starts(now, m, now)
 		}
 		m.down, m.fails = false, 0
-		if o.Ending == port.Missed || ty == none {
+		if o.Ending == port.Missed || ty == none || r.stood(now) {
 			return
 		}
 		by := r.multiple(ty, o.Latency)
@@ -477,6 +486,9 @@
 			r.takeDown(now, o.Member)
 		}
 	case port.TimedOut:
+		if r.stood(now) {
+			return
+		}
 		if m.quick > now-o.Latency {
 			r.faults(m, 0, 1)
 			return // later ones came back quickly: this one was lost, not queued
@@ -646,7 +658,8 @@
 	if ty.Level == port.Session {
 		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
-	if r.returns(&in) {
+	off := r.unlike(&in)
+	if t.sla += min(off, 0); r.marked && in.Retry || !r.marked && !r.stood(now) && max(off, -off) > in.Budget/20 {
 		t.value /= 4 // much of its SLA time is gone, and the first answer was no better
 	}
 	t.rank = r.ranked(t)
@@ -668,16 +681,14 @@
 	}
 }
 
-// returns tells a retry: by its mark, or where clients don't mark them by a budget unlike that of most.
-// Clients leave a first try after a fixed part of the expiry, a later one with what is left of it.
-func (r *Router) returns(in *port.Txn) bool {
-	if r.marked {
-		return in.Retry
-	}
+// unlike is how far a budget is from that of most of its type. Clients leave a first try after a fixed part of the
+// expiry, a later one with what is left of it: so it tells a retry where clients don't mark them, and for what came
+// while this front stood still it tells how long it has waited.
+func (r *Router) unlike(in *port.Txn) time.Duration {
 	most := &r.budgets[in.Type]
 	off := in.Budget - *most
 	*most += max(min(off, *most/50), -*most/50)
-	return max(off, -off) > *most/20
+	return off
 }
 
 // Left ends a txn whose client is gone. One that was out then is a sign of a queue, and came to nothing.
@@ -687,7 +698,7 @@
 		return
 	}
 	t.end = closed
-	if t.at != none {
+	if t.at != none && !r.stood(now) {
 		r.narrow(&r.members[t.at], halve)
 		r.strained(now, &r.members[t.at], worst)
 	}
@@ -1003,6 +1014,7 @@
 	warm    int         // members that bear their full part
 	gain    float64     // what a window grows by for a round of quick answers; all fronts together grow by 1
 	wakeAt  time.Duration
+	rose    time.Duration // when this front last had a turn again after it stood still
 }
 
 // New makes an instance that knows nothing yet.
@@ -1022,7 +1034,7 @@
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
 			byReport: copies.PiggybackLoad && !copies.AnswersTell,
 			mayProbe: allowed.Probes},
-		wakeAt: never,
+		wakeAt: never, rose: never,
 	}
 }
 
