A member that answers but takes no more links is not down; a link is tried again after a pause

Now: what answered within an SLA time is not doubted, an answered probe clears the failures, a refused link is tried after a pause of up to two beats, and costs no further try, since nothing ran.

--- a/router/router.go
+++ b/router/router.go
@@ -119,6 +119,7 @@
 	down    bool          // to be used for trials only
 	trialAt time.Duration // earliest next trial
 	lost    time.Duration // last time that it could not be reached
+	linkAt  time.Duration // when a new link may be tried, after one failed
 
 	started time.Duration // latest start known
 	budget  float64       // what a cold member may still be sent, in seconds of usual latency
@@ -395,7 +396,7 @@
 
 // admits tells whether a member may be sent a txn now.
 func (r *Router) admits(now time.Duration, m *member, t *txn) bool {
-	if m.bound || !m.listed && !r.onlyDraining || float64(m.out) >= max(m.room, 1, spread*r.gain) {
+	if m.bound || now < m.linkAt || !m.listed && !r.onlyDraining || float64(m.out) >= max(m.room, 1, spread*r.gain) {
 		return false
 	}
 	calmer := max((jam-r.strainAt(now, m))/(jam-calm), 1.0/20)
@@ -474,15 +475,17 @@
 		r.narrow(m, halve)
 		r.strained(now, m, worst)
 	case port.Unreachable, port.Broken:
-		if m.heard > now-o.Latency { // it answered meanwhile
+		if m.heard > now-max(o.Latency, r.shortest) { // it answers: the link failed, or it takes no more of them
 			r.faults(m, 0, 1)
+			m.linkAt = now + time.Duration(r.draw()*float64(2*r.beat))
 			return
 		}
 		r.probe(now, o.Member)
 		if !r.mayProbe { // else the probe tells whether it was down
 			m.lost = now
 		}
-		if m.fails++; m.fails > 1 { // one link may break where the member is well
+		m.linkAt = now + time.Duration(r.draw()*float64(2*r.beat))
+		if m.fails++; m.fails > 1 && !(m.probing && o.Latency < r.beat) { // one link may break where the member is well
 			r.takeDown(now, o.Member)
 		}
 	case port.TimedOut:
@@ -736,6 +739,9 @@
 		r.wrote(t.Session+uint64(t.Group), r.group(t.Group), o.Position)
 	}
 	t.missed = t.missed || o.Ending == port.Missed
+	if o.Ending == port.Unreachable && t.subs > 1 {
+		r.again++ // it was no work for any member
+	}
 	r.learns(t, o.Ending)
 	switch {
 	case o.Closed:
@@ -969,7 +975,10 @@
 	if l.Role != port.Unknown {
 		r.claims(now, i, l.Role, l.Position, l.HasPosition)
 	}
-	m.trialAt = min(m.trialAt, now)
+	m.trialAt, m.heard = min(m.trialAt, now), now
+	if !m.down {
+		m.fails = 0
+	}
 }
 
 // survey sends probes: to groups of which something is wanted, ever more rarely to members that are down.
