--- a/front/core.go
+++ b/front/core.go
@@ -29,6 +29,7 @@
 type Links interface {
 	Place(member int, address string, since int64) // Unix milliseconds of its last start
 	Send(member int, s *Submission)
+	Close(member int)
 	Forget(member int)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -102,9 +102,10 @@
 	away          bool          // the way there is cut
 	on            time.Duration // when the list last spoke of it
 
-	role  port.Role
-	pos   time.Duration // highest log position known; it stays valid
-	posAt time.Duration // when it was learnt
+	role   port.Role
+	pos    time.Duration // highest log position known; it stays valid
+	lag    lately        // how far it was behind
+	placed bool          // some position is known
 
 	strain lately        // multiples of the least usual latency that answers took there
 	out    int           // our submissions there without an ending
@@ -128,21 +129,26 @@
 	budgetAt, probed time.Duration
 }
 
-var unknown = member{group: none, pos: never, posAt: never, room: 4, quick: never, heard: never,
+var unknown = member{group: none, pos: never, room: 4, quick: never, heard: never,
 	lost: never, started: never, probed: never}
 
-// at estimates the log position at a moment: as far behind as when it was last told, less as that grows old.
-func (r *Router) at(m *member, when time.Duration) time.Duration {
-	if m.role == port.Primary || m.posAt == never {
-		return when
+// at estimates the log position at a moment: as far behind as it was lately, and where little was heard of it, as
+// far as the other members of its group were.
+func (r *Router) at(m *member, now time.Duration) time.Duration {
+	if m.role == port.Primary {
+		return now
 	}
-	return when - time.Duration(float64(m.posAt-m.pos)*r.fade(when-m.posAt))
+	group := r.group(m.group).lag.mean(now, 1/few, 0, &r.tempo)
+	return now - time.Duration(m.lag.mean(now, 1/few, group, &r.tempo))
 }
 
-// note takes a position that held at a moment.
-func (m *member) note(at, pos time.Duration) {
-	if pos >= m.pos {
-		m.pos, m.posAt = pos, at
+// placed takes a position as old as its report.
+func (r *Router) placed(now time.Duration, m *member, pos, age time.Duration) {
+	m.pos, m.placed = max(m.pos, pos), true
+	if m.role != port.Primary {
+		lag := float64(max(now-age-m.pos, 0))
+		m.lag.add(now, lag, &r.tempo)
+		r.group(m.group).lag.add(now, lag, &r.tempo)
 	}
 }
 
@@ -152,6 +158,7 @@
 // the claim further on in the log is the newer: an old report, or a member that came back, can't win.
 type group struct {
 	strain  lately // of all its members
+	lag     lately // of its replicas
 	members []int
 	primary int           // none: unknown, or in doubt
 	by      int           // who made the newest claim
@@ -310,7 +317,7 @@
 	shrink = 0.75    // for an answer that came late
 	halve  = 1.0 / 2 // for a submission that came to nothing
 	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
-	jam    = 4.0     // and from which next to nothing does: an SLA time is about that long
+	jam    = 2.5     // and from which next to nothing does: an SLA time is about that long
 	worst  = 10.0    // what one answer may count for, and what one does that never came
 	few    = 5.0     // answers that it takes to be believed as much as what is known at large
 	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
@@ -328,7 +335,7 @@
 // multiple is a latency as strain: one for the type's least usual latency, a jam for its SLA time.
 func (r *Router) multiple(ty int, latency time.Duration) float64 {
 	least, sla := r.least[ty], r.types[ty].SLA
-	return 1 + (jam-1)*float64(latency-least)/float64(max(sla-least, sla/4))
+	return 1 + 3*float64(latency-least)/float64(max(sla-least, sla/4))
 }
 
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
@@ -478,6 +485,7 @@
 		if m.heard > now-max(o.Latency, r.shortest) { // it answers: the link failed, or it takes no more of them
 			r.faults(m, 0, 1)
 			m.linkAt = now + time.Duration(r.draw()*float64(2*r.beat))
+			r.crowded = now
 			return
 		}
 		r.probe(now, o.Member)
@@ -575,7 +583,7 @@
 	g.wanted = g.wanted || best == none && r.check == port.Unchecked
 	if best == none && behind != none && r.check != port.Unchecked {
 		m := &r.members[behind]
-		if m.posAt == never || r.at(m, now+r.hold+r.reportAge) >= needs || g.primary == none && !t.missed {
+		if !m.placed || r.at(m, now)+r.hold+r.reportAge >= needs || g.primary == none && !t.missed {
 			best, least = behind, r.cost(now, m)
 		}
 	}
@@ -625,6 +633,8 @@
 	slab     []txn
 	held     []uint32        // to be planned: new, or without a place to go
 	dirty    []uint32        // to be emitted
+	loose    []int           // members whose links are to be left to other fronts
+	crowded  time.Duration   // when a member that answers last took no more links
 	marked   bool            // clients mark their retries
 	budgets  []time.Duration // what most tries of a type come with
 	again    float64         // further submissions still allowed
@@ -638,7 +648,7 @@
 
 func newLives(types []port.TxnType, marked bool, allowed port.Allowance) lives {
 	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
-		again: againMost}
+		again: againMost, crowded: never}
 	if allowed.ComeBack {
 		l.comeBack = allowed.ComeBackMax / 2
 	}
@@ -719,9 +729,12 @@
 		ty = t.Type
 	}
 	r.judge(now, o, ty)
+	if m.out == 0 && now-r.crowded < few*recent*r.shortest {
+		r.loose = append(r.loose, o.Member)
+	}
 	if o.Role != port.Unknown {
 		if o.HasPosition {
-			m.note(now, o.Position)
+			r.placed(now, m, o.Position, 0)
 		}
 		r.claims(now, o.Member, o.Role, o.Position, o.HasPosition)
 	}
@@ -947,7 +960,7 @@
 	if l.Role == port.Primary && m.role == port.Primary {
 		r.reportAge += (now - l.Position - r.reportAge) / 4
 	}
-	m.note(now-r.reportAge, min(l.Position, now-r.reportAge))
+	r.placed(now, m, l.Position, r.reportAge)
 }
 
 // Heard takes a message from a peer; fronts say nothing to each other yet.
@@ -970,7 +983,7 @@
 		m.quick = now
 	}
 	if l.HasPosition {
-		m.note(now, l.Position)
+		r.placed(now, m, l.Position, 0)
 	}
 	if l.Role != port.Unknown {
 		r.claims(now, i, l.Role, l.Position, l.HasPosition)
@@ -1064,6 +1077,12 @@
 		r.emit(now, &r.slab[p])
 	}
 	r.dirty = r.dirty[:0]
+	for _, i := range r.loose {
+		if r.members[i].out == 0 {
+			r.host.Close(i)
+		}
+	}
+	r.loose = r.loose[:0]
 	r.survey(now)
 	if r.calling && now >= r.callAt {
 		r.calling = false
