--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -293,7 +293,6 @@
 }
 
 func (f *instance) Probe(member int)              { f.a.w.SoundOut(f.id, f.stores.Key(member)) }
-func (f *instance) Close(member int)              { f.a.w.FreeLinks(f.id, f.stores.Key(member)) }
 func (f *instance) Forget(member int)             { f.stores.Free(member) }
 func (f *instance) Watch(on bool)                 { f.a.w.Track(f.id, on) }
 func (f *instance) Fetch()                        { f.a.w.QueryAll(f.id) }
--- a/front/core.go
+++ b/front/core.go
@@ -29,7 +29,6 @@
 type Links interface {
 	Place(member int, address string, since int64) // Unix milliseconds of its last start
 	Send(member int, s *Submission)
-	Close(member int)
 	Forget(member int)
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -59,7 +59,6 @@
 
 func (w *wires) Place(int, string, int64)  {}
 func (w *wires) Send(_ int, s *Submission) { w.sent = append(w.sent, s) }
-func (w *wires) Close(int)                 {}
 func (w *wires) Forget(i int)              { w.forgot = append(w.forgot, i) }
 func (w *wires) Answer(f Final)            { w.final = append(w.final, f) }
 func (w *wires) Watch(bool)                {}
--- a/front/route.go
+++ b/front/route.go
@@ -71,9 +71,6 @@
 	c.send(s, c.now+c.patience)
 }
 
-// Close ends the idle links of a member, which takes only so many from all fronts.
-func (c *Core) Close(member int) { c.links.Close(member) }
-
 // Forget gives a member's place back: its index, its links and what the log says of it.
 func (c *Core) Forget(member int) {
 	slog.Info("forgotten", "member", c.members.Key(member))
--- a/gateway/link/links.go
+++ b/gateway/link/links.go
@@ -36,13 +36,6 @@
 	ls.Local.Send(member, s)
 }
 
-// Close leaves the link between sites alone: it is one, and no member's.
-func (ls *Links) Close(member int) {
-	if member >= len(ls.far) || !ls.far[member] {
-		ls.Local.Close(member)
-	}
-}
-
 func (ls *Links) Forget(member int) {
 	if member < len(ls.far) && ls.far[member] {
 		ls.far[member] = false
--- a/port/port.go
+++ b/port/port.go
@@ -247,7 +247,6 @@
 	Decline(r Ref, comeBackIn time.Duration) // final: trying again is harmless
 	RollBack(r Ref)                          // final: promises nothing
 	Probe(member int)
-	Close(member int)  // its links that stand idle
 	Forget(member int) // its index may stand for another from now on
 	Watch(on bool)
 	Fetch()
--- a/router/host_test.go
+++ b/router/host_test.go
@@ -161,7 +161,6 @@
 }
 func (y *story) RollBack(r port.Ref)     { y.ask("roll back %d", r.Place) }
 func (y *story) Probe(m int)             { y.ask("probe %d", m) }
-func (y *story) Close(m int)             { y.ask("close %d", m) }
 func (y *story) Forget(m int)            { y.ask("forget %d", m) }
 func (y *story) Watch(on bool)           { y.ask("watch %v", on) }
 func (y *story) Fetch()                  { y.ask("fetch") }
--- a/router/router.go
+++ b/router/router.go
@@ -132,23 +132,19 @@
 var unknown = member{group: none, pos: never, room: 4, quick: never, heard: never,
 	lost: never, started: never, probed: never}
 
-// at estimates the log position at a moment: as far behind as it was lately, and where little was heard of it, as
-// far as the other members of its group were.
+// at estimates the log position: as far behind as it was lately, less as that grows old.
 func (r *Router) at(m *member, now time.Duration) time.Duration {
 	if m.role == port.Primary {
 		return now
 	}
-	group := r.group(m.group).lag.mean(now, 1/few, 0, &r.tempo)
-	return now - time.Duration(m.lag.mean(now, 1/few, group, &r.tempo))
+	return now - time.Duration(m.lag.mean(now, 1/few, 0, &r.tempo))
 }
 
 // placed takes a position as old as its report.
 func (r *Router) placed(now time.Duration, m *member, pos, age time.Duration) {
 	m.pos, m.placed = max(m.pos, pos), true
 	if m.role != port.Primary {
-		lag := float64(max(now-age-m.pos, 0))
-		m.lag.add(now, lag, &r.tempo)
-		r.group(m.group).lag.add(now, lag, &r.tempo)
+		m.lag.add(now, float64(max(now-age-m.pos, 0)), &r.tempo)
 	}
 }
 
@@ -158,7 +154,6 @@
 // the claim further on in the log is the newer: an old report, or a member that came back, can't win.
 type group struct {
 	strain  lately // of all its members
-	lag     lately // of its replicas
 	members []int
 	primary int           // none: unknown, or in doubt
 	by      int           // who made the newest claim
@@ -485,7 +480,6 @@
 		if m.heard > now-max(o.Latency, r.shortest) { // it answers: the link failed, or it takes no more of them
 			r.faults(m, 0, 1)
 			m.linkAt = now + time.Duration(r.draw()*float64(2*r.beat))
-			r.crowded = now
 			return
 		}
 		r.probe(now, o.Member)
@@ -633,8 +627,6 @@
 	slab     []txn
 	held     []uint32        // to be planned: new, or without a place to go
 	dirty    []uint32        // to be emitted
-	loose    []int           // members whose links are to be left to other fronts
-	crowded  time.Duration   // when a member that answers last took no more links
 	marked   bool            // clients mark their retries
 	budgets  []time.Duration // what most tries of a type come with
 	again    float64         // further submissions still allowed
@@ -648,7 +640,7 @@
 
 func newLives(types []port.TxnType, marked bool, allowed port.Allowance) lives {
 	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
-		again: againMost, crowded: never}
+		again: againMost}
 	if allowed.ComeBack {
 		l.comeBack = allowed.ComeBackMax / 2
 	}
@@ -729,9 +721,6 @@
 		ty = t.Type
 	}
 	r.judge(now, o, ty)
-	if m.out == 0 && now-r.crowded < few*recent*r.shortest {
-		r.loose = append(r.loose, o.Member)
-	}
 	if o.Role != port.Unknown {
 		if o.HasPosition {
 			r.placed(now, m, o.Position, 0)
@@ -1077,12 +1066,6 @@
 		r.emit(now, &r.slab[p])
 	}
 	r.dirty = r.dirty[:0]
-	for _, i := range r.loose {
-		if r.members[i].out == 0 {
-			r.host.Close(i)
-		}
-	}
-	r.loose = r.loose[:0]
 	r.survey(now)
 	if r.calling && now >= r.callAt {
 		r.calling = false
--- a/sockets/links.go
+++ b/sockets/links.go
@@ -75,17 +75,6 @@
 	ls.pool(member).place(address, since)
 }
 
-// Close ends the idle links of a member; its place stays.
-func (ls *Links) Close(member int) {
-	ls.mu.Lock()
-	defer ls.mu.Unlock()
-	p := ls.pool(member)
-	for _, l := range p.idle {
-		l.give(nil)
-	}
-	p.idle = nil
-}
-
 // Forget ends the idle links of a member; its place may be another's from now on.
 func (ls *Links) Forget(member int) {
 	ls.mu.Lock()
--- a/wire/writer.go
+++ b/wire/writer.go
@@ -103,13 +103,6 @@
 	w.end()
 }
 
-// FreeLinks closes the idle connections to a store.
-func (w *Writer) FreeLinks(front int, store int64) {
-	w.begin("free_links", front)
-	w.number("Store=", store)
-	w.end()
-}
-
 // WritePeer sends a message; peer -1 is every peer.
 func (w *Writer) WritePeer(front, peer int, contents []byte) {
 	w.begin("write_peer", front)
