--- a/router/router.go
+++ b/router/router.go
@@ -104,8 +104,9 @@
 
 	role   port.Role
 	pos    time.Duration // highest log position known; it stays valid
-	lag    lately        // how far it was behind
-	placed bool          // some position is known
+	lag    time.Duration // how far it was behind
+	lagAt  time.Duration
+	placed bool // some position is known
 
 	strain lately        // multiples of the least usual latency that answers took there
 	out    int           // our submissions there without an ending
@@ -137,14 +138,15 @@
 	if m.role == port.Primary {
 		return now
 	}
-	return now - time.Duration(m.lag.mean(now, 1/few, 0, &r.tempo))
+	f := r.fade(now - m.lagAt)
+	return now - time.Duration(float64(m.lag)*f/(f+1/few))
 }
 
 // placed takes a position as old as its report.
 func (r *Router) placed(now time.Duration, m *member, pos, age time.Duration) {
 	m.pos, m.placed = max(m.pos, pos), true
 	if m.role != port.Primary {
-		m.lag.add(now, float64(max(now-age-m.pos, 0)), &r.tempo)
+		m.lag, m.lagAt = max(now-age-m.pos, 0), now
 	}
 }
 
@@ -313,7 +315,7 @@
 	halve  = 1.0 / 2 // for a submission that came to nothing
 	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
 	jam    = 2.5     // and from which next to nothing does: an SLA time is about that long
-	worst  = 10.0    // what one answer may count for, and what one does that never came
+	worst  = 6.0     // what one answer may count for, and what one does that never came
 	few    = 5.0     // answers that it takes to be believed as much as what is known at large
 	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
 )
@@ -664,7 +666,7 @@
 		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
 	off := r.unlike(&in)
-	if t.sla += min(off, 0); r.marked && in.Retry || !r.marked && !r.stood(now) && max(off, -off) > in.Budget/20 {
+	if t.sla += min(off, 0); r.marked && in.Retry || !r.marked && !r.stood(now) && max(off, -off) > r.budgets[in.Type]/20 {
 		t.value /= 4 // much of its SLA time is gone, and the first answer was no better
 	}
 	t.rank = r.ranked(t)
