--- a/router/router.go
+++ b/router/router.go
@@ -315,7 +315,7 @@
 	halve  = 1.0 / 2 // for a submission that came to nothing
 	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
 	jam    = 2.5     // and from which next to nothing does: an SLA time is about that long
-	worst  = 6.0     // what one answer may count for, and what one does that never came
+	worst  = 5.0     // what one answer may count for, and what one does that never came
 	few    = 5.0     // answers that it takes to be believed as much as what is known at large
 	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
 )
