The usual part of an expiry is one figure for all types, learnt from ten tries; fullness is a jam

Cause, found by fronts' own stories (declines for ten seconds): Begin shifted the SLA time by what a budget lacked of the whole expiry, which tries of clients that wait for less never have: learning by a fiftieth took 45 tries of each type. Now one part for all types, from the first try on, used after ten. Ruled out: a floor for fronts with nothing out there (endless tries).

--- a/router/router.go
+++ b/router/router.go
@@ -477,7 +477,7 @@
 		m.heard = now
 		m.fails++
 		r.narrow(m, halve)
-		r.strained(now, m, worst)
+		r.strained(now, m, jam)
 	case port.Unreachable, port.Broken:
 		if m.heard > now-max(o.Latency, r.shortest) { // it answers: the link failed, or it takes no more of them
 			r.faults(m, 0, 1)
@@ -627,11 +627,12 @@
 	revokes  bool
 	comeBack time.Duration // what a declined client is told
 	slab     []txn
-	held     []uint32        // to be planned: new, or without a place to go
-	dirty    []uint32        // to be emitted
-	marked   bool            // clients mark their retries
-	budgets  []time.Duration // what most tries of a type come with
-	again    float64         // further submissions still allowed
+	held     []uint32 // to be planned: new, or without a place to go
+	dirty    []uint32 // to be emitted
+	marked   bool     // clients mark their retries
+	part     float64  // of the expiry, that most tries come with
+	tries    float64  // seen
+	again    float64  // further submissions still allowed
 }
 
 // Further submissions stay a part of first ones: time-outs must not make more work than they save.
@@ -642,13 +643,10 @@
 
 func newLives(types []port.TxnType, marked bool, allowed port.Allowance) lives {
 	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
-		again: againMost}
+		again: againMost, part: 1}
 	if allowed.ComeBack {
 		l.comeBack = allowed.ComeBackMax / 2
 	}
-	for _, ty := range types {
-		l.budgets = append(l.budgets, ty.Expiry)
-	}
 	return l
 }
 
@@ -666,7 +664,11 @@
 		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
 	off := r.unlike(&in)
-	if t.sla += min(off, 0); r.marked && in.Retry || !r.marked && !r.stood(now) && max(off, -off) > r.budgets[in.Type]/20 {
+	again := r.marked && in.Retry
+	if again || !r.marked || r.stood(now) {
+		t.sla += min(off, 0)
+	}
+	if again || !r.marked && !r.stood(now) && max(off, -off) > in.Budget/20 {
 		t.value /= 4 // much of its SLA time is gone, and the first answer was no better
 	}
 	t.rank = r.ranked(t)
@@ -688,14 +690,19 @@
 	}
 }
 
-// unlike is how far a budget is from that of most of its type. Clients leave a first try after a fixed part of the
-// expiry, a later one with what is left of it: so it tells a retry where clients don't mark them, and for what came
-// while this front stood still it tells how long it has waited.
+// unlike is how far a budget is from that of most. Clients leave a first try after a fixed part of the expiry, a later
+// one with what is left of it: so it tells a retry where clients don't mark them, and for what came while this front
+// stood still it tells how long it has waited. A few tries have to be seen first.
 func (r *Router) unlike(in *port.Txn) time.Duration {
-	most := &r.budgets[in.Type]
-	off := in.Budget - *most
-	*most += max(min(off, *most/50), -*most/50)
-	return off
+	expiry := float64(r.types[in.Type].Expiry)
+	off := float64(in.Budget)/expiry - r.part
+	r.tries++
+	most := r.part / min(r.tries, 50)
+	r.part += max(min(off, most), -most)
+	if r.tries < 2*few {
+		return 0
+	}
+	return time.Duration(off * expiry)
 }
 
 // Left ends a txn whose client is gone. One that was out then is a sign of a queue, and came to nothing.
