--- a/port/port.go
+++ b/port/port.go
@@ -216,10 +216,10 @@
 
 // Allowance is what the site permits.
 type Allowance struct {
-	Submissions                        int
-	Probes, Peers, Revokes, Twice      bool
-	ComeBack                           bool
-	ComeBackMax, DialTimeout, LinkIdle time.Duration
+	Submissions                   int
+	Probes, Peers, Revokes, Twice bool
+	ComeBackMax                   time.Duration // 0 where no time to come back may be named
+	DialTimeout, LinkIdle         time.Duration
 }
 
 // Tariff is what things cost, as a fraction of all the value, and what a customer's excess is worth.
--- a/router/host_test.go
+++ b/router/host_test.go
@@ -36,7 +36,7 @@
 		copies: port.Replication{Check: port.Holds, Hold: 50 * ms, AnswersTell: true},
 		rules: port.Guardrails{AnswerSlack: 20 * ms, DrainGrace: time.Second, AskWithin: 10 * time.Second,
 			ColdShare: 0.2, FallMultiple: 2.5, Cold: 10 * time.Second, Fall: 2 * time.Second},
-		allowed: port.Allowance{Submissions: 6, Probes: true, Revokes: true, ComeBack: true,
+		allowed: port.Allowance{Submissions: 6, Probes: true, Revokes: true,
 			ComeBackMax: 400 * ms},
 	}
 	for _, level := range []port.ReadLevel{port.AnyData, port.Bounded, port.Session, port.Current} {
--- a/router/router.go
+++ b/router/router.go
@@ -1,9 +1,7 @@
 // Package router decides where each txn goes.
 //
-// How it is called: New makes one instance; its host calls the methods of port.Decider as things come
-// in, and Settle after the last event of each batch. What the instance may ask for is port.Host. Both,
-// with every type that crosses, stand in package port. Nothing is shared between instances, and equal
-// events give equal actions.
+// New makes one instance; its host calls the methods of port.Decider as things come in, and Settle after the
+// last event of each batch; what the instance may ask for is port.Host. Equal events give equal actions.
 //
 // The ordinary path: each session keeps its last write's log position as its target; its reads go to a
 // replica whose own hold or refusal enforces that position, and fall back to the primary when the wait
@@ -289,7 +287,7 @@
 	return max(token, g.enforceable(g.floor.pos, g.floor.term))
 }
 
-// Target tells the position that a read in hand must see, for an instance of another site that decides further.
+// Target tells the position that a read in hand must see, for an instance of another site.
 func (r *Router) Target(ref port.Ref) (time.Duration, bool) {
 	t := &r.slab[ref.Place]
 	return t.needs, t.Ref == ref && t.needs != never
@@ -297,9 +295,9 @@
 
 // --- Windows and strain: how much may be out at a member, and for whom.
 
-// Queues that outlast their cause are the worst of overload, so the waiting is done here, in order of worth: a window
-// a member, and as windows of one at many fronts are together a long queue, shedding by a strain that all of them see
-// alike. Windows could harm where a type takes far longer than it used to, shedding where few types make up the traffic.
+// Queues that outlast their cause are the worst of overload, so the waiting is done here, in order of worth:
+// a window a member, and as windows of one at many fronts are together a long queue, shedding by a strain
+// that all of them see alike. It could harm where a type comes to take far longer, or where few types come.
 const (
 	lateBy = 1.75    // late: over this multiple of the type's least usual latency
 	shrink = 0.75    // for an answer that came late
@@ -415,14 +413,15 @@
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
 // patience is counted in the latency last seen there. One txn without an answer may be lost or long.
 func (r *Router) silent(now time.Duration, m *member) bool {
-	if m.out < 2 || m.down || r.stood(now) || now-max(m.waiting, r.rose) <= 2*r.shortest {
+	if m.out < 2 || m.down || r.stood(now) {
 		return false
 	}
-	return now-max(m.waiting, r.rose) > time.Duration(4*m.strain.mean(now, few, 1, &r.tempo)*float64(slices.Max(r.usual)))
+	patience := time.Duration(4 * m.strain.mean(now, few, 1, &r.tempo) * float64(slices.Max(r.usual)))
+	return now-max(m.waiting, r.rose) > max(patience, 2*r.shortest)
 }
 
-// stood tells whether this front itself stood still until now: its beat is long overdue. What it finds then has
-// waited here for an unknown part of its time, and tells nothing of members or clients.
+// stood tells whether this front itself stood still until now: its beat is long overdue. What it finds then
+// has waited here for an unknown part of its time, and tells nothing of members or clients.
 func (r *Router) stood(now time.Duration) bool {
 	if r.wakeAt != never && now > r.wakeAt+2*r.beat {
 		r.rose = now
@@ -478,7 +477,7 @@
 		if !r.mayProbe { // else the probe tells whether it was down
 			m.lost = now
 		}
-		if m.fails++; m.fails > 1 && !(m.probing && o.Latency < r.beat) { // one link may break where the member is well
+		if m.fails++; m.fails > 1 && !(m.probing && o.Latency < r.beat) { // one link may break, or be refused
 			r.takeDown(now, o.Member)
 		}
 	case port.TimedOut:
@@ -604,7 +603,7 @@
 	leaving, held      bool // leaving: revoked, its ending awaited
 	left               int  // member left last
 	missed             bool // turned away untouched: the primary is next
-	erred, senseless   bool // the last submission ended in an error; and a repeat is no use
+	errors             int  // that submissions ended in
 	mayRun             bool // some submission may have run:
 	sentAt, ranSince   time.Duration
 }
@@ -629,15 +628,6 @@
 	againMost  = 20 // kept for the moment when a member dies
 )
 
-func newLives(types []port.TxnType, marked bool, allowed port.Allowance) lives {
-	l := lives{types: types, marked: marked, most: allowed.Submissions, revokes: allowed.Revokes,
-		again: againMost, part: 1}
-	if allowed.ComeBack {
-		l.comeBack = allowed.ComeBackMax / 2
-	}
-	return l
-}
-
 // Begin takes a txn.
 func (r *Router) Begin(now time.Duration, in port.Txn) {
 	for len(r.slab) <= int(in.Ref.Place) {
@@ -678,9 +668,9 @@
 	}
 }
 
-// unlike is how far a budget is from that of most. Clients leave a first try after a fixed part of the expiry, a later
-// one with what is left of it: so it tells a retry where clients don't mark them, and for what came while this front
-// stood still it tells how long it has waited. A few tries have to be seen first.
+// unlike is how far a budget is from that of most. Clients leave a first try after a fixed part of it,
+// a later one with what is left: so it tells a retry where clients don't mark them, and how long that waited
+// which came while this front stood still. A few tries have to be seen first.
 func (r *Router) unlike(in *port.Txn) time.Duration {
 	expiry := float64(r.types[in.Type].Expiry)
 	off := float64(in.Budget)/expiry - r.part
@@ -724,7 +714,7 @@
 	switch l := &o.Load; {
 	case o.HasPosition:
 		r.placed(now, m, o.Position, 0)
-	case r.byReport && l.HasPosition: // a primary stands at the present: what its report lags is the age of reports
+	case r.byReport && l.HasPosition: // a primary's position is the present: its report tells how old they are
 		if l.Role == port.Primary && m.role == port.Primary {
 			r.reportAge += (now - l.Position - r.reportAge) / 4
 		}
@@ -741,10 +731,12 @@
 		r.wrote(t.Session+uint64(t.Group), r.group(t.Group), o.Position)
 	}
 	t.missed = t.missed || o.Ending == port.Missed
-	if o.Ending == port.Unreachable && t.subs > 1 {
+	if o.Ending == port.Unreachable {
 		r.again++ // it was no work for any member
 	}
-	r.learns(t, o.Ending)
+	if o.Ending == port.Errored {
+		t.errors++
+	}
 	switch {
 	case o.Closed:
 		t.end = closed
@@ -753,21 +745,8 @@
 	}
 }
 
-// learns whether repeats after an error come good. Where they hardly do, the fault is the txn's own: it fails
-// at every member, and a repeat only takes the place of one that would be served.
-func (r *Router) learns(t *txn, e port.Ending) {
-	switch {
-	case t.erred && e == port.Committed:
-		r.mends += (1 - r.mends) / 10
-	case t.erred && e == port.Errored:
-		r.mends -= r.mends / 10
-	}
-	t.erred = e == port.Errored
-	t.senseless = t.erred && r.draw() > max(r.mends, 1.0/20)
-}
-
-// hopeless tells when a txn is past hope: shortly before its expiry, or its SLA time where late is worth
-// nothing. What is out is never cut short for that: clients come back at once for what was thrown away.
+// hopeless tells when a txn is past hope: two errors, its own fault then, or shortly before its expiry, or at
+// its SLA time where late is worth nothing. What is out is never cut short: clients would come back at once.
 // A write or a retry of which nothing went out leaves half of its time to its client, who may find more room.
 func (r *Router) hopeless(now time.Duration, t *txn, ty *port.TxnType) bool {
 	kept := (ty.Level == port.Write || t.value < ty.Value) && !t.mayRun && !t.missed &&
@@ -775,7 +754,7 @@
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && (now-t.ranSince > ty.Window*9/10 || ty.Scope == port.ScopeZone))
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
-	return kept || spent || t.senseless || t.subs >= r.most || now > t.expiry-2*r.beat ||
+	return kept || spent || t.errors > 1 || t.subs >= r.most || now > t.expiry-2*r.beat ||
 		ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
 
@@ -825,14 +804,6 @@
 	}
 }
 
-// order puts first among the held what is worth most for its work, among equals the newest (most hope).
-func (r *Router) order() {
-	slices.SortStableFunc(r.held, func(a, b uint32) int {
-		x, y := &r.slab[a], &r.slab[b]
-		return cmp.Or(cmp.Compare(r.density(y), r.density(x)), cmp.Compare(y.begun, x.begun))
-	})
-}
-
 // Woken is the beat: what is out at a member that fell silent is taken back and goes elsewhere; so is,
 // once, what looks lost at a member that loses some and answers the rest.
 func (r *Router) Woken(now time.Duration) {
@@ -1005,7 +976,6 @@
 	overall lately      // strain of all members
 	mix     [64]float64 // work that came lately, by the logarithm of what it is worth for its length
 	erring  float64     // as of a member
-	mends   float64     // part of the repeats after an error that came good
 	sent    lately      // submissions, in seconds of usual latency
 	warm    int         // members that bear their full part
 	gain    float64     // what a window grows by for a round of quick answers; all fronts together grow by 1
@@ -1021,12 +991,12 @@
 		chance:   chance{seed: seed},
 		tempo:    newTempo(types, at.Tick),
 		sessions: newSessions(copies.Carried),
-		mends:    1,
 		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{coldFrom: rules.ColdShare,
 			coldPart: 0.6 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
-		lives:  newLives(types, at.RetriesMarked, allowed),
+		lives: lives{types: types, marked: at.RetriesMarked, most: allowed.Submissions, revokes: allowed.Revokes,
+			comeBack: allowed.ComeBackMax / 2, again: againMost, part: 1},
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
 			byReport: copies.PiggybackLoad && !copies.AnswersTell,
 			mayProbe: allowed.Probes},
@@ -1036,7 +1006,11 @@
 
 // Settle plans what came in or is held, and emits the difference between what should be and what is.
 func (r *Router) Settle(now time.Duration) {
-	r.order()
+	// First among the held is what is worth most for its work, among equals the newest (most hope).
+	slices.SortStableFunc(r.held, func(a, b uint32) int {
+		x, y := &r.slab[a], &r.slab[b]
+		return cmp.Or(cmp.Compare(r.density(y), r.density(x)), cmp.Compare(y.begun, x.begun))
+	})
 	kept := r.held[:0]
 	for _, p := range r.held {
 		t := &r.slab[p]
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -777,3 +777,113 @@
 	y.begin(onceOnly)
 	assert.Equal(t, "submit 4 to 0", y.last("submit"))
 }
+
+// The move: deployments of another build.
+
+func TestWhereOnlyReportsTellPositionsTheirAgeIsTakenOff(t *testing.T) {
+	p := littleSite()
+	p.copies = port.Replication{Check: port.Refuses, PiggybackLoad: true}
+	y := tell(t, p).group(3)
+	y.begin(anyRead)
+	answers := func(member int, role port.Role, reported time.Duration) {
+		y.members[member].out++
+		y.Ended(y.now, port.Outcome{Ref: port.Ref{}, Member: member, Ending: port.Committed, Role: role, Latency: 30 * ms,
+			Load: port.Load{Role: role, Position: reported, HasPosition: true}})
+	}
+	for range 20 { // reports are three seconds late, all of them
+		y.pass(100 * ms)
+		answers(0, port.Primary, y.now-3*time.Second)
+		answers(1, port.Replica, y.now-3*time.Second)
+		answers(2, port.Replica, y.now-5*time.Second)
+	}
+	assert.InDelta(t, 3*time.Second, y.reportAge, float64(50*ms))
+	assert.Less(t, y.now-y.at(&y.members[1], y.now), 100*ms, "its report is late, it is not")
+	assert.Greater(t, y.now-y.at(&y.members[2], y.now), time.Second, "this one is behind by its late report too")
+	y.begin(bounded)
+	assert.Equal(t, "submit 2 to 1", y.last("submit"))
+}
+
+func TestATxnThatFailsAtTwoMembersIsAnsweredAtOnceWithNoTimeToComeBackWhereNoneMayBeNamed(t *testing.T) {
+	p := littleSite()
+	p.allowed.ComeBackMax = 0
+	y := tell(t, p).group(4)
+	r := y.begin(anyRead)
+	y.ends(r, port.Errored, port.Replica, 0)
+	assert.Equal(t, 2, y.subs[r], "one error may be a member's")
+	y.ends(r, port.Errored, port.Replica, 0)
+	assert.Equal(t, 2, y.subs[r])
+	assert.Equal(t, "decline 1, back in 0s", y.last("decline"))
+}
+
+func TestErrorsAreNoLostAnswers(t *testing.T) {
+	y := tell(t, littleSite()).group(1)
+	for range 50 {
+		y.judge(y.now, port.Outcome{Ending: port.Errored, Latency: ms}, anyRead)
+	}
+	assert.Zero(t, y.members[0].losing, "else what takes four least latencies would be taken back")
+}
+
+func TestWhatAFrontFindsAfterItStoodStillIsHeldAgainstNoMember(t *testing.T) {
+	y := tell(t, littleSite()).group(1)
+	for range 3 {
+		y.pass(100 * ms)
+		y.judge(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, anyRead)
+	}
+	a, b := y.begin(anyRead), y.begin(anyRead)
+	room, strain := y.members[0].room, y.members[0].strain.n
+	y.now += 5 * time.Second // no beat came
+	y.Woken(y.now)           // the alarm stands before the endings in what came meanwhile
+	assert.False(t, y.members[0].down, "it is not the member that was silent")
+	y.ends(a, port.TimedOut, port.Unknown, 0)
+	y.Left(y.now, b)
+	y.judge(y.now, port.Outcome{Ending: port.Committed, Latency: 5 * time.Second}, anyRead)
+	assert.Equal(t, room, y.members[0].room)
+	assert.Equal(t, strain, y.members[0].strain.n)
+	y.pass(100 * ms)
+	y.judge(y.now, port.Outcome{Ending: port.Committed, Latency: 600 * ms}, anyRead)
+	assert.Less(t, y.members[0].room, room, "what comes later counts again")
+}
+
+func TestAMemberThatAnswersProbesButTakesNoLinksIsNotDown(t *testing.T) {
+	p := littleSite()
+	p.at.Tick = 50 * ms
+	y := tell(t, p).group(1)
+	y.pass(time.Second)
+	again := y.again
+	for range 20 {
+		w := y.begin(write)
+		y.Ended(y.now, port.Outcome{Ref: w, Hop: y.subs[w] - 1, Ending: port.Unreachable, Latency: 2 * ms})
+		y.settle()
+		y.knows(0, port.Primary, y.now)
+		y.pass(2 * y.beat)
+		y.ends(w, port.Committed, port.Primary, y.now)
+	}
+	assert.False(t, y.members[0].down)
+	assert.LessOrEqual(t, y.count("probe"), 8, "what answered within an SLA time is not asked again")
+	assert.Equal(t, 40, y.count("submit"), "each goes out again, after a pause")
+	assert.GreaterOrEqual(t, y.again, again, "a refused link was no work for the member")
+}
+
+func TestManyFrontsTogetherSendAColdMemberItsPartFromTheStart(t *testing.T) {
+	const fronts = 250
+	sent := 0
+	for seed := range fronts {
+		p := littleSite()
+		p.at.Fronts = fronts
+		y := tell(t, p).group(6)
+		y.seed = uint64(seed)
+		y.now, y.warm = 20*time.Second, 5
+		y.sent = lately{sum: 1, n: 20, at: y.now} // two txns of 50 ms a second at each warm member
+		m := &y.members[5]
+		y.starts(y.now, m, y.now)
+		for end := y.now + 2*time.Second; y.now < end; y.now += 100 * ms {
+			y.sent.at = y.now
+			if y.spares(y.now, m, 0.05) {
+				m.budget -= 0.05
+				sent++
+			}
+		}
+	}
+	// Two seconds of a warm member's part are 1,000 txns; 0.2 to 0.36 of that, times 1.5, is the cold one's.
+	assert.InDelta(t, 1000*0.28*1.5, sent, 60)
+}
--- a/site/site.go
+++ b/site/site.go
@@ -116,10 +116,13 @@
 	s.Allowance = port.Allowance{
 		Submissions: int(r.integer("Limits.AttemptsCap")), Probes: r.yes("Limits.MayProbe"),
 		Peers: r.yes("Limits.Peers"), Revokes: r.yes("Limits.Cancel"), Twice: r.yes("Limits.MayDuplicate"),
-		ComeBack: r.yes("Limits.RetryAfter"), ComeBackMax: time.Duration(r.optional("Limits.MaxRetryAfter")),
+		ComeBackMax: time.Duration(r.optional("Limits.MaxRetryAfter")),
 		DialTimeout: time.Duration(r.optional("Limits.DialTimeout")),
 		LinkIdle:    time.Duration(r.optional("Limits.ConnIdle")),
 	}
+	if !r.yes("Limits.RetryAfter") {
+		s.Allowance.ComeBackMax = 0
+	}
 	s.Tariff = port.Tariff{
 		CrossZone: r.decimal("Deductions.CrossZone", 0), Waste: r.decimal("Deductions.Waste", 0),
 		Probe: r.decimal("Deductions.Probe", 0), LateEnd: r.decimal("Deductions.LateFail", 0),
