--- a/router/router.go
+++ b/router/router.go
@@ -416,7 +416,7 @@
 	if m.out < 2 || m.down || r.stood(now) {
 		return false
 	}
-	patience := time.Duration(4 * m.strain.mean(now, few, 1, &r.tempo) * float64(slices.Max(r.usual)))
+	patience := time.Duration(4 * r.strainAt(now, m) * float64(slices.Max(r.usual)))
 	return now-max(m.waiting, r.rose) > max(patience, 2*r.shortest)
 }
 
