--- a/port/port.go
+++ b/port/port.go
@@ -211,7 +211,6 @@
 	AnswerSlack, DrainGrace, AskWithin time.Duration
 	ColdShare, FallMultiple            float64
 	Cold, Fall                         time.Duration
-	OnlyDrainingBinds                  bool
 }
 
 // Allowance is what the site permits.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -887,3 +887,41 @@
 	// Two seconds of a warm member's part are 1,000 txns; 0.2 to 0.36 of that, times 1.5, is the cold one's.
 	assert.InDelta(t, 1000*0.28*1.5, sent, 60)
 }
+
+// The first seconds after a switch: an instance that starts afresh at the new deployment believes nothing of the old.
+func TestTheFirstSecondsAfterASwitchAreSafe(t *testing.T) {
+	p := littleSite()
+	p.at.Fronts = 250
+	p.copies = port.Replication{Check: port.Refuses, PiggybackLoad: true}
+	y := tell(t, p)
+	list := []port.Entry{{Member: 0, Primary: true}, {Member: 1}, {Member: 2, HasStarted: true, Started: -time.Second},
+		{Member: 3, Group: 1, Primary: true}, {Member: 4, Group: 1}}
+	y.list(port.Cached, list...)
+	y.pass(100 * ms)
+	r := y.begin(session)
+	assert.Equal(t, 1, y.where[r], "a replica, whose own check decides")
+	y.ends(r, port.Missed, port.Replica, 0)
+	assert.Equal(t, 0, y.where[r], "and after a miss the primary")
+	y.ends(r, port.Committed, port.Primary, 0)
+	for range 40 {
+		y.pass(50 * ms)
+		r := y.begin(anyRead)
+		if y.subs[r] > 0 {
+			y.ends(r, port.Committed, port.Replica, 0)
+		}
+	}
+	cold := 0
+	for _, m := range y.where {
+		if m == 2 {
+			cold++
+		}
+	}
+	assert.LessOrEqual(t, cold, 2, "a starting member gets its part of what 250 fronts send")
+	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 4, Ending: port.Committed, Role: port.Primary,
+		Position: y.now, HasPosition: true}) // a claim in the other group
+	assert.Equal(t, 0, y.groups[0].primary, "what another group's member says is not believed here")
+	assert.Equal(t, 4, y.groups[1].primary)
+	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 3, Ending: port.Committed, Role: port.Primary,
+		Position: y.now - time.Second, HasPosition: true})
+	assert.Equal(t, 4, y.groups[1].primary, "nor what is of an older term")
+}
--- a/site/site.go
+++ b/site/site.go
@@ -51,6 +51,11 @@
 	"silent": port.RoleNever, "static": port.RoleAtStart, "trailing": port.RoleLate,
 }
 
+var asked = map[string]bool{"push": false, "ask": true}
+
+// piggyback tells whether load reports ride on answers; where nothing is said of reports, there are none.
+var piggyback = map[string]bool{"": false, "silent": false, "pull": false, "piggyback": true}
+
 // Read makes the records; keys that it does not know are passed over. The fault is the first one met.
 func Read(from Source) (*Site, error) {
 	r := &reading{get: from}
@@ -87,7 +92,7 @@
 	home := r.need("Locality")
 	s.Topology = port.Topology{
 		Zone: port.None, Zones: len(s.Zones), Fronts: int(r.integer("FleetSize")), Front: int(r.integer("Ordinal")),
-		Ask: r.need("Discovery") == "ask", Tick: r.span("Tick"),
+		Ask: choice(r, "Discovery", asked), Tick: r.span("Tick"),
 		RetriesMarked: r.yes("Clients.MarksRetry"),
 		Roles:         choice(r, "FamilyInfo.RoleListed", listedRoles),
 	}
@@ -105,13 +110,12 @@
 		Carried:       r.need("FamilyInfo.WriteMarks") == "brought",
 		AnswersTell:   r.yes("FamilyInfo.TellsPosition"),
 		WritesWaited:  r.yes("FamilyInfo.Synchronous"),
-		PiggybackLoad: r.get("Stats.Source") == "piggyback",
+		PiggybackLoad: word(r, "Stats.Source", r.get("Stats.Source"), piggyback),
 	}
 	s.Guardrails = port.Guardrails{
 		AnswerSlack: r.span("Rules.AnswerSlack"), DrainGrace: r.span("Rules.StopSendingWithin"),
 		AskWithin: time.Duration(r.optional("Rules.AskEvery")), ColdShare: r.decimal("Rules.StartCapacity", 1),
 		FallMultiple: r.decimal("Rules.FallMultiple", 1), Cold: r.span("Rules.Cold"), Fall: r.span("Rules.Fall"),
-		OnlyDrainingBinds: r.yes("Rules.SoftRemoval"),
 	}
 	s.Allowance = port.Allowance{
 		Submissions: int(r.integer("Limits.AttemptsCap")), Probes: r.yes("Limits.MayProbe"),
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -72,6 +72,11 @@
 		`"read_like"=>"harmless"`:                         "settings.Classes.0.Effect",
 		`"lag_bound",=>`:                                  "settings.FamilyInfo.ReadLevel",
 		`"MayProbe":true=>"MayProbe":"maybe"`:             "settings.Limits.MayProbe",
+		`"New":{=>"Stats":{"Source":"guess"},"New":{`:     "settings.Stats.Source",
+		`"Discovery":"push"=>"Discovery":"shout"`:         "settings.Discovery",
+		`"TellsPosition":true=>"TellsPosition":"often"`:   "settings.FamilyInfo.TellsPosition",
+		`"MayProbe":true=>"RetryAfter":"soon"`:            "settings.Limits.RetryAfter",
+		`"MayProbe":true=>"MaxRetryAfter":"soon"`:         "settings.Limits.MaxRetryAfter",
 		`"DialTimeout":250000000=>"x":1`:                  "settings.Limits.DialTimeout",
 		`"ConnIdle":30000000000=>"x":1`:                   "settings.Limits.ConnIdle",
 		`"Key":[[1]]}}}=>"Key":1}}} {}`:                   FileVariable,
@@ -90,6 +95,21 @@
 	assert.ErrorContains(t, err, FileVariable+" cannot be read: no such file")
 }
 
+// What the deployments of another build state, and what holds where nothing is said.
+func TestReportsAndTimesToComeBackAreAsTheSettingsSay(t *testing.T) {
+	s, err := load(told, nil)
+	require.NoError(t, err)
+	assert.False(t, s.Site.Replication.PiggybackLoad)
+	assert.Zero(t, s.Site.Allowance.ComeBackMax, "nothing allows one")
+	for said, want := range map[string]time.Duration{"true": time.Second, "false": 0} {
+		s, err = load(strings.NewReplacer(`"New":{`, `"Stats":{"Source":"piggyback"},"New":{`, `"MayProbe":true`,
+			`"MayProbe":true,"MaxRetryAfter":1000000000,"RetryAfter":`+said).Replace(told), nil)
+		require.NoError(t, err)
+		assert.True(t, s.Site.Replication.PiggybackLoad)
+		assert.Equal(t, want, s.Site.Allowance.ComeBackMax)
+	}
+}
+
 func TestAReportIsReadUnderEitherName(t *testing.T) {
 	l := NoReport
 	Report(&l, "x0", 12.5, -10*time.Second)
