Where errors are common the first ends a txn; the usual budget is each type's own

Now each type's own, from the first try in large steps, used after ten. A repeat after an error is not made where a quarter of endings are errors.

--- a/router/router.go
+++ b/router/router.go
@@ -503,7 +503,7 @@
 
 func (r *Router) faults(m *member, erred, lost float64) {
 	m.erring += (erred - m.erring) / 20
-	r.erring += (erred - r.erring) / 100
+	r.erring += (erred - r.erring) / 40
 	m.losing += (lost - m.losing) / 20
 }
 
@@ -614,12 +614,12 @@
 	revokes  bool
 	comeBack time.Duration // what a declined client is told
 	slab     []txn
-	held     []uint32 // to be planned: new, or without a place to go
-	dirty    []uint32 // to be emitted
-	marked   bool     // clients mark their retries
-	part     float64  // of the expiry, that most tries come with
-	tries    float64  // seen
-	again    float64  // further submissions still allowed
+	held     []uint32        // to be planned: new, or without a place to go
+	dirty    []uint32        // to be emitted
+	marked   bool            // clients mark their retries
+	budgets  []time.Duration // what most tries of a type come with
+	tries    []int           // of which so many were seen
+	again    float64         // further submissions still allowed
 }
 
 // Further submissions stay a part of first ones: time-outs must not make more work than they save.
@@ -672,15 +672,14 @@
 // a later one with what is left: so it tells a retry where clients don't mark them, and how long that waited
 // which came while this front stood still. A few tries have to be seen first.
 func (r *Router) unlike(in *port.Txn) time.Duration {
-	expiry := float64(r.types[in.Type].Expiry)
-	off := float64(in.Budget)/expiry - r.part
-	r.tries++
-	most := r.part / min(r.tries, 50)
-	r.part += max(min(off, most), -most)
-	if r.tries < 2*few {
+	most, seen := &r.budgets[in.Type], &r.tries[in.Type]
+	off := in.Budget - *most
+	*seen++
+	step := r.types[in.Type].Expiry / time.Duration(min(*seen+1, 50))
+	if *most += max(min(off, step), -step); *seen < 2*few {
 		return 0
 	}
-	return time.Duration(off * expiry)
+	return off
 }
 
 // Left ends a txn whose client is gone. One that was out then is a sign of a queue, and came to nothing.
@@ -754,7 +753,8 @@
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && (now-t.ranSince > ty.Window*9/10 || ty.Scope == port.ScopeZone))
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
-	return kept || spent || t.errors > 1 || t.subs >= r.most || now > t.expiry-2*r.beat ||
+	senseless := t.errors > 1 || t.errors > 0 && r.erring > 1.0/4 // where errors are common, at the first
+	return kept || spent || senseless || t.subs >= r.most || now > t.expiry-2*r.beat ||
 		ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
 
@@ -996,7 +996,8 @@
 			coldPart: 0.6 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
 		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
 		lives: lives{types: types, marked: at.RetriesMarked, most: allowed.Submissions, revokes: allowed.Revokes,
-			comeBack: allowed.ComeBackMax / 2, again: againMost, part: 1},
+			comeBack: allowed.ComeBackMax / 2, again: againMost,
+			budgets: make([]time.Duration, len(types)), tries: make([]int, len(types))},
 		lister: lister{ask: at.Ask, calling: at.Ask, askWithin: rules.AskWithin, roles: at.Roles,
 			byReport: copies.PiggybackLoad && !copies.AnswersTell,
 			mayProbe: allowed.Probes},
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -678,6 +678,10 @@
 	assert.Equal(t, 1.0/4, y.slab[last.Place].value)
 	first := y.begin(anyRead, func(in *port.Txn) { in.Budget = 400 * ms })
 	assert.Equal(t, 1.0, y.slab[first.Place].value)
+	for range 20 {
+		y.begin(write)
+	}
+	assert.Equal(t, 6.0, y.slab[y.begin(write).Place].value, "another type's tries come with another part of its expiry")
 	y.marked = true
 	last = y.begin(anyRead, func(in *port.Txn) { in.Budget = 300 * ms })
 	assert.Equal(t, 1.0, y.slab[last.Place].value, "where clients mark them, the mark is what counts")
@@ -813,6 +817,10 @@
 	y.ends(r, port.Errored, port.Replica, 0)
 	assert.Equal(t, 2, y.subs[r])
 	assert.Equal(t, "decline 1, back in 0s", y.last("decline"))
+	y.erring = 0.3
+	r = y.begin(anyRead)
+	y.ends(r, port.Errored, port.Replica, 0)
+	assert.Equal(t, 1, y.subs[r], "where errors are common the first is enough")
 }
 
 func TestErrorsAreNoLostAnswers(t *testing.T) {
