--- a/router/router.go
+++ b/router/router.go
@@ -379,7 +379,7 @@
 	if !m.cold {
 		return true
 	}
-	part := r.sent.sum * r.fade(now-r.sent.at) / float64(max(r.warm, 1)) / (recent * r.shortest).Seconds()
+	part := r.borne.sum * r.fade(now-r.borne.at) / float64(max(r.warm, 1)) / (recent * r.shortest).Seconds()
 	rate := max(r.coldPart*warmth*part, work*r.gain/r.fall.Seconds())
 	m.budget = min(m.budget+rate*(now-m.budgetAt).Seconds(), max(work, rate*r.fall.Seconds()/4))
 	m.budgetAt = now
@@ -453,6 +453,7 @@
 			}
 		}
 		r.strained(now, m, by)
+		r.borne.add(now, r.usual[ty].Seconds(), &r.tempo) // what failed was no work, but a cold one falls of it
 		r.faults(m, 0, 0)
 		r.took(now, ty, o.Latency)
 	case port.Errored: // quick, but no reason to send more
@@ -976,7 +977,7 @@
 	overall lately      // strain of all members
 	mix     [64]float64 // work that came lately, by the logarithm of what it is worth for its length
 	erring  float64     // as of a member
-	sent    lately      // submissions, in seconds of usual latency
+	borne   lately      // submissions that were committed, in seconds of usual latency
 	warm    int         // members that bear their full part
 	gain    float64     // what a window grows by for a round of quick answers; all fronts together grow by 1
 	wakeAt  time.Duration
@@ -1057,7 +1058,6 @@
 		}
 		m.out++
 		work := r.usual[t.Type].Seconds()
-		r.sent.add(now, work, &r.tempo)
 		m.budget -= work
 		if m.down {
 			m.trialAt = now + r.rests(m)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -588,7 +588,7 @@
 func TestAColdMembersPartIsMeasuredByWhatTheWarmOnesBear(t *testing.T) {
 	part := func(down int) float64 {
 		y := tell(t, littleSite()).group(5)
-		y.now, y.sent = 20*time.Second, lately{sum: 50, at: 20 * time.Second}
+		y.now, y.borne = 20*time.Second, lately{sum: 50, at: 20 * time.Second}
 		for i := range down {
 			y.members[i].down = true
 		}
@@ -881,11 +881,11 @@
 		y := tell(t, p).group(6)
 		y.seed = uint64(seed)
 		y.now, y.warm = 20*time.Second, 5
-		y.sent = lately{sum: 1, n: 20, at: y.now} // two txns of 50 ms a second at each warm member
+		y.borne = lately{sum: 1, n: 20, at: y.now} // two txns of 50 ms a second at each warm member
 		m := &y.members[5]
 		y.starts(y.now, m, y.now)
 		for end := y.now + 2*time.Second; y.now < end; y.now += 100 * ms {
-			y.sent.at = y.now
+			y.borne.at = y.now
 			if y.spares(y.now, m, 0.05) {
 				m.budget -= 0.05
 				sent++
@@ -933,3 +933,16 @@
 		Position: y.now - time.Second, HasPosition: true})
 	assert.Equal(t, 4, y.groups[1].primary, "nor what is of an older term")
 }
+
+func TestWhatFailsAtOnceIsNoMeasureOfWhatAColdMemberCanTake(t *testing.T) {
+	part := func(failing int) float64 {
+		y := tell(t, littleSite()).group(3)
+		y.pass(100 * ms)
+		y.ends(y.begin(anyRead), port.Committed, port.Replica, 0)
+		for range failing { // worthless, the same everywhere
+			y.ends(y.begin(anyRead), port.Errored, port.Replica, 0)
+		}
+		return y.borne.sum
+	}
+	assert.Equal(t, part(0), part(40), "else a cold member gets four times its part, all of which counts against it")
+}
