--- a/router/router.go
+++ b/router/router.go
@@ -105,7 +105,7 @@
 	lag   time.Duration // how far it was behind
 	lagAt time.Duration // never: no position is known
 
-	strain lately        // multiples of the least usual latency that answers took there
+	strain lately        // of its answers, by their latency and by those that never came
 	out    int           // our submissions there without an ending
 	room   float64       // how much may be out there; one always may
 	quick  time.Duration // when the latest submission went out that was answered quickly
@@ -299,11 +299,12 @@
 // a window a member, and as windows of one at many fronts are together a long queue, shedding by a strain
 // that all of them see alike. It could harm where a type comes to take far longer, or where few types come.
 const (
-	lateBy = 1.75    // late: over this multiple of the type's least usual latency
+	lateBy = 1.75    // late: over this strain, a quarter of the way to the SLA time
 	shrink = 0.75    // for an answer that came late
 	halve  = 1.0 / 2 // for a submission that came to nothing
 	calm   = 1.3     // strain up to which all goes out: chance alone makes means of this size
-	jam    = 2.5     // and from which next to nothing does: an SLA time is about that long
+	jam    = 2.5     // and from which next to nothing does
+	atSLA  = 4.0     // of an answer that took its SLA time
 	worst  = 5.0     // what one answer may count for, and what one does that never came
 	few    = 5.0     // answers that it takes to be believed as much as what is known at large
 	spread = 4.0     // what all fronts may always have out at a member: a slow one's cores must not idle
@@ -318,10 +319,10 @@
 	}
 }
 
-// multiple is a latency as strain: one for the type's least usual latency, a jam for its SLA time.
+// multiple is a latency as strain: one for the type's least usual latency, rising evenly to its SLA time.
 func (r *Router) multiple(ty int, latency time.Duration) float64 {
 	least, sla := r.least[ty], r.types[ty].SLA
-	return 1 + 3*float64(latency-least)/float64(max(sla-least, sla/4))
+	return 1 + (atSLA-1)*float64(latency-least)/float64(max(sla-least, sla/4))
 }
 
 func (r *Router) strainAt(now time.Duration, m *member) float64 {
@@ -413,11 +414,11 @@
 // silent tells of a member that takes work and answers nothing. A crowded one is slow, not silent: so
 // patience is counted in the latency last seen there. One txn without an answer may be lost or long.
 func (r *Router) silent(now time.Duration, m *member) bool {
-	if m.out < 2 || m.down || r.stood(now) {
+	if m.out < 2 || m.down || r.stood(now) || now-max(m.waiting, r.rose) <= 2*r.shortest {
 		return false
 	}
 	patience := time.Duration(4 * r.strainAt(now, m) * float64(slices.Max(r.usual)))
-	return now-max(m.waiting, r.rose) > max(patience, 2*r.shortest)
+	return now-max(m.waiting, r.rose) > patience
 }
 
 // stood tells whether this front itself stood still until now: its beat is long overdue. What it finds then
@@ -731,10 +732,10 @@
 		r.wrote(t.Session+uint64(t.Group), r.group(t.Group), o.Position)
 	}
 	t.missed = t.missed || o.Ending == port.Missed
-	if o.Ending == port.Unreachable {
+	switch o.Ending {
+	case port.Unreachable:
 		r.again++ // it was no work for any member
-	}
-	if o.Ending == port.Errored {
+	case port.Errored:
 		t.errors++
 	}
 	switch {
@@ -753,8 +754,8 @@
 		now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
 		ty.Effect == port.Referenced && (now-t.ranSince > ty.Window*9/10 || ty.Scope == port.ScopeZone))
-	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
 	senseless := t.errors > 1 || t.errors > 0 && r.erring > 1.0/4 // where errors are common, at the first
+	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
 	return kept || spent || senseless || t.subs >= r.most || now > t.expiry-2*r.beat ||
 		ty.Late == 0 && now > t.sla-min(r.usual[t.Type], ty.SLA/2)
 }
@@ -1057,8 +1058,7 @@
 			m.waiting = now
 		}
 		m.out++
-		work := r.usual[t.Type].Seconds()
-		m.budget -= work
+		m.budget -= r.usual[t.Type].Seconds()
 		if m.down {
 			m.trialAt = now + r.rests(m)
 		}
