The fleet's part of a front is a package of its own: fleet/company; cmd only wires it

cmd/dapplerouter/fleet.go and scouts.go had grown to more than wiring. Moved whole, with what the parts need given from outside (Scouts.After, so that virtual time can host them).

--- a/cmd/dapplerouter/gateway.go
+++ b/cmd/dapplerouter/gateway.go
@@ -60,21 +60,21 @@
 	return &bridge{l, &link.Links{Local: local, Far: l}, c.Peer}, nil
 }
 
-// name, start and the others are those of a part.
-func (b *bridge) name() string { return "link" }
+// Name, Start and the others are those of a part.
+func (b *bridge) Name() string { return "link" }
 
-func (b *bridge) start() error {
+func (b *bridge) Start() error {
 	b.link.Run()
 	return nil
 }
 
-func (b *bridge) totals() []any {
+func (b *bridge) Totals() []any {
 	n, state, ours, theirs := b.link.Counts()
 	return []any{"peer", b.peer, "state", state, "ours", ours, "theirs", theirs, "crossed", n.Crossed, "answered", n.Answered,
 		"doubts", n.Doubts, "recovered", n.Recovered, "proven_never", n.ProvenNever, "lost_for_good", n.LostForGood,
 		"refused", n.Refused, "late", n.Late, "repeated", n.Repeated}
 }
 
-func (b *bridge) moved(string)        {}
-func (b *bridge) drain(time.Duration) {}
-func (b *bridge) close()              { b.link.Close() }
+func (b *bridge) Moved(string)        {}
+func (b *bridge) Drain(time.Duration) {}
+func (b *bridge) Close()              { b.link.Close() }
--- a/cmd/dapplerouter/parts.go
+++ b/cmd/dapplerouter/parts.go
@@ -8,12 +8,12 @@
 // part is what a front runs beside the ordinary path: the gateway's link, the fleet. Each is started, asked for its
 // totals, drained and closed alike, and is there only where the operator's file has its form.
 type part interface {
-	name() string
-	start() error
-	totals() []any              // for a line of the log
-	moved(discovery string)     // the list's service has another address
-	drain(within time.Duration) // lets go what others can take over
-	close()
+	Name() string
+	Start() error
+	Totals() []any              // for a line of the log
+	Moved(discovery string)     // the list's service has another address
+	Drain(within time.Duration) // lets go what others can take over
+	Close()
 }
 
 // parts are those of one front, in the order of their start.
@@ -22,7 +22,7 @@
 // start starts them all, or none.
 func (ps parts) start() error {
 	for i, p := range ps {
-		if err := p.start(); err != nil {
+		if err := p.Start(); err != nil {
 			ps[:i].close()
 			return err
 		}
@@ -32,25 +32,25 @@
 
 func (ps parts) report() {
 	for _, p := range ps {
-		slog.Info(p.name()+" totals", p.totals()...)
+		slog.Info(p.Name()+" totals", p.Totals()...)
 	}
 }
 
 func (ps parts) moved(discovery string) {
 	for _, p := range ps {
-		p.moved(discovery)
+		p.Moved(discovery)
 	}
 }
 
 func (ps parts) drain(within time.Duration) {
 	for _, p := range ps {
-		p.drain(within)
+		p.Drain(within)
 	}
 }
 
 // close ends them, the last first.
 func (ps parts) close() {
 	for i := len(ps) - 1; i >= 0; i-- {
-		ps[i].close()
+		ps[i].Close()
 	}
 }
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/crc32"
 	"log/slog"
 	"math"
 	"net"
@@ -11,11 +10,11 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
 	"dapplerouter/discovery"
+	"dapplerouter/fleet/company"
 	"dapplerouter/front"
 	"dapplerouter/gateway"
 	"dapplerouter/gateway/link"
@@ -87,15 +86,15 @@
 	allowed := told.Site.Allowance
 	var core *front.Core
 	post := func(e front.Event) { core.Post(e) }
-	var fellows *company
+	var fellows *company.Company
 	seen := post // by the fleet on its way, where there is one
 	if operator.fleet != nil {
-		seen = func(e front.Event) { fellows.scouts.event(e) }
+		seen = func(e front.Event) { fellows.Scouts.Event(e) }
 	}
 	links := sockets.NewLinks(seen, room, user, database, allowed.DialTimeout, allowed.LinkIdle,
 		told.Memory)
 	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), seen,
-		spread(told.Seed))
+		sockets.Spread(told.Seed))
 	classing, parse := operator.classes(), pgwire.ParseStatement
 	if classing != nil {
 		parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, classing.Classing) }
@@ -111,11 +110,11 @@
 		all = append(all, across)
 	}
 	if operator.fleet != nil {
-		if fellows, err = companyOf(operator.fleet, told, directory); err != nil {
+		if fellows, err = company.New(operator.fleet, told, directory, version); err != nil {
 			return err
 		}
-		fellows.scouts.Links, fellows.scouts.post = ways, post
-		ways = fellows.scouts
+		fellows.Scouts.Links, fellows.Scouts.Post = ways, post
+		ways = fellows.Scouts
 		all = append(all, fellows)
 	}
 	core = front.NewCore(clock.Born, told.Seed, told.Site, router.New, ways, directory, classing)
@@ -199,16 +198,6 @@
 	}
 }
 
-// spread gives even numbers between 0 and 1 that differ from front to front.
-func spread(seed uint64) func() float64 {
-	n := uint64(0)
-	return func() float64 {
-		n++
-		sum := crc32.ChecksumIEEE([]byte(strconv.FormatUint(seed, 16) + "." + strconv.FormatUint(n, 10)))
-		return float64(sum) / (1 << 32)
-	}
-}
-
 // totals writes what passed and what is held to the log at intervals.
 func totals(ctx context.Context, core *front.Core, room *sockets.Room) {
 	reports(ctx, func() { core.Post(front.Report{Extra: usage(room)}) })
--- a/cmd/dapplerouter/fleet.go
+++ b/fleet/company/company.go
@@ -1,4 +1,6 @@
-package main
+// Package company is what makes a front one of a fleet: its mesh, its file where it is a keeper, the duties that it can do and
+// the operator's door. It carries things between the fleet's cores and the front, and decides nothing.
+package company
 
 import (
 	"context"
@@ -21,8 +23,8 @@
 	"dapplerouter/sockets"
 )
 
-// company is a front's part in a fleet: its mesh, its file where it is a keeper, and the duties that it can do.
-type company struct {
+// Company is a front's part in a fleet.
+type Company struct {
 	c         *fleet.Config
 	mesh      *mesh.Mesh
 	disk      *disk.File
@@ -30,7 +32,7 @@
 	directory *sockets.Directory
 	control   *control.Server
 	history   *history
-	scouts    *scouts
+	Scouts    *Scouts
 	self      string
 	seed      uint64
 
@@ -48,16 +50,17 @@
 // on leaning on a holder of whom it hears nothing: three beats of the service, as for its own watch.
 const listBound = 6 * time.Second
 
-// companyOf makes the part that a fleet form tells of.
-func companyOf(c *fleet.Config, told *site.Start, directory *sockets.Directory) (*company, error) {
-	f := &company{c: c, seed: told.Seed, listing: fleet.NewListing(), directory: directory, self: told.Name, lists: told.Discovery, asks: map[uint64]chan string{}}
+// New makes the part that a fleet form tells of; version is the program's own. The error is a file, a socket or an address
+// that can't be used.
+func New(c *fleet.Config, told *site.Start, directory *sockets.Directory, version string) (*Company, error) {
+	f := &Company{c: c, seed: told.Seed, listing: fleet.NewListing(), directory: directory, self: told.Name, lists: told.Discovery, asks: map[uint64]chan string{}}
 	f.ctx, f.end = context.WithCancel(context.Background())
-	f.scouts = newScouts(c.Span, told.Site.Allowance.DialTimeout)
-	f.scouts.want = func(duty string) {
+	f.Scouts = NewScouts(c.Span, told.Site.Allowance.DialTimeout)
+	f.Scouts.Want = func(duty string) {
 		f.mesh.Do(func(n *fleet.Node, _ time.Duration) { n.Want(duty, 0) })
 	}
-	f.scouts.act = func(duty string, data []byte) bool { return f.mesh.Act(duty, data) }
-	f.scouts.now = func() time.Duration { return f.mesh.Now() }
+	f.Scouts.Act = func(duty string, data []byte) bool { return f.mesh.Act(duty, data) }
+	f.Scouts.Now = func() time.Duration { return f.mesh.Now() }
 	var inc [8]byte
 	rand.Read(inc[:])
 	pace := fleet.Pace{Span: c.Span}
@@ -94,9 +97,10 @@
 	return f, err
 }
 
-func (f *company) name() string { return "fleet" }
+// Name and those below are a part's of a front: started, asked for totals, drained and closed like all others.
+func (f *Company) Name() string { return "fleet" }
 
-func (f *company) start() error {
+func (f *Company) Start() error {
 	if f.c.Control != "" {
 		s, err := control.Listen(f.c.Control)
 		if err != nil {
@@ -112,18 +116,18 @@
 	return nil
 }
 
-func (f *company) totals() []any {
+func (f *Company) Totals() []any {
 	t := f.mesh.Totals()
 	out := []any{"links", t.Links, "sent", t.Sent, "received", t.Received, "sent_bytes", t.SentBytes, "received_bytes", t.GotBytes,
 		"shed", t.Shed, "refused", t.Refused, "dials", t.Dials, "leans", f.directory.Leaning(),
-		"probes_saved", f.scouts.saved()}
+		"probes_saved", f.Scouts.Saved()}
 	f.mesh.Do(func(n *fleet.Node, _ time.Duration) {
 		out = append(out, "fronts", len(n.Record().Fronts), "index", n.Record().Index, "alone", n.Alone(), "gives", n.Giver())
 	})
 	return out
 }
 
-func (f *company) moved(address string) {
+func (f *Company) Moved(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lists != address {
@@ -135,13 +139,13 @@
 	}
 }
 
-func (f *company) drain(within time.Duration) {
+func (f *Company) Drain(within time.Duration) {
 	if !f.mesh.Leave(within) {
 		slog.Warn("fleet: duties were not handed on in time; they run out", "within", within)
 	}
 }
 
-func (f *company) close() {
+func (f *Company) Close() {
 	f.end()
 	if f.control != nil {
 		f.control.Close()
@@ -160,10 +164,10 @@
 }
 
 // took takes what the core tells, in its order.
-func (f *company) took(e fleet.Event) {
+func (f *Company) took(e fleet.Event) {
 	f.history.note(f.mesh, e)
 	logged(e)
-	f.scouts.told(e, f.self)
+	f.Scouts.Told(e, f.self)
 	switch e.What {
 	case fleet.Held:
 		if e.Duty == fleet.ListDuty {
@@ -187,7 +191,7 @@
 		case e.Duty == fleet.ListDuty:
 			f.listed(e.Data)
 		case fleet.Sort(e.Duty) == "scout" && e.Name != f.self:
-			f.scouts.came(e.Term, e.Data)
+			f.Scouts.Came(e.Term, e.Data)
 		}
 	case fleet.Answered:
 		f.mu.Lock()
@@ -232,7 +236,7 @@
 // --- The list, for all.
 
 // follow begins to follow the list's service for the fleet; with the lock held.
-func (f *company) follow() {
+func (f *Company) follow() {
 	ctx, end := context.WithCancel(f.ctx)
 	f.list = end
 	client := discovery.New(f.lists, 0)
@@ -257,13 +261,13 @@
 				n.Done(fleet.ListDuty)
 				n.Act(now, fleet.ListDuty, act)
 			})
-		}, func() {}, spread(f.seed))
+		}, func() {}, sockets.Spread(f.seed))
 		client.Rest()
 	})
 }
 
 // listed takes the holder's word.
-func (f *company) listed(data []byte) {
+func (f *Company) listed(data []byte) {
 	said, changed := fleet.ReadList(data)
 	f.mu.Lock()
 	f.heard = time.Now()
@@ -280,13 +284,13 @@
 }
 
 // known is the list as the fleet has it.
-func (f *company) known() (l discovery.List) {
+func (f *Company) known() (l discovery.List) {
 	f.mesh.Do(func(*fleet.Node, time.Duration) { l = f.listing.List() })
 	return l
 }
 
 // watch goes back to the front's own watch where the holder is silent.
-func (f *company) watch() {
+func (f *Company) watch() {
 	t := time.NewTicker(f.c.Span / 6)
 	defer t.Stop()
 	for {
--- a/cmd/dapplerouter/scouts.go
+++ b/fleet/company/scouts.go
@@ -1,4 +1,4 @@
-package main
+package company
 
 import (
 	"errors"
@@ -11,15 +11,16 @@
 	"dapplerouter/pgwire"
 )
 
-// scouts lets one front of a fleet ask after a group's members for all: it stands before the links to members, and looks at
+// Scouts lets one front of a fleet ask after a group's members for all: it stands before the links to members, and looks at
 // nothing but probes. What is asked, and when, stays the module's; the holder of scout/GROUP hands on how its probes ended.
-type scouts struct {
+type Scouts struct {
 	front.Links
-	post    func(front.Event)
-	act     func(duty string, data []byte) bool
-	want    func(duty string)
-	patient time.Duration // until the core ends a probe by itself
-	now     func() time.Duration
+	Post    func(front.Event)                   // to the core
+	Act     func(duty string, data []byte) bool // spreads an act of a duty, where this front holds it
+	Want    func(duty string)                   // declares a duty
+	Now     func() time.Duration                // the front's clock in the fleet
+	After   func(d time.Duration, call func())  // never calls within the call itself
+	patient time.Duration                       // until the core ends a probe by itself
 
 	mu      sync.Mutex
 	s       *fleet.Scouting[*front.Submission]
@@ -39,13 +40,15 @@
 
 var errLook = errors.New("a scout found it so")
 
-func newScouts(span, patient time.Duration) *scouts {
-	return &scouts{patient: patient, s: fleet.NewScouting[*front.Submission](span, patient/2), members: map[string]scouted{}, groups: map[int64]bool{},
+// NewScouts makes one for a fleet of a span; patient is how long the core waits for a probe.
+func NewScouts(span, patient time.Duration) *Scouts {
+	return &Scouts{patient: patient, After: func(d time.Duration, call func()) { time.AfterFunc(d, call) },
+		s: fleet.NewScouting[*front.Submission](span, patient/2), members: map[string]scouted{}, groups: map[int64]bool{},
 		ours: map[string]bool{}, others: map[string]bool{}, alone: true, out: map[*front.Submission]scouted{}}
 }
 
 // Place is that of front.Links.
-func (s *scouts) Place(member int, address string, since int64) {
+func (s *Scouts) Place(member int, address string, since int64) {
 	s.mu.Lock()
 	for len(s.at) <= member {
 		s.at = append(s.at, "")
@@ -56,7 +59,7 @@
 }
 
 // Send is that of front.Links.
-func (s *scouts) Send(member int, sub *front.Submission) {
+func (s *Scouts) Send(member int, sub *front.Submission) {
 	if _, probe := sub.Way(); !probe {
 		s.Links.Send(member, sub)
 		return
@@ -65,7 +68,7 @@
 	m, ok := s.members[s.at[member]]
 	duty := fleet.ScoutDuty(m.group)
 	ours := ok && s.ours[duty]
-	what, look := s.s.Wish(s.now(), m.name, sub, ok && !ours && s.others[duty] && !s.alone)
+	what, look := s.s.Wish(s.Now(), m.name, sub, ok && !ours && s.others[duty] && !s.alone)
 	if ours {
 		s.out[sub] = m
 	}
@@ -74,14 +77,14 @@
 	case fleet.AskIt:
 		s.Links.Send(member, sub)
 		if ours {
-			time.AfterFunc(s.patient, func() { s.looked(sub, fleet.Look{}) }) // nothing came back
+			s.After(s.patient, func() { s.looked(sub, fleet.Look{}) }) // nothing came back
 		}
 	case fleet.AnswerIt:
-		go s.post(answered(sub, look)) // who calls is the core, which reads what is posted
+		s.After(0, func() { s.Post(answered(sub, look)) }) // who calls is the core, which reads what is posted
 	case fleet.HoldIt:
-		time.AfterFunc(s.s.Hold, func() {
+		s.After(s.s.Hold, func() {
 			s.mu.Lock()
-			due := s.s.Due(s.now())
+			due := s.s.Due(s.Now())
 			s.mu.Unlock()
 			for _, sub := range due {
 				s.Links.Send(member, sub)
@@ -90,8 +93,8 @@
 	}
 }
 
-// event sees what is posted to the core: the list, and how our own probes end.
-func (s *scouts) event(e front.Event) {
+// Event sees what is posted to the core: the list, and how our own probes end.
+func (s *Scouts) Event(e front.Event) {
 	switch e := e.(type) {
 	case front.Listed:
 		s.listed(e.List)
@@ -99,16 +102,16 @@
 		if _, probe := e.S.Way(); probe {
 			l := fleet.Look{Well: e.Failure == nil && e.Answer.Code == "" && e.Answer.Whole, Code: e.Answer.Code}
 			l.Broke = e.Failure != nil && e.Failure.Reach == front.Written
-			s.post(e)
+			s.Post(e)
 			s.looked(e.S, l)
 			return
 		}
 	}
-	s.post(e)
+	s.Post(e)
 }
 
-// told takes what the fleet tells of itself.
-func (s *scouts) told(e fleet.Event, self string) {
+// Told takes what the fleet tells of itself.
+func (s *Scouts) Told(e fleet.Event, self string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch e.What {
@@ -127,7 +130,7 @@
 	}
 }
 
-func (s *scouts) listed(l discovery.List) {
+func (s *Scouts) listed(l discovery.List) {
 	var fresh []int64
 	s.mu.Lock()
 	for _, e := range l.Entries {
@@ -142,38 +145,38 @@
 	}
 	s.mu.Unlock()
 	for _, g := range fresh {
-		s.want(fleet.ScoutDuty(g))
+		s.Want(fleet.ScoutDuty(g))
 	}
 }
 
 // looked hands on how a probe of ours ended, once.
-func (s *scouts) looked(sub *front.Submission, l fleet.Look) {
+func (s *Scouts) looked(sub *front.Submission, l fleet.Look) {
 	s.mu.Lock()
 	m, ok := s.out[sub]
 	delete(s.out, sub)
 	s.mu.Unlock()
 	if ok {
 		l.Member = m.name
-		s.act(fleet.ScoutDuty(m.group), l.Encode())
+		s.Act(fleet.ScoutDuty(m.group), l.Encode())
 	}
 }
 
-// came takes another scout's look.
-func (s *scouts) came(term uint64, data []byte) {
+// Came takes another scout's look.
+func (s *Scouts) Came(term uint64, data []byte) {
 	l, ok := fleet.ReadLook(data)
 	if !ok {
 		return
 	}
 	s.mu.Lock()
-	answers := s.s.Take(s.now(), term, l)
+	answers := s.s.Take(s.Now(), term, l)
 	s.mu.Unlock()
 	for _, sub := range answers {
-		s.post(answered(sub, l))
+		s.Post(answered(sub, l))
 	}
 }
 
-// saved is how many probes a look answered.
-func (s *scouts) saved() int {
+// Saved is how many probes a look answered.
+func (s *Scouts) Saved() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.s.Saved
--- a/cmd/dapplerouter/scouts_test.go
+++ b/fleet/company/scouts_test.go
@@ -1,4 +1,4 @@
-package main
+package company
 
 import (
 	"testing"
@@ -30,16 +30,16 @@
 
 func TestScoutsAreWantedForEachGroupThatTheListNames(t *testing.T) {
 	var wanted []string
-	s := newScouts(time.Second, time.Second)
-	s.want, s.post = func(d string) { wanted = append(wanted, d) }, func(front.Event) {}
+	s := NewScouts(time.Second, time.Second)
+	s.Want, s.Post = func(d string) { wanted = append(wanted, d) }, func(front.Event) {}
 	entries := []discovery.Entry{{Name: "a", Address: "x:1", Group: 3}, {Name: "b", Address: "x:2", Group: 3}, {Name: "c", Address: "x:3", Group: 4}}
-	s.event(front.Listed{Kind: port.Whole, List: discovery.List{Entries: entries}})
-	s.event(front.Listed{Kind: port.Changes, List: discovery.List{Entries: entries[:1]}})
+	s.Event(front.Listed{Kind: port.Whole, List: discovery.List{Entries: entries}})
+	s.Event(front.Listed{Kind: port.Changes, List: discovery.List{Entries: entries[:1]}})
 	assert.Equal(t, []string{"scout/3", "scout/4"}, wanted)
-	s.told(fleet.Event{What: fleet.Heard}, "n1")
-	s.told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n2"}, "n1")
+	s.Told(fleet.Event{What: fleet.Heard}, "n1")
+	s.Told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n2"}, "n1")
 	assert.True(t, s.others["scout/3"] && !s.alone)
-	s.told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n1"}, "n1")
-	s.told(fleet.Event{What: fleet.Held, Duty: "scout/3"}, "n1")
+	s.Told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n1"}, "n1")
+	s.Told(fleet.Event{What: fleet.Held, Duty: "scout/3"}, "n1")
 	assert.True(t, s.ours["scout/3"] && !s.others["scout/3"])
 }
--- a/sockets/clock.go
+++ b/sockets/clock.go
@@ -1,6 +1,10 @@
 package sockets
 
-import "time"
+import (
+	"hash/crc32"
+	"strconv"
+	"time"
+)
 
 // Clock counts from when it was made, on the machine's monotonic clock.
 type Clock struct {
@@ -21,3 +25,13 @@
 func (c *Clock) Set(at time.Duration) { c.timer.Reset(at - c.Now()) }
 
 func (c *Clock) Rings() <-chan time.Time { return c.timer.C }
+
+// Spread gives even numbers between 0 and 1 that differ from front to front.
+func Spread(seed uint64) func() float64 {
+	n := uint64(0)
+	return func() float64 {
+		n++
+		sum := crc32.ChecksumIEEE([]byte(strconv.FormatUint(seed, 16) + "." + strconv.FormatUint(n, 10)))
+		return float64(sum) / (1 << 32)
+	}
+}
