--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 # What a fleet costs at rest, and how long nobody holds a duty.
 fleet-bench:
-	go test ./lab/sim -run XXX -bench . -benchtime 1x
+	go test ./lab/sim ./lab/model -run XXX -bench . -benchtime 1x
 
 # One front, as told by EDGE_CONFIG=file.json; docs/example.json shows the form.
 run: build
--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -50,6 +50,9 @@
 // on leaning on a holder of whom it hears nothing: three beats of the service, as for its own watch.
 const listBound = 6 * time.Second
 
+// scoutPart is the part of a front that takes errands of scouts.
+const scoutPart = "scout"
+
 // New makes the part that a fleet form tells of; version is the program's own. The error is a file, a socket or an address
 // that can't be used.
 func New(c *fleet.Config, told *site.Start, directory *sockets.Directory, version string) (*Company, error) {
@@ -60,6 +63,9 @@
 		f.mesh.Do(func(n *fleet.Node, _ time.Duration) { n.Want(duty, 0) })
 	}
 	f.Scouts.Act = func(duty string, data []byte) bool { return f.mesh.Act(duty, data) }
+	f.Scouts.Ask = func(front, member string) {
+		f.mesh.Do(func(n *fleet.Node, now time.Duration) { n.Post(now, front, scoutPart, []byte(member)) })
+	}
 	f.Scouts.Now = func() time.Duration { return f.mesh.Now() }
 	var inc [8]byte
 	rand.Read(inc[:])
@@ -193,6 +199,10 @@
 		case fleet.Sort(e.Duty) == "scout" && e.Name != f.self:
 			f.Scouts.Came(e.Term, e.Data)
 		}
+	case fleet.Posted:
+		if e.Duty == scoutPart {
+			f.Scouts.Errand(string(e.Data))
+		}
 	case fleet.Answered:
 		f.mu.Lock()
 		if c := f.asks[e.Number]; c != nil {
--- a/fleet/company/scouts.go
+++ b/fleet/company/scouts.go
@@ -20,6 +20,7 @@
 	Want    func(duty string)                   // declares a duty
 	Now     func() time.Duration                // the front's clock in the fleet
 	After   func(d time.Duration, call func())  // never calls within the call itself
+	Ask     func(front, member string)          // sends a scout on an errand; it may get lost
 	patient time.Duration                       // until the core ends a probe by itself
 
 	mu      sync.Mutex
@@ -27,8 +28,8 @@
 	at      []string // addresses, by the core's index of members
 	members map[string]scouted
 	groups  map[int64]bool
-	ours    map[string]bool // duties that this front holds, as it was told
-	others  map[string]bool // that another holds, by the record
+	ours    map[string]bool   // duties that this front holds, as it was told
+	others  map[string]string // who else holds one, by the record
 	alone   bool
 	out     map[*front.Submission]scouted // our probes as a scout, without an answer yet
 }
@@ -44,7 +45,7 @@
 func NewScouts(span, patient time.Duration) *Scouts {
 	return &Scouts{patient: patient, After: func(d time.Duration, call func()) { time.AfterFunc(d, call) },
 		s: fleet.NewScouting[*front.Submission](span, patient/2), members: map[string]scouted{}, groups: map[int64]bool{},
-		ours: map[string]bool{}, others: map[string]bool{}, alone: true, out: map[*front.Submission]scouted{}}
+		ours: map[string]bool{}, others: map[string]string{}, alone: true, out: map[*front.Submission]scouted{}}
 }
 
 // Place is that of front.Links.
@@ -68,28 +69,34 @@
 	m, ok := s.members[s.at[member]]
 	duty := fleet.ScoutDuty(m.group)
 	ours := ok && s.ours[duty]
-	what, look := s.s.Wish(s.Now(), m.name, sub, ok && !ours && s.others[duty] && !s.alone)
+	scout := s.others[duty]
+	what, look := s.s.Wish(s.Now(), m.name, sub, ok && !ours && scout != "" && !s.alone)
 	if ours {
 		s.out[sub] = m
+		s.s.Errand(s.Now(), m.name)
 	}
 	s.mu.Unlock()
 	switch what {
 	case fleet.AskIt:
 		s.Links.Send(member, sub)
 		if ours {
+			s.After(s.patient/4, func() { s.looked(sub, fleet.Look{Open: true}) })
 			s.After(s.patient, func() { s.looked(sub, fleet.Look{}) }) // nothing came back
 		}
 	case fleet.AnswerIt:
 		s.After(0, func() { s.Post(answered(sub, look)) }) // who calls is the core, which reads what is posted
 	case fleet.HoldIt:
-		s.After(s.s.Hold, func() {
+		s.After(0, func() { s.Ask(scout, m.name) })
+		due := func() {
 			s.mu.Lock()
 			due := s.s.Due(s.Now())
 			s.mu.Unlock()
 			for _, sub := range due {
 				s.Links.Send(member, sub)
 			}
-		})
+		}
+		s.After(s.s.Hold, due)
+		s.After(2*s.s.Hold, due)
 	}
 }
 
@@ -120,7 +127,7 @@
 	case fleet.Ended:
 		delete(s.ours, e.Duty)
 	case fleet.Granted:
-		if s.others[e.Duty] = e.Name != "" && e.Name != self; !s.others[e.Duty] {
+		if s.others[e.Duty] = e.Name; e.Name == "" || e.Name == self {
 			delete(s.others, e.Duty)
 		}
 	case fleet.Alone, fleet.Displaced:
@@ -149,11 +156,13 @@
 	}
 }
 
-// looked hands on how a probe of ours ended, once.
+// looked hands on that a probe of ours is out still, and how it ended, each once.
 func (s *Scouts) looked(sub *front.Submission, l fleet.Look) {
 	s.mu.Lock()
 	m, ok := s.out[sub]
-	delete(s.out, sub)
+	if !l.Open {
+		delete(s.out, sub)
+	}
 	s.mu.Unlock()
 	if ok {
 		l.Member = m.name
@@ -161,6 +170,20 @@
 	}
 }
 
+// Errand takes another front's wish for a look: this front's module asks after the member as well, unless it just did.
+func (s *Scouts) Errand(member string) {
+	s.mu.Lock()
+	ask := false
+	for _, m := range s.members {
+		ask = ask || m.name == member && s.ours[fleet.ScoutDuty(m.group)]
+	}
+	ask = ask && s.s.Errand(s.Now(), member)
+	s.mu.Unlock()
+	if ask {
+		s.Post(front.Look{Member: member})
+	}
+}
+
 // Came takes another scout's look.
 func (s *Scouts) Came(term uint64, data []byte) {
 	l, ok := fleet.ReadLook(data)
--- a/fleet/company/scouts_test.go
+++ b/fleet/company/scouts_test.go
@@ -38,8 +38,8 @@
 	assert.Equal(t, []string{"scout/3", "scout/4"}, wanted)
 	s.Told(fleet.Event{What: fleet.Heard}, "n1")
 	s.Told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n2"}, "n1")
-	assert.True(t, s.others["scout/3"] && !s.alone)
+	assert.True(t, s.others["scout/3"] == "n2" && !s.alone)
 	s.Told(fleet.Event{What: fleet.Granted, Duty: "scout/3", Name: "n1"}, "n1")
 	s.Told(fleet.Event{What: fleet.Held, Duty: "scout/3"}, "n1")
-	assert.True(t, s.ours["scout/3"] && !s.others["scout/3"])
+	assert.True(t, s.ours["scout/3"] && s.others["scout/3"] == "")
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -19,11 +19,12 @@
 	Down                // the giver's word to one front
 	Act                 // of a duty; flooded
 	Behind              // what a sender's mirror has; the receiver sends what it has more
+	Post                // from one front to another, by the tree; it may get lost
 	kinds
 )
 
 var kindNames = [...]string{"hello", "refuse", "ping", "consent", "pulse", "changes", "whole", "need", "up", "ask", "down",
-	"act", "behind"}
+	"act", "behind", "post"}
 
 func (k Kind) String() string {
 	if k < kinds {
@@ -42,8 +43,8 @@
 	Index  uint64 // of the record, at who passes it on
 	Term   uint64 // of the giver (Pulse), of a duty (Act)
 	Number uint64 // of a pulse, of an act within its term
-	Name   string // to whom (Down), the duty (Act)
-	Reason string
+	Name   string // to whom (Down, Post), the duty (Act)
+	Reason string // of a refusal; the part that a Post is for
 	Data   []byte
 	Hello  *Greeting
 	There  []Presence
@@ -203,6 +204,8 @@
 		bad = m.Ask == nil || m.From == ""
 	case Down:
 		bad = m.Down == nil || m.Name == ""
+	case Post:
+		bad = m.Name == "" || m.From == "" || len(m.Reason) > mostName
 	case Act:
 		bad = m.Name == "" || m.From == ""
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -71,6 +71,7 @@
 	Answered     = "answered"  // our question Number; Why is "" where it is done
 	Shed         = "shed"      // a link to Name that was of no use; Why
 	Stuck        = "stuck"     // the record can't be read further by this program
+	Posted       = "posted"    // Name sent Data to this front, for the part named Duty
 )
 
 // Event is something that happened, for the log, the history and the parts that stand on the fleet.
@@ -689,6 +690,11 @@
 		}
 	case Act:
 		n.act(now, from, m)
+	case Post:
+		if m.Number++; m.Number <= mostHops {
+			n.learn(now, m.From, from)
+			n.toward(now, from, m)
+		}
 	case Behind:
 		for _, s := range m.Seen {
 			n.bring(from, s)
@@ -901,6 +907,30 @@
 	}
 }
 
+// Post sends a front something for a part of it, by the tree: towards the giver until one knows the way. It may get lost;
+// who needs an answer asks again.
+func (n *Node) Post(now time.Duration, to, part string, data []byte) {
+	n.toward(now, "", &Message{Kind: Post, From: n.o.Name, Name: to, Reason: part, Data: data})
+}
+
+func (n *Node) toward(now time.Duration, from string, m *Message) {
+	if m.Name == n.o.Name {
+		n.tell(Event{What: Posted, Name: m.From, Duty: m.Reason, Data: m.Data})
+		return
+	}
+	next := n.up
+	if w, ok := n.ways[m.Name]; ok {
+		next = w.via
+	}
+	if n.peers[m.Name] != nil {
+		next = m.Name
+	}
+	if next != "" && next != from {
+		c := *m
+		n.send(next, &c)
+	}
+}
+
 // word takes the giver's word to this front.
 func (n *Node) word(now time.Duration, w *Word) {
 	if w.Gone == n.o.Incarnation && w.Gone != 0 {
--- a/fleet/scouting.go
+++ b/fleet/scouting.go
@@ -19,6 +19,7 @@
 	Well   bool
 	Code   string // of its refusal, "" for none
 	Broke  bool   // the connection broke behind the question; else, where it is not well, none came up or nothing came back
+	Open   bool   // it was asked, and nothing has come back so far: its end follows
 }
 
 // Encode puts a look into an act.
@@ -39,18 +40,21 @@
 // Scouting is what a front makes of a scout's looks: its own questions after members wait for a look that may come, for a
 // moment, and go out by themselves where none does. Q is a question that waits.
 type Scouting[Q any] struct {
-	Fresh time.Duration // a look answers questions for so long
-	Hold  time.Duration // a question waits for one
-
-	looks map[string]looked
-	held  map[string][]heldQuestion[Q]
-	Saved int // questions that a look answered
+	Fresh time.Duration // a look answers questions for so long, or until another is overdue by as much
+	Hold  time.Duration // a question waits for one; twice as long where the scout is at it
+
+	looks   map[string]looked
+	open    map[string]time.Duration // members that the scout is at, since when it said so
+	held    map[string][]heldQuestion[Q]
+	errands map[string]time.Duration
+	Saved   int // questions that a look answered
 }
 
 type looked struct {
 	Look
-	term uint64
-	at   time.Duration
+	term  uint64
+	at    time.Duration
+	every time.Duration // between the last two
 }
 
 type heldQuestion[Q any] struct {
@@ -60,7 +64,7 @@
 
 // NewScouting makes one.
 func NewScouting[Q any](fresh, hold time.Duration) *Scouting[Q] {
-	return &Scouting[Q]{Fresh: fresh, Hold: hold, looks: map[string]looked{}, held: map[string][]heldQuestion[Q]{}}
+	return &Scouting[Q]{Fresh: fresh, Hold: hold, looks: map[string]looked{}, open: map[string]time.Duration{}, held: map[string][]heldQuestion[Q]{}, errands: map[string]time.Duration{}}
 }
 
 // What becomes of a question.
@@ -75,14 +79,18 @@
 	if !hold {
 		return AskIt, look
 	}
-	if l, ok := s.looks[member]; ok && now-l.at < s.Fresh {
+	if l, ok := s.looks[member]; ok && now-l.at < s.Fresh+min(l.every, 4*s.Fresh) {
 		s.Saved++
 		return AnswerIt, l.Look
 	}
 	if len(s.held) >= mostKnown {
 		return AskIt, look
 	}
-	s.held[member] = append(s.held[member], heldQuestion[Q]{q, now + s.Hold})
+	until := now + s.Hold
+	if at, ok := s.open[member]; ok && now-at < 2*s.Hold {
+		until += s.Hold
+	}
+	s.held[member] = append(s.held[member], heldQuestion[Q]{q, until})
 	return HoldIt, look
 }
 
@@ -93,7 +101,19 @@
 	if ok && term < was.term || !ok && len(s.looks) >= mostKnown {
 		return nil
 	}
-	s.looks[l.Member] = looked{l, term, now}
+	if l.Open { // who waits for a look waits on
+		s.open[l.Member] = now
+		for i := range s.held[l.Member] {
+			s.held[l.Member][i].until += s.Hold
+		}
+		return nil
+	}
+	delete(s.open, l.Member)
+	next := looked{l, term, now, 0}
+	if ok {
+		next.every = now - was.at
+	}
+	s.looks[l.Member] = next
 	for _, h := range s.held[l.Member] {
 		answers = append(answers, h.q)
 	}
@@ -102,6 +122,16 @@
 	return answers
 }
 
+// Errand is another front's wish that this scout look after a member: true where it has not looked, nor begun to, for as
+// long as a question waits.
+func (s *Scouting[Q]) Errand(now time.Duration, member string) bool {
+	if at, ok := s.errands[member]; ok && now-at < 2*s.Hold || !ok && len(s.errands) >= mostKnown {
+		return false
+	}
+	s.errands[member] = now
+	return true
+}
+
 // Due gives the questions that waited long enough, by member.
 func (s *Scouting[Q]) Due(now time.Duration) (out []Q) {
 	for member, all := range s.held {
--- a/fleet/scouting_test.go
+++ b/fleet/scouting_test.go
@@ -43,3 +43,20 @@
 		assert.False(t, ok)
 	}
 }
+
+// Before this, 300 fronts that lost one member asked 336 times in a minute: each went by itself before the scout's look came.
+func TestAScoutThatIsAtItLetsOthersWaitAndIsSentOnce(t *testing.T) {
+	s := NewScouting[int](time.Second, 100*time.Millisecond)
+	s.Wish(0, "m", 1, true)
+	assert.Nil(t, s.Take(50*time.Millisecond, 5, Look{Member: "m", Open: true}))
+	assert.Empty(t, s.Due(150*time.Millisecond), "its end follows")
+	s.Wish(160*time.Millisecond, "m", 2, true)
+	assert.Equal(t, []int{1, 2}, s.Take(190*time.Millisecond, 5, Look{Member: "m"}))
+	s.Wish(4*time.Second, "m", 3, true)
+	s.Take(4*time.Second, 5, Look{Member: "m", Open: true})
+	assert.Equal(t, []int{3}, s.Due(4200*time.Millisecond), "no longer than twice")
+
+	assert.True(t, s.Errand(5*time.Second, "m"))
+	assert.False(t, s.Errand(5100*time.Millisecond, "m"), "it is at it")
+	assert.True(t, s.Errand(5200*time.Millisecond, "m"))
+}
--- a/front/core.go
+++ b/front/core.go
@@ -106,6 +106,13 @@
 // Post brings an event; it blocks while too many wait.
 func (c *Core) Post(e Event) { c.events <- e }
 
+// Step takes what was posted and what has fallen due, and says when something falls due next. It is for a host that has a
+// clock of its own, as the laboratory's; in service Run does the same.
+func (c *Core) Step(now time.Duration) (next time.Duration, ok bool) {
+	c.batch(now)
+	return c.next()
+}
+
 // Run serves until stop is closed.
 func (c *Core) Run(clock Clock, stop <-chan struct{}) {
 	for {
--- a/front/route.go
+++ b/front/route.go
@@ -71,6 +71,15 @@
 	c.send(s, c.now+c.patience)
 }
 
+// Look is an event that has a member asked after, since the module of another front in the fleet wanted to know.
+type Look struct{ Member string }
+
+func (l Look) take(c *Core, _ time.Duration) {
+	if m, ok := c.members.Find(l.Member); ok {
+		c.Probe(m)
+	}
+}
+
 // Forget gives a member's place back: its index, its links and what the log says of it.
 func (c *Core) Forget(member int) {
 	slog.Info("forgotten", "member", c.members.Key(member))
--- /dev/null
+++ b/lab/model/model.go
@@ -0,0 +1,409 @@
+// Package model hosts real fronts in virtual time: front.Core with the module, the fleet's node, scouts and the list's mirror,
+// before modelled members and a modelled list's service. Nothing here is a copy of what runs in service but the links, the
+// members and the service of the list. One seed gives one run. For measurements and tests only.
+package model
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dapplerouter/discovery"
+	"dapplerouter/fleet"
+	"dapplerouter/fleet/company"
+	"dapplerouter/front"
+	"dapplerouter/lab/sim"
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+	"dapplerouter/router"
+	"dapplerouter/site"
+)
+
+// Options are what a Town is made of.
+type Options struct {
+	Seed             uint64
+	Fronts, Keepers  int
+	Groups, PerGroup int // members of each; the first is the primary
+	Servers          int // of a member
+	Service          time.Duration
+	Rate             float64 // txns a second that come to each front
+	Fleet            bool    // the fronts know one another
+	Ask              bool    // the list's service answers only when it is asked
+	Span             time.Duration
+	Expiry, SLA      time.Duration
+	Writes           float64 // part of the txns
+	Unwatched        bool    // nothing is kept of single txns
+}
+
+// Town is fronts, members, clients and the list's service in one world.
+type Town struct {
+	*sim.World
+	O       Options
+	Fronts  []*Front
+	Members []*Member
+	Lists   Lists
+	Txns    []*Txn
+	byName  map[string]*Member
+	ids     int
+}
+
+// Lists is the list's service.
+type Lists struct {
+	Index int64
+	Away  bool
+	Calls int
+	Open  int // watches
+}
+
+// Txn is one that a client asked for.
+type Txn struct {
+	ID, Front string
+	Type      string
+	At, Ended time.Duration // the world's
+	Finals    int
+	Word      front.Word
+	Write     bool
+}
+
+// Front is one instance.
+type Front struct {
+	Name   string
+	t      *Town
+	host   *sim.Host
+	Core   *front.Core
+	scouts *company.Scouts
+	list   *fleet.Listing
+	dir    *directory
+	turn   int
+	due    time.Duration // of the alarm that is set, on its clock
+	inward bool          // a step is being taken
+	Asked  map[string]int
+	Served map[string]int
+}
+
+const epoch = 1_800_000_000_000 // Unix milliseconds of the world's beginning
+
+func (t *Town) wall(at time.Duration) int64 { return epoch + at.Milliseconds() }
+
+func (t *Town) way() time.Duration {
+	return t.Delay + time.Duration(t.Rnd.Int64N(int64(t.Delay)))
+}
+
+// New makes a town; its fronts start with Start.
+func New(o Options) *Town {
+	if o.Expiry == 0 {
+		o.Expiry, o.SLA = 2*time.Second, 250*time.Millisecond
+	}
+	t := &Town{World: sim.New(o.Seed, o.Fronts, o.Keepers, fleet.Pace{Span: o.Span}, map[string]time.Duration{fleet.ListDuty: 2 * o.Span}), O: o, byName: map[string]*Member{}}
+	t.Lists.Index = 10
+	for g := range o.Groups {
+		for i := range o.PerGroup {
+			m := &Member{Name: fmt.Sprintf("s-%d-%d", g, i), Zone: zones[(g+i)%3], Group: int64(g), Primary: i == 0, Servers: o.Servers, Service: o.Service,
+				Lag: 5 * time.Millisecond, t: t, Did: map[string]int{}, marks: map[string]time.Duration{}}
+			t.Members = append(t.Members, m)
+			t.byName[m.Name] = m
+		}
+	}
+	for _, h := range t.Hosts {
+		h.Bare = !o.Fleet
+		t.Fronts = append(t.Fronts, &Front{Name: h.Name, t: t, host: h, Asked: map[string]int{}, Served: map[string]int{}})
+	}
+	t.Born = func(h *sim.Host) { t.Fronts[slices.Index(t.Hosts, h)].begin() }
+	t.Watch = func(h *sim.Host, e fleet.Event) { t.Fronts[slices.Index(t.Hosts, h)].told(e) }
+	return t
+}
+
+var zones = []string{"a", "b", "c"}
+
+// Types of txn that come.
+const (
+	Browse = "browse" // reads, any group's member
+	Book   = "book"   // writes under a mark
+)
+
+func (t *Town) site(i int) *site.Site {
+	o := t.O
+	s := &site.Site{Types: []string{Browse, Book}, Zones: zones,
+		TxnTypes: []port.TxnType{
+			{SLA: o.SLA, Expiry: o.Expiry, Value: 1, Effect: port.Repeatable, Scope: port.ScopeAll, Level: port.AnyData},
+			{SLA: o.SLA, Expiry: o.Expiry, Value: 5, Effect: port.Referenced, Scope: port.ScopeGroup, Window: 2 * time.Second, Level: port.Write}},
+		Topology:    port.Topology{Zone: i % 3, Zones: 3, Fronts: len(t.Hosts), Front: i, Ask: o.Ask, Roles: port.RoleLate, Tick: 5 * time.Millisecond},
+		Replication: port.Replication{Check: port.Refuses, AnswersTell: true},
+		Guardrails:  port.Guardrails{AnswerSlack: 20 * time.Millisecond, DrainGrace: 2 * time.Second, ColdShare: 1, FallMultiple: 1, AskWithin: 2 * time.Second, Cold: time.Second, Fall: 2 * time.Second},
+		Allowance:   port.Allowance{Submissions: 10, Probes: true, Revokes: true, ComeBackMax: time.Second, DialTimeout: 500 * time.Millisecond, LinkIdle: 30 * time.Second}}
+	return s
+}
+
+func (t *Town) whole() discovery.List {
+	l := discovery.List{Index: t.Lists.Index, Whole: true}
+	for _, m := range t.Members {
+		l.Entries = append(l.Entries, m.entry(0))
+	}
+	return l
+}
+
+// begin is a process that starts.
+func (f *Front) begin() {
+	t := f.t
+	f.turn++
+	i := slices.Index(t.Hosts, f.host)
+	f.due = -1
+	ways := front.Links(&links{f: f})
+	f.dir = &directory{f: f}
+	s := t.site(i)
+	if f.host.Node != nil {
+		f.list = fleet.NewListing()
+		f.host.Node.Mirror(fleet.ListDuty, f.list)
+		f.scouts = company.NewScouts(t.Pace.Span, s.Allowance.DialTimeout)
+		f.scouts.Links, f.scouts.Post = ways, func(e front.Event) { f.post(e) }
+		f.scouts.Now = f.host.Clock
+		f.scouts.Ask = func(to, member string) {
+			f.host.Do(func(n *fleet.Node, now time.Duration) { n.Post(now, to, "scout", []byte(member)) })
+		}
+		f.scouts.After = func(d time.Duration, call func()) { f.host.After(d, func(time.Duration) { call() }) }
+		f.scouts.Want = func(duty string) { f.host.Node.Want(duty, 0) }
+		f.scouts.Act = func(duty string, data []byte) (ok bool) {
+			f.host.Do(func(n *fleet.Node, now time.Duration) { ok = n.Act(now, duty, data) })
+			return ok
+		}
+		ways = f.scouts
+	}
+	born := time.UnixMilli(t.wall(t.Now)).Add(-f.host.Clock())
+	f.Core = front.NewCore(born, t.Rnd.Uint64(), s, router.New, ways, f.dir, nil)
+	f.seen(front.Listed{Kind: port.Cached, List: t.whole()})
+	if !t.O.Ask {
+		f.dir.follows = true
+		f.dir.open()
+	}
+	f.ask()
+	if f.host.Node != nil {
+		f.host.After(0, f.leans)
+	}
+}
+
+// seen posts what the scouts see on its way.
+func (f *Front) seen(e front.Event) {
+	if f.host.Node != nil {
+		f.scouts.Event(e)
+	} else {
+		f.post(e)
+	}
+}
+
+// post brings the core an event, and lets it work.
+func (f *Front) post(e front.Event) {
+	f.Core.Post(e)
+	f.step()
+}
+
+func (f *Front) step() {
+	if f.inward { // a wish of this very step: it is taken behind it
+		f.host.After(0, func(time.Duration) { f.step() })
+		return
+	}
+	f.inward = true
+	now := f.host.Clock()
+	next, ok := f.Core.Step(now)
+	f.inward = false
+	if ok && (f.due < now || next < f.due) {
+		f.due = max(next, now)
+		turn := f.due
+		f.host.After(max(0, next-now), func(at time.Duration) {
+			if f.due == turn {
+				f.due = -1
+			}
+			f.step()
+		})
+	}
+}
+
+// told takes what the fleet's node tells, as fleet/company does.
+func (f *Front) told(e fleet.Event) {
+	f.scouts.Told(e, f.Name)
+	switch e.What {
+	case fleet.Held:
+		if e.Duty == fleet.ListDuty {
+			f.dir.holds = true
+			f.dir.followAll()
+		}
+	case fleet.Ended:
+		if e.Duty == fleet.ListDuty && f.dir.holds {
+			f.dir.holds = false
+			f.t.Lists.Open--
+		}
+	case fleet.Posted:
+		f.scouts.Errand(string(e.Data))
+	case fleet.Came:
+		switch {
+		case e.Duty == fleet.ListDuty:
+			f.dir.heard = f.host.Clock()
+			f.dir.lean(e.Data)
+		case fleet.Sort(e.Duty) == "scout" && e.Name != f.Name:
+			f.scouts.Came(e.Term, e.Data)
+		}
+	}
+}
+
+func (f *Front) leans(now time.Duration) {
+	if f.dir.leaning && now-f.dir.heard > 6*time.Second {
+		f.dir.leaning = false
+		f.dir.open()
+	}
+	f.host.After(f.t.Pace.Span/6, f.leans)
+}
+
+// directory is a front's way to the list's service: its own watch or calls, or the fleet's. It is a front.Directory.
+type directory struct {
+	f       *Front
+	follows bool // the service tells unasked
+	watches bool
+	opened  bool // a watch of its own
+	leaning bool
+	holds   bool // the duty
+	heard   time.Duration
+}
+
+func (d *directory) open() {
+	if d.opened || !(d.follows || d.watches) || d.leaning {
+		return
+	}
+	d.opened = true
+	d.f.t.Lists.Open++
+	d.call(func(l discovery.List) { d.f.seen(front.Listed{Kind: port.Whole, List: l}) })
+}
+
+func (d *directory) shut() {
+	if d.opened {
+		d.opened = false
+		d.f.t.Lists.Open--
+	}
+}
+
+// call asks the service for the whole list.
+func (d *directory) call(then func(discovery.List)) {
+	t := d.f.t
+	t.Lists.Calls++
+	if t.Lists.Away {
+		d.f.host.After(t.way(), func(time.Duration) { d.f.seen(front.Listed{Kind: port.Failed}) })
+		return
+	}
+	d.f.host.After(2*t.way(), func(time.Duration) { then(t.whole()) })
+}
+
+func (d *directory) Watch(on bool) {
+	d.watches = on
+	switch {
+	case on && d.leaning:
+		d.f.host.After(0, func(time.Duration) { d.f.seen(front.Listed{Kind: port.Whole, List: d.f.list.List()}) })
+	case on:
+		d.open()
+	case !d.follows:
+		d.shut()
+	}
+}
+
+func (d *directory) Fetch() {
+	if d.leaning {
+		d.f.host.After(0, func(time.Duration) { d.f.seen(front.Listed{Kind: port.Whole, List: d.f.list.List()}) })
+		return
+	}
+	d.call(func(l discovery.List) { d.f.seen(front.Listed{Kind: port.Whole, List: l}) })
+}
+
+// followAll is the duty's work: a watch for all, and the service's beat handed on.
+func (d *directory) followAll() {
+	f := d.f
+	f.t.Lists.Open++
+	d.call(func(l discovery.List) {
+		f.host.Do(func(n *fleet.Node, now time.Duration) {
+			if act, err := f.list.Feed(l, 0); err == nil {
+				n.Done(fleet.ListDuty)
+				n.Act(now, fleet.ListDuty, act)
+			}
+		})
+	})
+	var beat func(now time.Duration)
+	beat = func(now time.Duration) {
+		if !d.holds {
+			return
+		}
+		f.host.Do(func(n *fleet.Node, now time.Duration) {
+			if f.list.Known() && !f.t.Lists.Away {
+				n.Done(fleet.ListDuty)
+				n.Act(now, fleet.ListDuty, f.list.Beat())
+			}
+		})
+		f.host.After(2*time.Second, beat)
+	}
+	f.host.After(2*time.Second, beat)
+}
+
+func (d *directory) lean(data []byte) {
+	if d.leaning {
+		_, changed := fleet.ReadList(data)
+		if changed {
+			d.f.seen(front.Listed{Kind: port.Whole, List: d.f.list.List()})
+		}
+		return
+	}
+	d.leaning = true
+	d.shut()
+	if d.follows || d.watches {
+		d.f.seen(front.Listed{Kind: port.Whole, List: d.f.list.List()})
+	}
+}
+
+// ask lets clients ask, at random moments.
+func (f *Front) ask() {
+	t := f.t
+	if t.O.Rate <= 0 {
+		return
+	}
+	f.host.After(time.Duration(t.Rnd.ExpFloat64()/t.O.Rate*float64(time.Second)), func(now time.Duration) {
+		f.Ask(int64(t.Rnd.IntN(t.O.Groups)), t.Rnd.Float64() < t.O.Writes)
+		f.ask()
+	})
+}
+
+// Ask brings one txn for a group.
+func (f *Front) Ask(group int64, write bool) *Txn {
+	t := f.t
+	t.ids++
+	x := &Txn{ID: "t" + decimal(t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
+	sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=%s,d=%d,cluster=%d */", x.ID, Browse, t.O.Expiry.Milliseconds(), group)
+	if write {
+		x.Type = Book
+		sql = fmt.Sprintf("INSERT INTO bookings (id) VALUES ('%s') /* id=%s,c=%s,k=m%s,d=%d,cluster=%d */", x.ID, x.ID, Book, x.ID, t.O.Expiry.Milliseconds(), group)
+	}
+	s, err := pgwire.ParseStatement([]byte(sql + "\x00"))
+	if err != nil {
+		panic(err) // of our own making
+	}
+	if !t.O.Unwatched {
+		t.Txns = append(t.Txns, x)
+	}
+	f.Asked[x.Type]++
+	f.post(&front.Arrival{Client: &client{f, x}, Statement: s, At: f.host.Clock()})
+	return x
+}
+
+type client struct {
+	f *Front
+	x *Txn
+}
+
+func (c *client) Answer(f front.Final) {
+	c.x.Finals++
+	c.x.Word, c.x.Ended = f.Word, c.f.t.Now
+	if f.Word == front.Served {
+		c.f.Served[c.x.Type]++
+	}
+}
+
+// Probes are all that members were asked.
+func (t *Town) Probes() (n int) {
+	for _, m := range t.Members {
+		n += m.Probes
+	}
+	return n
+}
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -37,6 +37,7 @@
 	Slices     []Slice         // what was served, by second
 	Watches    int             // of the list's service, open at the end
 	Memory     []int           // resident KiB of each front at the end, sorted
+	CPU        time.Duration   // of all fronts while clients asked
 	chart      []string
 }
 
@@ -348,6 +349,9 @@
 	if n := len(v.Memory); n > 0 {
 		fmt.Fprintf(w, "resident at the end: median %.1f MiB a front, most %.1f\n", float64(v.Memory[n/2])/1024, float64(v.Memory[n-1])/1024)
 	}
+	if v.Txns > 0 {
+		fmt.Fprintf(w, "processor time of all fronts: %v, %v a txn\n", v.CPU.Round(time.Millisecond), (v.CPU / time.Duration(v.Txns)).Round(time.Microsecond))
+	}
 	fmt.Fprint(w, "committed of asked, by second:")
 	for _, s := range v.Slices {
 		fmt.Fprintf(w, " %d/%d", s.Committed, s.Asked)
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -67,13 +67,13 @@
 const config = `{"name": %q, "listen": %q, "discovery": %q, "seed": "%x",
  "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "known": %s,
  "settings": {
-  "Zones": ["a", "b", "c"], "Locality": %q, "FleetSize": %d, "Ordinal": %d, "Discovery": "push", "Tick": 5000000,
+  "Zones": ["a", "b", "c"], "Locality": %q, "FleetSize": %d, "Ordinal": %d, "Discovery": %q, "Tick": 5000000,
   "Classes": [
    {"Name": "browse", "Aim": 250000000, "Deadline": 2000000000, "Effect": "read_like", "Group": "all", "Worth": 1.0},
    {"Name": "book", "Aim": 250000000, "Deadline": 2000000000, "Effect": "idempotency_key", "Group": "cell", "Window": 2000000000, "Worth": 5.0}],
   "FamilyInfo": {"ReadLevel": ["eventual", "mutate"], "StalenessBound": [0, 0], "RoleListed": "trailing",
    "Checks": "bounce", "HoldsFor": 50000000, "WriteMarks": "kept", "TellsPosition": true},
-  "Rules": {"AnswerSlack": 20000000, "StopSendingWithin": 2000000000, "Cold": 1000000000, "Fall": 2000000000},
+  "Rules": {"AnswerSlack": 20000000, "StopSendingWithin": 2000000000, "Cold": 1000000000, "Fall": 2000000000, "AskEvery": 2000000000},
   "Limits": {"AttemptsCap": 10, "MayProbe": true, "Cancel": true, "DialTimeout": 500000000, "ConnIdle": 30000000000,
    "RetryAfter": true, "MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false}
  }}`
@@ -153,6 +153,7 @@
 	r.say("-", "%d fronts serve; the script begins", len(r.fronts))
 	began := time.Now()
 	calls, probes := r.lists.calls(), r.group.Probes.Load()
+	cpu := r.cpu()
 	load := r.clients(s.Clients)
 	steps := slices.Clone(s.Steps)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
@@ -166,6 +167,7 @@
 	r.later.Wait()
 	r.Calls, r.Probes = r.lists.calls()-calls, r.group.Probes.Load()-probes
 	txns := load.end()
+	cpu = r.cpu() - cpu
 	rested := r.rest()
 	seen := r.status()
 	memory, watches := r.memory(), r.lists.watches()
@@ -178,7 +180,7 @@
 		return nil, err
 	}
 	v = r.judge(began, txns, history, seen, rested)
-	v.Memory, v.Watches = memory, watches
+	v.Memory, v.Watches, v.CPU = memory, watches, cpu
 	return v, nil
 }
 
@@ -192,7 +194,7 @@
 	if err := os.MkdirAll(f.dir, 0o700); err != nil {
 		return err
 	}
-	told := fmt.Sprintf(config, f.Name, f.clients, r.lists.address(), r.rnd.Uint64()|1, r.group.Listed(), string(rune('a'+f.i%3)), len(r.fronts), f.i)
+	told := fmt.Sprintf(config, f.Name, f.clients, r.lists.address(), r.rnd.Uint64()|1, r.group.Listed(), string(rune('a'+f.i%3)), len(r.fronts), f.i, map[bool]string{true: "ask", false: "push"}[r.Script.Ask])
 	if err := os.WriteFile(filepath.Join(f.dir, "config.json"), []byte(told), 0o600); err != nil {
 		return err
 	}
@@ -382,6 +384,26 @@
 	return all
 }
 
+// cpu is what the fronts' processes have used of processors since their starts, all threads. It means something only where
+// none of them ended in between.
+func (r *Rig) cpu() (sum time.Duration) {
+	for _, f := range r.fronts {
+		f.mu.Lock()
+		pid := f.cmd.Process.Pid
+		f.mu.Unlock()
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+		for _, t := range tasks {
+			b, err := os.ReadFile(t)
+			var ns int64
+			if err == nil {
+				fmt.Sscan(string(b), &ns)
+			}
+			sum += time.Duration(ns)
+		}
+	}
+	return sum
+}
+
 // pick finds the front that a step names, nil for none just now.
 func (r *Rig) pick(w Who) *Front {
 	up := func(f *Front) bool {
--- a/lab/rig/script.go
+++ b/lab/rig/script.go
@@ -23,6 +23,7 @@
 	Members, Clients int
 	Span, For        time.Duration
 	Off              bool // without the fleet form: what the fleet is compared with
+	Ask              bool // the list's service answers only when it is asked
 	Steps            []Step
 }
 
@@ -122,6 +123,8 @@
 			s.For = g.Span()
 		case "alone":
 			s.Off = true
+		case "ask":
+			s.Ask = true
 		case "at":
 			w, ok := g.Head()
 			if !ok {
@@ -135,7 +138,7 @@
 				s.Steps = append(s.Steps, s.step(x, at))
 			}
 		default:
-			g.Fault(g.Place, "known are fronts, keepers, members, clients, span, for, alone, at", "a rig has no %s", g.Name)
+			g.Fault(g.Place, "known are fronts, keepers, members, clients, span, for, alone, ask, at", "a rig has no %s", g.Name)
 		}
 	}
 	if s.Keepers > s.Fronts || s.Keepers%2 == 0 {
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -65,11 +65,13 @@
 	Disk      *Disk       // nil for a follower
 	Joins     bool
 	Unwilling bool  // to take duties
+	Bare      bool  // without a fleet: the machine has a clock, stops and crashes, and no node
 	Bytes     int64 // sent, as they would be on the wire, where the world weighs them
 	Sent      int64
 	Events    []fleet.Event // since the process started
 
 	w        *World
+	up       bool
 	born     time.Duration
 	turn     int // of the process
 	stopped  bool
@@ -116,6 +118,7 @@
 	Wrong         []string // what must not be and was
 	Weigh         func(*fleet.Message) int
 	Watch         func(h *Host, e fleet.Event) // sees every event of every front
+	Born          func(h *Host)                // a process started: its node, if any, is new
 	Trace         func(string)
 	Hear          func(to *Host, from string, m *fleet.Message) // sees every message that is taken
 
@@ -200,6 +203,13 @@
 	h.index = 0
 	o := fleet.Options{Fleet: "sim", Name: h.Name, Incarnation: w.Rnd.Uint64()>>24 | 1, Zone: h.Zone, Address: h.Name, Version: "sim",
 		Founders: w.keepers, Joins: h.Joins, Pace: w.Pace, Seed: w.Rnd.Uint64(), Willing: !h.Unwilling}
+	h.up = true
+	if h.Bare {
+		if w.Born != nil {
+			w.Born(h)
+		}
+		return
+	}
 	var disk *fleet.State
 	if h.Disk != nil {
 		h.Disk.state.Opened++
@@ -216,16 +226,19 @@
 	}
 	h.Node = n
 	w.trace("%s starts", h.Name)
+	if w.Born != nil {
+		w.Born(h)
+	}
 	h.ticks(h.turn)
 }
 
 // Crash ends it; what its disk held stays.
 func (h *Host) Crash() {
-	if h.Node == nil {
+	if !h.up {
 		return
 	}
 	h.w.trace("%s crashes", h.Name)
-	h.Node, h.stopped, h.inbox = nil, false, nil
+	h.Node, h.up, h.stopped, h.inbox = nil, false, false, nil
 	for _, name := range slices.Sorted(maps.Keys(h.conns)) {
 		h.close(h.conns[name])
 	}
@@ -233,7 +246,7 @@
 
 // Stop is SIGSTOP, Continue SIGCONT.
 func (h *Host) Stop() {
-	if h.Node != nil {
+	if h.up {
 		h.w.trace("%s stands still", h.Name)
 		h.stopped = true
 	}
@@ -253,7 +266,14 @@
 }
 
 // Up tells whether a process runs, be it stopped.
-func (h *Host) Up() bool { return h.Node != nil }
+func (h *Host) Up() bool { return h.up }
+
+// After calls something at this machine later: once it goes on, where it stands still then; never, where the process is
+// another by then.
+func (h *Host) After(d time.Duration, call func(now time.Duration)) {
+	turn := h.turn
+	h.w.After(time.Duration(float64(d)/h.Pace), func() { h.do(turn, call) })
+}
 
 // Cut cuts one way; Heal mends all.
 func (w *World) Cut(from, to string) {
@@ -285,7 +305,7 @@
 
 // do runs something at a machine, later where it stands still; nothing where the process is another by then.
 func (h *Host) do(turn int, call func(now time.Duration)) {
-	if h.Node == nil || h.turn != turn {
+	if !h.up || h.turn != turn {
 		return
 	}
 	if h.stopped {
@@ -322,6 +342,9 @@
 // pump carries out what the node wants, and looks whether all still holds.
 func (h *Host) pump() {
 	w, n := h.w, h.Node
+	if n == nil {
+		return
+	}
 	for {
 		s, ok := n.Save()
 		if !ok {
@@ -537,7 +560,7 @@
 // StartAll starts every machine that is down.
 func (w *World) StartAll() {
 	for _, h := range w.Hosts {
-		if h.Node == nil {
+		if !h.up {
 			h.Start()
 		}
 	}
