A txn keeps the terms it was taken on; a front acts only as long as its right lasts; fleet carries both

Need: ground for the audit of the fleet. Bound and window of a txn come with it through port (Txn.Bound, Txn.Window: what was in force when it came); the module reads them there, no line longer. front.Adopt puts a version's rules in force for later txns; front.Right is looked at by whoever is about to write, so that a machine that stood still begins nothing behind its end; behind it each txn in hand gets its one answer at once. The fleet's node renews rights by presences that a majority confirmed, bounded by a range in the record; presences carry digests; a long record is brought in pieces within a budget.

--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -131,6 +131,7 @@
 	awake   bool
 
 	types, customers, zones, kinds *front.Index[string]
+	txnTypes                       []port.TxnType
 	stores, groups                 *front.Index[int64]
 	txns                           map[string]port.Ref
 	doors                          front.Doors[string]
@@ -140,7 +141,7 @@
 func newInstance(a *adapter, id int, s *site.Site) *instance {
 	return &instance{a: a, id: id, start: a.clock, zero: time.Duration(s.Zero - a.clock),
 		kinds: front.NewIndex[string](), stores: front.NewIndex[int64](), groups: front.NewIndex[int64](),
-		txns: map[string]port.Ref{}, types: front.NewIndex(s.Types...),
+		txns: map[string]port.Ref{}, types: front.NewIndex(s.Types...), txnTypes: s.TxnTypes,
 		customers: front.NewIndex(s.Customers...), zones: front.NewIndex(s.Zones...)}
 }
 
@@ -249,6 +250,7 @@
 		t.Session = front.Session(e.User)
 	}
 	t.Group = f.groups.Number(e.Group)
+	t.Bound, t.Window = f.txnTypes[t.Type].Bound, f.txnTypes[t.Type].Window
 	if _, held := f.txns[string(e.Rid)]; held {
 		return fmt.Errorf("field Rid: %s came twice", e.Rid)
 	}
--- a/fleet/giver.go
+++ b/fleet/giver.go
@@ -32,6 +32,7 @@
 	joining   map[string]time.Duration
 	paused    map[string]time.Duration // duty and front, until when
 	second    map[string]*second       // processes whose name is another's
+	rights    []claimed                // heard, and not confirmed yet
 }
 
 type lease struct {
@@ -126,6 +127,9 @@
 		g.joining[p.Name] = now + 2*g.n.o.Pace.elect()
 		g.k.propose(&Command{Do: doJoin, Front: &Front{Name: p.Name, Incarnation: p.Incarnation, Zone: p.Zone, Address: p.Address, Version: p.Version}})
 	}
+	if p.Righted && g.n.record.rightTo(p.Acts) { // confirmed by the next round, which begins behind this word
+		g.rights = append(g.rights, claimed{name: p.Name, inc: p.Incarnation, seq: p.Seq, round: g.k.reads + 1, at: now})
+	}
 	for _, c := range p.Claims {
 		d, l := g.n.record.Duties[c.Duty], g.leases[c.Duty]
 		if d != nil && l != nil && !l.moving && d.Holder == p.Name && d.Incarnation == p.Incarnation && d.Term == c.Term {
@@ -187,12 +191,35 @@
 		}
 	}
 	g.waiting = rest
+	g.renew(now, round)
 	for _, name := range slices.Sorted(maps.Keys(kept)) {
 		g.down(now, name, kept[name])
 	}
 	g.beat(now)
 }
 
+// renew renews rights that were asked for before a round that is confirmed. A version that the record rules out meanwhile gets
+// none: what was renewed before the record said so is what its holder waits out.
+func (g *giver) renew(now time.Duration, round uint64) {
+	latest := map[string]Mark{}
+	later := g.rights[:0]
+	for _, c := range g.rights {
+		if c.round > round {
+			later = append(later, c)
+		} else if s := g.fronts[c.name]; s != nil && s.Incarnation == c.inc && g.n.record.rightTo(s.Acts) {
+			latest[c.name] = Mark{Name: c.name, Term: c.inc, Index: max(c.seq, latest[c.name].Index)}
+		}
+	}
+	g.rights = later
+	var all []Mark
+	for _, name := range slices.Sorted(maps.Keys(latest)) {
+		all = append(all, latest[name])
+	}
+	if len(all) > 0 {
+		g.n.rights(all)
+	}
+}
+
 // beat tells the fleet that it is given.
 func (g *giver) beat(now time.Duration) {
 	if !g.ready || now-g.n.pulseAt < g.n.o.Pace.beat()*9/10 && g.pulse > 0 {
@@ -255,6 +282,8 @@
 		if !l.moving && g.k.propose(c) {
 			l.moving, l.movingAt = true, now
 		}
+	case Tell:
+		g.down(now, m.From, &Word{ID: q.ID, Told: g.told(now, q.Duty)})
 	case Hand:
 		d, l := g.n.record.Duties[q.Duty], g.leases[q.Duty]
 		switch s := g.fronts[q.To]; {
@@ -273,6 +302,21 @@
 	}
 }
 
+// told are all fronts' digests of a part.
+func (g *giver) told(now time.Duration, part string) (all []Told) {
+	for _, name := range slices.Sorted(maps.Keys(g.fronts)) {
+		s := g.fronts[name]
+		t := Told{Front: name, Incarnation: s.Incarnation, Zone: s.Zone, Ago: now - s.at, Acts: s.Acts, Righted: s.Righted, Leaving: s.Leaving}
+		for _, d := range s.Digests {
+			if d.Part == part {
+				t.Data = d.Data
+			}
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
 // applied takes what came into the record.
 func (g *giver) applied(now time.Duration, c *Command, fault string) {
 	if !g.ready || fault != "" {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -20,11 +20,13 @@
 	Act                 // of a duty; flooded
 	Behind              // what a sender's mirror has; the receiver sends what it has more
 	Post                // from one front to another, by the tree; it may get lost
+	Rights              // whose presences the giver renews the right of, on the way down
+	Piece               // a part of the record, where it is long
 	kinds
 )
 
 var kindNames = [...]string{"hello", "refuse", "ping", "consent", "pulse", "changes", "whole", "need", "up", "ask", "down",
-	"act", "behind", "post"}
+	"act", "behind", "post", "rights", "piece"}
 
 func (k Kind) String() string {
 	if k < kinds {
@@ -107,6 +109,31 @@
 	Willing     bool   // to take duties
 	Leaving     bool
 	Claims      []Claim
+	Acts        uint64   // the version that it acts on, where versions are published
+	Righted     bool     // it asks for a right to act on it
+	Digests     []Digest // of the parts that stand on the fleet
+}
+
+// Digest is a part's word about its front, for the holder of its duty: small, since it goes with every presence.
+type Digest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Part string
+	Data []byte
+}
+
+// Told is a front's digest as the giver has it.
+type Told struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Front       string
+	Incarnation uint64
+	Zone        string
+	Ago         time.Duration // since the giver heard it, on the giver's clock
+	Acts        uint64
+	Righted     bool
+	Leaving     bool
+	Data        []byte
 }
 
 // Claim is a holder's wish to keep a duty, and how far it has come in it.
@@ -135,6 +162,7 @@
 	Propose uint8 = iota // Command, for the record
 	Release              // the holder of Duty in Term has stopped; To names whom it would like to see there
 	Hand                 // an operator wants Duty handed on, to To or to whom the giver chooses
+	Tell                 // all fronts' digests of the part named Duty
 )
 
 // Word is the giver's to one front.
@@ -149,6 +177,7 @@
 	ID     uint64 // of a question that is answered
 	Fault  string // "" where what was asked is done
 	Gone   uint64 // an incarnation that another front of this name has displaced
+	Told   []Told // what Tell asked for
 }
 
 // Line is an entry of the record: a command at its index.
@@ -174,6 +203,9 @@
 	mostThere = 512     // presences in a message
 	mostName  = 120     // bytes of a name
 	mostClaim = 256
+	mostParts = 8       // digests of a presence
+	mostWord  = 2 << 10 // bytes of one
+	mostPiece = 4096    // pieces of a record
 )
 
 // Fault is a peer's that makes no sense: its link is to be closed.
@@ -192,9 +224,14 @@
 	for i := range m.There {
 		p := &m.There[i]
 		if p.Name == "" || len(p.Name) > mostName || len(p.Zone) > mostName || len(p.Address) > mostName ||
-			len(p.Version) > mostName || len(p.Claims) > mostClaim {
+			len(p.Version) > mostName || len(p.Claims) > mostClaim || len(p.Digests) > mostParts {
 			return Fault("a presence without sense")
 		}
+		for _, d := range p.Digests {
+			if len(d.Part) > mostName || len(d.Data) > mostWord {
+				return Fault("a digest that is too long")
+			}
+		}
 	}
 	bad := false
 	switch m.Kind {
@@ -231,8 +268,14 @@
 
 // The margin on both sides: a holder's reckons an eighth less than the span, the giver an eighth more. With clocks whose
 // paces differ by a tenth each way the holder still ends first: 7/8 x 1.1/0.9 = 1.07 < 9/8.
-func (p Pace) holders() time.Duration { return p.Span * 7 / 8 }
-func (p Pace) givers() time.Duration  { return p.Span * 9 / 8 }
+func (p Pace) holders() time.Duration { return p.ours(p.Span) }
+func (p Pace) givers() time.Duration  { return p.theirs(p.Span) }
+
+func (p Pace) ours(span time.Duration) time.Duration   { return span * 7 / 8 }
+func (p Pace) theirs(span time.Duration) time.Duration { return span * 9 / 8 }
+
+// Out is how long after a right was refused to all it has provably run out everywhere, on the clock of who refused it.
+func (p Pace) Out(right time.Duration) time.Duration { return p.theirs(right) }
 
 // silent is how long without a pulse a front counts as hearing nobody.
 func (p Pace) silent() time.Duration { return p.Span }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -38,8 +38,10 @@
 	Joins       bool     // a keeper that came later: it begins with nothing and is told the record
 	Pace        Pace
 	Seed        uint64
-	Willing     bool // to take duties
-	Slots       int  // followers that may link to this front; 0 for the usual
+	Willing     bool          // to take duties
+	Slots       int           // followers that may link to this front; 0 for the usual
+	Right       time.Duration // for which a front may act on a version without contact; 0 where none are published
+	Budget      int           // bytes a second with which a peer is brought a record; 0 for the usual
 }
 
 const (
@@ -72,6 +74,7 @@
 	Shed         = "shed"      // a link to Name that was of no use; Why
 	Stuck        = "stuck"     // the record can't be read further by this program
 	Posted       = "posted"    // Name sent Data to this front, for the part named Duty
+	Righted      = "righted"   // this front may act until Until
 )
 
 // Event is something that happened, for the log, the history and the parts that stand on the fleet.
@@ -87,6 +90,7 @@
 	Index  uint64
 	Why    string
 	Data   []byte
+	Told   []Told // Answered, where Tell was asked
 }
 
 // Send is a message for a peer.
@@ -161,24 +165,31 @@
 	alone   bool
 	gone    bool // displaced
 
-	seq      uint64
-	saidAt   time.Duration
-	askedAt  [askedKept]time.Duration // by seq
-	above    map[string]Presence      // on their way up
-	passed   map[string]sight
-	ways     map[string]way
-	holds    map[string]*hold
-	wants    map[string]time.Duration // duties that this front declares, with their bounds
-	fences   map[string]fence
-	mirrors  map[string]Mirror
-	asks     map[uint64]*asked
-	nextAsk  uint64
-	leaving  bool
-	out      []Send
-	told     []Event
-	dropped  []string
-	lastTick time.Duration
-	spreadAt uint64 // index up to which neighbours were told
+	seq       uint64
+	saidAt    time.Duration
+	askedAt   [askedKept]time.Duration // by seq
+	above     map[string]Presence      // on their way up
+	acts      uint64                   // the version that this front acts on
+	right     time.Duration            // until when it may
+	digests   []Digest
+	bringing  map[string]*bringing // peers that are brought a long record
+	pieces    map[string]*pieces   // of one that comes
+	allowed   float64              // bytes of pieces, as of broughtAt
+	broughtAt time.Duration
+	passed    map[string]sight
+	ways      map[string]way
+	holds     map[string]*hold
+	wants     map[string]time.Duration // duties that this front declares, with their bounds
+	fences    map[string]fence
+	mirrors   map[string]Mirror
+	asks      map[uint64]*asked
+	nextAsk   uint64
+	leaving   bool
+	out       []Send
+	told      []Event
+	dropped   []string
+	lastTick  time.Duration
+	spreadAt  uint64 // index up to which neighbours were told
 }
 
 // New makes a Node; disk is a keeper's, nil for a follower.
@@ -188,6 +199,7 @@
 	}
 	n := &Node{o: o, record: newRecord(), peers: map[string]*peer{}, refused: map[string]time.Duration{}, denied: map[string]int{}, hints: map[string]string{},
 		above: map[string]Presence{}, passed: map[string]sight{}, ways: map[string]way{}, holds: map[string]*hold{},
+		bringing: map[string]*bringing{}, pieces: map[string]*pieces{},
 		wants: map[string]time.Duration{}, fences: map[string]fence{}, mirrors: map[string]Mirror{}, asks: map[uint64]*asked{},
 		nextAsk: o.Incarnation << 20, alone: true, pulseAt: -o.Pace.silent() - 1}
 	if disk != nil {
@@ -490,6 +502,8 @@
 // Unlinked takes the end of the link to a peer.
 func (n *Node) Unlinked(now time.Duration, name string) {
 	delete(n.peers, name)
+	delete(n.bringing, name)
+	delete(n.pieces, name)
 	if n.up == name {
 		n.up = ""
 		for _, k := range slices.Sorted(maps.Keys(n.peers)) {
@@ -695,6 +709,10 @@
 			n.learn(now, m.From, from)
 			n.toward(now, from, m)
 		}
+	case Rights:
+		n.rights(m.Seen)
+	case Piece:
+		return n.piece(now, from, p, m)
 	case Behind:
 		for _, s := range m.Seen {
 			n.bring(from, s)
@@ -736,7 +754,12 @@
 		return // keepers have it by consensus
 	}
 	if len(n.lines) == 0 || n.lines[0].Index > p.index+1 || p.index == 0 {
-		n.send(name, &Message{Kind: Whole, From: n.o.Name, Index: n.record.Index, Data: n.record.encode()})
+		if data := n.record.encode(); len(data) > pieceSize {
+			n.inPieces(name, data)
+			return
+		} else {
+			n.send(name, &Message{Kind: Whole, From: n.o.Name, Index: n.record.Index, Data: data})
+		}
 	} else {
 		part := n.lines[p.index+1-n.lines[0].Index:]
 		n.send(name, &Message{Kind: Changes, From: n.o.Name, Index: n.record.Index, Lines: slices.Clone(part)})
@@ -853,7 +876,7 @@
 	n.saidAt = now
 	n.askedAt[n.seq%askedKept] = now
 	p := Presence{Name: n.o.Name, Incarnation: n.o.Incarnation, Seq: n.seq, Zone: n.o.Zone, Address: n.o.Address, Version: n.o.Version,
-		Index: n.record.Index, Willing: n.o.Willing && !n.leaving, Leaving: n.leaving}
+		Index: n.record.Index, Willing: n.o.Willing && !n.leaving, Leaving: n.leaving, Acts: n.acts, Righted: n.o.Right > 0, Digests: n.digests}
 	for _, d := range slices.Sorted(maps.Keys(n.holds)) {
 		if h := n.holds[d]; !h.stopping {
 			p.Claims = append(p.Claims, Claim{Duty: d, Term: h.term, Done: h.done})
@@ -931,6 +954,57 @@
 	}
 }
 
+// Tell asks the giver for all fronts' digests of a part; an Answered event with them follows.
+func (n *Node) Tell(now time.Duration, part string) uint64 {
+	return n.Ask(now, Question{What: Tell, Duty: part})
+}
+
+// Digest sets what a part has to say with this front's presences.
+func (n *Node) Digest(part string, data []byte) {
+	if len(data) > mostWord {
+		return
+	}
+	all := slices.DeleteFunc(slices.Clone(n.digests), func(d Digest) bool { return d.Part == part })
+	n.digests = append(all, Digest{Part: part, Data: data})
+}
+
+// Acting sets the version that this front acts on from now on, and says so at once. Its right counts for the version that it
+// acts on when it asks: who adopts another keeps what is left.
+func (n *Node) Acting(now time.Duration, version uint64) {
+	if n.acts != version {
+		n.acts = version
+		n.present(now)
+	}
+}
+
+// Right is until when this front may act on its version, on its clock.
+func (n *Node) Right() time.Duration { return n.right }
+
+// rights takes renewals on their way down: our own, reckoned from when we asked, and those of fronts behind us.
+func (n *Node) rights(all []Mark) {
+	next := map[string][]Mark{}
+	for _, m := range all {
+		if m.Name != n.o.Name {
+			if w, ok := n.ways[m.Name]; ok && w.via != "" {
+				next[w.via] = append(next[w.via], m)
+			}
+			continue
+		}
+		if m.Term != n.o.Incarnation || m.Index > n.seq || n.seq-m.Index >= askedKept || n.gone {
+			continue
+		}
+		if until := n.askedAt[m.Index%askedKept] + n.o.Pace.ours(n.o.Right); until > n.right {
+			n.right = until
+			n.tell(Event{What: Righted, Until: until, Since: n.askedAt[m.Index%askedKept]})
+		}
+	}
+	for _, via := range slices.Sorted(maps.Keys(next)) {
+		for part := range slices.Chunk(next[via], mostThere) {
+			n.send(via, &Message{Kind: Rights, Seen: part})
+		}
+	}
+}
+
 // word takes the giver's word to this front.
 func (n *Node) word(now time.Duration, w *Word) {
 	if w.Gone == n.o.Incarnation && w.Gone != 0 {
@@ -938,7 +1012,7 @@
 		return
 	}
 	if w.ID != 0 && n.asks[w.ID] != nil {
-		n.answered(w.ID, w.Fault)
+		n.answered(w.ID, w.Fault, w.Told...)
 	}
 	if w.Stop != "" {
 		if h := n.holds[w.Stop]; h != nil && h.term == w.Term {
@@ -952,9 +1026,9 @@
 	}
 }
 
-func (n *Node) answered(id uint64, fault string) {
+func (n *Node) answered(id uint64, fault string, told ...Told) {
 	delete(n.asks, id)
-	n.tell(Event{What: Answered, Number: id, Why: fault})
+	n.tell(Event{What: Answered, Number: id, Why: fault, Told: told})
 }
 
 // --- Duties, as their holder.
@@ -1154,6 +1228,7 @@
 		clear(n.refused)
 		clear(n.hints)
 	}
+	n.carry(now)
 	n.prune(now)
 	n.spread()
 }
--- /dev/null
+++ b/fleet/pieces.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// A record that is long is brought in pieces, within a budget of bytes a second: a front that comes back must not hold up what
+// else passes on the link, and a front that brings many up must not be held up by it.
+const (
+	pieceSize   = 32 << 10
+	usualBudget = 1 << 20 // bytes a second
+)
+
+// bringing is a record on its way to a peer.
+type bringing struct {
+	index uint64
+	data  []byte
+	at    int
+}
+
+// pieces are those of a record that comes from a peer.
+type pieces struct {
+	index uint64
+	data  []byte
+}
+
+// inPieces begins to bring a peer a record.
+func (n *Node) inPieces(name string, data []byte) {
+	if b := n.bringing[name]; b != nil && b.index == n.record.Index {
+		return
+	}
+	n.bringing[name] = &bringing{index: n.record.Index, data: data}
+}
+
+// carry sends what the budget allows for since the last tick, a piece to each peer in turn.
+func (n *Node) carry(now time.Duration) {
+	if len(n.bringing) == 0 {
+		n.broughtAt = now
+		return
+	}
+	budget := n.o.Budget
+	if budget == 0 {
+		budget = usualBudget
+	}
+	n.allowed += float64(budget) * (now - n.broughtAt).Seconds()
+	n.allowed = min(n.allowed, float64(max(budget/4, pieceSize)))
+	n.broughtAt = now
+	for n.allowed >= pieceSize && len(n.bringing) > 0 {
+		for _, name := range slices.Sorted(maps.Keys(n.bringing)) {
+			b, p := n.bringing[name], n.peers[name]
+			if p == nil || p.index >= n.record.Index {
+				delete(n.bringing, name)
+				continue
+			}
+			if n.allowed < pieceSize {
+				break
+			}
+			n.allowed -= pieceSize
+			end := min(b.at+pieceSize, len(b.data))
+			n.send(name, &Message{Kind: Piece, From: n.o.Name, Index: b.index, Number: uint64(b.at), Term: uint64(len(b.data)), Data: b.data[b.at:end]})
+			if b.at = end; b.at == len(b.data) {
+				delete(n.bringing, name)
+				p.index = max(p.index, b.index)
+			}
+		}
+	}
+}
+
+// piece takes one; the last makes the record whole.
+func (n *Node) piece(now time.Duration, from string, p *peer, m *Message) error {
+	if m.Term > Longest*4 || m.Number > m.Term || len(m.Data) > pieceSize {
+		return Fault("a piece without sense")
+	}
+	if n.speaks() || m.Index <= n.record.Index {
+		delete(n.pieces, from)
+		return nil
+	}
+	b := n.pieces[from]
+	if m.Number == 0 {
+		b = &pieces{index: m.Index}
+		n.pieces[from] = b
+	}
+	if b == nil || b.index != m.Index || int(m.Number) != len(b.data) {
+		delete(n.pieces, from)
+		return nil // it begins anew
+	}
+	if b.data = append(b.data, m.Data...); uint64(len(b.data)) < m.Term {
+		return nil
+	}
+	delete(n.pieces, from)
+	p.index = max(p.index, m.Index)
+	r, err := decodeRecord(b.data)
+	if err != nil {
+		return Fault(err.Error())
+	}
+	if r.Index > n.record.Index {
+		n.restore(now, r)
+	}
+	return nil
+}
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -214,6 +214,39 @@
 	return c, ""
 }
 
+// RightKey is the entry that says which versions may be acted on; where it is absent, all may.
+const RightKey = "right"
+
+// Range is what that entry holds: versions from Least to Most.
+type Range struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Least, Most uint64
+}
+
+// Encode writes it as the entry's value.
+func (r Range) Encode() []byte {
+	b, err := msgpack.Marshal(&r)
+	if err != nil {
+		panic("a range that can't be written: " + err.Error()) // of our own making
+	}
+	return b
+}
+
+// Right is the range that is in force, and the entry's index: 0 where there is none.
+func (r *Record) Right() (x Range, index uint64) {
+	e := r.Entries[RightKey]
+	if e == nil || msgpack.Unmarshal(e.Value, &x) != nil {
+		return Range{Most: ^uint64(0)}, 0
+	}
+	return x, e.Index
+}
+
+func (r *Record) rightTo(version uint64) bool {
+	x, _ := r.Right()
+	return x.Least <= version && version <= x.Most
+}
+
 // whole is a record in one piece, sorted, so that the same record is the same bytes.
 type whole struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/front/admit.go
+++ b/front/admit.go
@@ -8,6 +8,9 @@
 	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Expiry) // nobody holds a place for longer than its type may
 	a.ref = c.doors.Open(a)
 	a.typ = t.Type
+	if c.bound.Audit != nil {
+		a.span = c.bound.Audit.Taken(c.now, a.Statement.ID, a.typ)
+	}
 	c.ids[string(a.Statement.ID)] = struct{}{}
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
 	c.book.taken++
--- a/front/book.go
+++ b/front/book.go
@@ -85,11 +85,18 @@
 		c.book.senseless++
 	}
 	a := d.What
+	c.audited(a, f.Word)
 	slog.Debug("answered", "type", string(a.Statement.Type), "word", f.Word, "after", c.now-a.At,
 		"of", a.Statement.Wait, "submissions", d.Hops)
 	a.Client.Answer(f)
 }
 
+func (c *Core) audited(a *Arrival, w Word) {
+	if c.bound.Audit != nil {
+		c.bound.Audit.Ended(c.now, a.span, a.typ, w)
+	}
+}
+
 // close ends a door's txn for its client; its id may come again.
 func (c *Core) close(d *Door[*Arrival]) {
 	d.Closed = true
@@ -101,6 +108,7 @@
 	if d := c.doors.At(a.ref); d != nil && !d.Closed {
 		c.close(d)
 		c.book.left++
+		c.audited(a, Abandoned)
 		slog.Debug("left", "type", string(a.Statement.Type), "after", now-a.At, "of", a.Statement.Wait,
 			"submissions", d.Hops)
 		c.decider.Left(now, a.ref)
--- a/front/core.go
+++ b/front/core.go
@@ -76,6 +76,10 @@
 	far       map[int]bool      // members that stand for another site
 	standing  []discovery.Entry // members that no list tells of
 	classes   *classes          // nil where statements are not classed
+	bound     Bound
+	terms     *terms // in force
+	lapsed    bool   // the right has run out, and what was in hand is ended
+	comeBack  time.Duration
 	entries   []port.Entry
 }
 
@@ -93,6 +97,8 @@
 		}
 		c.types = c.classes.withUndeclared(c.types, classing.Undeclared)
 	}
+	c.comeBack = s.Allowance.ComeBackMax
+	c.terms = &terms{types: c.types}
 	c.decider = decide(c, seed, s.Topology, c.types, s.Shares, s.Replication, s.Guardrails, s.Allowance, s.Tariff)
 	return c
 }
@@ -145,6 +151,7 @@
 // batch takes all at hand in the order of arrival, then what has fallen due, then settles.
 func (c *Core) batch(now time.Duration) {
 	c.now = now
+	c.lapse(now)
 	first := c.later
 	c.later = nil
 	for _, e := range first {
@@ -162,9 +169,12 @@
 	for len(c.alarms) > 0 && c.alarms[0].at <= now {
 		a := heap.Pop(&c.alarms).(alarm)
 		c.book.late(now - a.at)
-		if a.s == nil {
+		switch {
+		case a.right:
+			c.lapse(now)
+		case a.s == nil:
 			c.decider.Woken(now)
-		} else {
+		default:
 			c.expire(a.s)
 		}
 	}
@@ -173,8 +183,9 @@
 
 // alarm falls due for a submission, or without one for the module.
 type alarm struct {
-	at time.Duration
-	s  *Submission
+	at    time.Duration
+	s     *Submission
+	right bool // the core's own right may have run out
 }
 
 type alarms []alarm
@@ -234,6 +245,9 @@
 	if l.Kind == port.Whole {
 		slog.Info("listed whole", "members", len(c.entries), "index", l.List.Index)
 	}
+	if c.bound.Audit != nil && l.Kind != port.Failed {
+		c.bound.Audit.Listed(now, l.List.Index)
+	}
 	c.decider.List(now, l.Kind, l.List.Index, c.entries)
 }
 
--- a/front/ids.go
+++ b/front/ids.go
@@ -107,6 +107,15 @@
 	return nil
 }
 
+// Each calls with every door in hand; the call may release its own.
+func (d *Doors[T]) Each(call func(port.Ref, *Door[T])) {
+	for i := range d.doors {
+		if o := &d.doors[i]; o.held {
+			call(port.Ref{Place: uint32(i), Turn: o.turn}, o)
+		}
+	}
+}
+
 // Must finds the door of a txn that the module names.
 func (d *Doors[T]) Must(r port.Ref) *Door[T] {
 	o := d.At(r)
--- a/front/relay.go
+++ b/front/relay.go
@@ -61,7 +61,7 @@
 		}
 	}
 	if d := c.doors.At(e.S.ref); d != nil {
-		ty := &c.types[d.What.typ]
+		ty := &d.What.terms.types[d.What.typ]
 		if o.Ending == port.Committed && e.Crossed && ty.Level == port.Bounded && (!e.Aged || e.Age > ty.Bound) {
 			o.Ending, o.HasPosition = port.Missed, false // a read that is older than its bound by now is nobody's answer
 		}
--- a/front/send.go
+++ b/front/send.go
@@ -20,6 +20,7 @@
 	sent   time.Duration
 	probe  bool
 	way    Way
+	right  *Right // of the front; nil where it needs none
 	done   bool   // the core's: its ending is told, or about to be
 	cut    func() // set by who sends it, before stage says so
 	stage  atomic.Int32
@@ -49,6 +50,9 @@
 // nothing may be sent; afterwards the core ends it by cut, which must close the connection to the member's
 // eyes before it returns, without blocking.
 func (s *Submission) Begin(cut func()) bool {
+	if s.right != nil && !s.right.Lasts() { // the core ends it as soon as it looks
+		return false
+	}
 	s.cut = cut
 	return s.stage.CompareAndSwap(waiting, going)
 }
@@ -60,6 +64,7 @@
 	if d := c.doors.At(s.ref); d != nil {
 		d.What.out = append(d.What.out, s)
 	}
+	s.right = c.bound.Right
 	heap.Push(&c.alarms, alarm{at: until, s: s})
 	c.book.submissions++
 	c.links.Send(s.member, s)
--- a/front/takein.go
+++ b/front/takein.go
@@ -18,6 +18,8 @@
 	Declined
 	Undone
 	Senseless // the statement cannot be served: nothing was sent anywhere
+	Abandoned // no answer: the client left before. For the audit only
+	Words     // how many there are
 )
 
 // Final is the one answer of a txn.
@@ -47,6 +49,8 @@
 	spent     int           // submissions made and granted to another site
 	mayRun    bool          // something of it may have run
 	typ       int
+	terms     *terms // that were in force when it was taken
+	span      uint32 // the audit's
 }
 
 // Gone tells that the client of an arrival went away.
@@ -54,6 +58,12 @@
 
 // take turns names into indices; what names nothing known is answered at once.
 func (a *Arrival) take(c *Core, now time.Duration) {
+	if c.lapsed {
+		c.book.declined++
+		a.Client.Answer(Final{Word: Declined, Come: c.comeBack})
+		return
+	}
+	a.terms = c.terms
 	s := &a.Statement
 	t := port.Txn{Customer: port.None, Retry: s.Retry, Write: s.Write}
 	var ok bool
@@ -85,6 +95,11 @@
 		a.refuse(c, "cluster names no group on the list")
 		return
 	}
+	if _, gone := a.terms.givenUp[s.Group]; gone {
+		a.refuse(c, "cluster names a group that is given up")
+		return
+	}
+	t.Bound, t.Window = a.terms.types[t.Type].Bound, a.terms.types[t.Type].Window
 	if (ty.Level == port.Write || ty.Level == port.Session) && (s.Shape == nil || len(s.Key) > 0) {
 		t.Session = Session(s.Key)
 	}
--- /dev/null
+++ b/front/terms.go
@@ -0,0 +1,176 @@
+package front
+
+import (
+	"container/heap"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"dapplerouter/port"
+	"dapplerouter/site"
+)
+
+// Bound is what a core stands on where its front is one of a fleet that publishes versions and audits; the zero value is a
+// front by itself, which pays nothing for it.
+type Bound struct {
+	Right  *Right
+	Audit  Auditor
+	Stands func(standing bool) // the front takes no txns from now on, or takes them again; it must not block
+}
+
+// Auditor hears of each txn, from the core's goroutine: it must neither block nor allocate. Ended comes once for each Taken.
+type Auditor interface {
+	Taken(now time.Duration, id []byte, typ int) (span uint32)
+	Ended(now time.Duration, span uint32, typ int, w Word)
+	Listed(now time.Duration, index int64)     // the list's version is another
+	Adopted(now time.Duration, version uint64) // the terms are
+}
+
+// Bind sets what a core stands on. It is called before Run.
+func (c *Core) Bind(b Bound) {
+	c.bound = b
+	c.lapsed = b.Right != nil // until the first right comes
+}
+
+// terms are the bounds and windows of types by index, and the groups given up, of one version. They never change: a txn keeps
+// those that it was taken on.
+type terms struct {
+	version uint64
+	types   []port.TxnType
+	givenUp map[int64]struct{}
+}
+
+// Adopt is an event that puts a version's rules in force for all txns that come from now on; those in hand keep theirs.
+// Done hears the moment, from the core's goroutine.
+type Adopt struct {
+	Version uint64
+	Rules   *site.Rules // checked against the site before
+	Done    func(at time.Duration)
+}
+
+func (e Adopt) take(c *Core, now time.Duration) {
+	t := &terms{version: e.Version, types: c.types, givenUp: map[int64]struct{}{}}
+	if r := e.Rules; r != nil {
+		t.types = append([]port.TxnType{}, c.types...)
+		put := func(name string, set func(*port.TxnType)) {
+			if i, ok := c.typeIDs.Find(name); ok {
+				set(&t.types[i])
+				if c.classes != nil && c.classes.undeclared[i] != i { // a write of a reading type, by another index
+					set(&t.types[c.classes.undeclared[i]])
+				}
+			}
+		}
+		for name, d := range r.Bounds {
+			put(name, func(ty *port.TxnType) { ty.Bound = min(ty.Bound, d) })
+		}
+		for name, d := range r.Windows {
+			put(name, func(ty *port.TxnType) { ty.Window = min(ty.Window, d) })
+		}
+		for _, g := range r.GivenUp {
+			t.givenUp[g] = struct{}{}
+		}
+	}
+	c.terms = t
+	if c.bound.Audit != nil {
+		c.bound.Audit.Adopted(now, e.Version)
+	}
+	slog.Info("version in force", "version", e.Version, "given_up", len(t.givenUp))
+	if e.Done != nil {
+		e.Done(now)
+	}
+}
+
+// Right is until when a front may act on what it has. Behind it no submission begins, whoever is about to write it: the
+// front may have stood still since the core looked. The core alone renews it.
+type Right struct {
+	now   func() time.Duration
+	until atomic.Int64
+	ended atomic.Bool // it was found to have run out
+}
+
+// NewRight makes one that has run out; now is the core's clock.
+func NewRight(now func() time.Duration) *Right { return &Right{now: now} }
+
+// Lasts tells whether it does, and notes where it does not.
+func (r *Right) Lasts() bool {
+	if int64(r.now()) < r.until.Load() {
+		return true
+	}
+	r.ended.Store(true)
+	return false
+}
+
+// Renew is an event that lets the core act until a moment of its clock. One that comes behind the end of the last ends all
+// that is in hand first: nothing of it is answered by what was begun under another right.
+type Renew struct{ Until time.Duration }
+
+func (e Renew) take(c *Core, now time.Duration) {
+	r := c.bound.Right
+	if r == nil {
+		return
+	}
+	c.lapse(now)
+	if e.Until <= now || int64(e.Until) <= r.until.Load() {
+		return
+	}
+	r.until.Store(int64(e.Until))
+	r.ended.Store(false)
+	heap.Push(&c.alarms, alarm{at: e.Until, right: true})
+	if c.lapsed {
+		c.lapsed = false
+		c.stands(false)
+	}
+}
+
+func (c *Core) stands(on bool) {
+	if on {
+		slog.Warn("the right to act has run out: no txns are taken until it is renewed")
+	} else {
+		slog.Info("txns are taken: there is a right to act")
+	}
+	if c.bound.Stands != nil {
+		c.bound.Stands(on)
+	}
+}
+
+// lapse ends all that is in hand where the right has run out: each txn gets its final answer at once, and nothing more goes
+// out for it. A txn of which something may have run promises nothing; of the others trying again is harmless.
+func (c *Core) lapse(now time.Duration) {
+	r := c.bound.Right
+	if r == nil || c.lapsed || int64(now) < r.until.Load() && !r.ended.Load() {
+		return
+	}
+	c.lapsed = true
+	r.until.Store(0)
+	c.stands(true)
+	c.doors.Each(func(ref port.Ref, d *Door[*Arrival]) {
+		if d.Closed {
+			return
+		}
+		a := d.What
+		outs := append([]*Submission{}, a.out...)
+		endings := make([]port.Ending, len(outs))
+		for i, s := range outs {
+			if !s.done {
+				endings[i] = port.Void
+				if s.drop() {
+					endings[i], a.mayRun = port.Withdrawn, true
+				}
+			}
+		}
+		f := Final{Word: Declined, Come: c.comeBack, MayRun: a.mayRun}
+		if a.mayRun && c.types[a.typ].Effect != port.Repeatable {
+			f = Final{Word: Undone}
+		}
+		c.answer(d, f)
+		if len(outs) == 0 {
+			c.decider.Left(now, ref)
+			c.doors.Release(ref)
+		}
+		for i, s := range outs {
+			if endings[i] != port.Committed { // it was out until now
+				c.ended(s, port.Outcome{Ending: endings[i], Load: site.NoReport}, nil)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/front/terms_test.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/port"
+	"dapplerouter/site"
+)
+
+// ledger is an Auditor that writes down what it hears.
+type ledger struct {
+	taken, ended int
+	words        [Words]int
+	version      uint64
+	index        int64
+}
+
+func (l *ledger) Taken(time.Duration, []byte, int) uint32 { l.taken++; return uint32(l.version) }
+func (l *ledger) Ended(_ time.Duration, span uint32, _ int, w Word) {
+	l.ended++
+	l.words[w]++
+}
+func (l *ledger) Listed(_ time.Duration, index int64)     { l.index = index }
+func (l *ledger) Adopted(_ time.Duration, version uint64) { l.version = version }
+
+// righted is a front with a right until 100 ms.
+func righted(t *testing.T) (c *Core, m *module, w *wires, l *ledger, now *time.Duration) {
+	c, m, w = newFront(t)
+	l, now = &ledger{}, new(time.Duration)
+	c.Bind(Bound{Right: NewRight(func() time.Duration { return *now }), Audit: l})
+	c.Post(Renew{Until: 100 * ms})
+	c.batch(0)
+	return c, m, w, l, now
+}
+
+func TestATxnKeepsTheTermsItWasTakenOn(t *testing.T) {
+	c, m, w := newFront(t)
+	c.types[0].Level, c.types[0].Bound = port.Bounded, 3*time.Second
+	c.terms = &terms{types: c.types}
+	arrive(t, c, w, browse)
+	c.batch(10 * ms)
+	at := time.Duration(-1)
+	c.Post(Adopt{Version: 2, Rules: &site.Rules{Bounds: map[string]time.Duration{"browse": time.Second}, GivenUp: []int64{4}},
+		Done: func(d time.Duration) { at = d }})
+	c.batch(20 * ms)
+	assert.Equal(t, 20*ms, at, "the moment of adoption")
+	arrive(t, c, w, "SELECT data FROM facts WHERE code = 'k' /* id=2,c=browse,t=acme,d=100,cluster=9 */")
+	c.batch(30 * ms)
+	require.Len(t, m.begun, 2)
+	assert.Equal(t, []time.Duration{3 * time.Second, time.Second}, []time.Duration{m.begun[0].Bound, m.begun[1].Bound})
+	old := c.doors.Must(m.begun[0].Ref).What
+	assert.EqualValues(t, 0, old.terms.version)
+	assert.Equal(t, 3*time.Second, old.terms.types[0].Bound, "those in hand keep theirs")
+
+	c.Post(Adopt{Version: 3, Rules: &site.Rules{GivenUp: []int64{9}}})
+	c.batch(40 * ms)
+	arrive(t, c, w, "SELECT data FROM facts WHERE code = 'k' /* id=3,c=browse,t=acme,d=100,cluster=9 */")
+	c.batch(50 * ms)
+	assert.Len(t, m.begun, 2)
+	require.Len(t, w.final, 1)
+	assert.Equal(t, Senseless, w.final[0].Word)
+	assert.Contains(t, w.final[0].Reason, "given up")
+}
+
+func TestBehindTheEndOfItsRightAFrontTakesNothingAndOwesNothing(t *testing.T) {
+	c, m, w, l, now := righted(t)
+	stood := []bool{}
+	c.bound.Stands = func(on bool) { stood = append(stood, on) }
+	out(t, c, m, w)
+	w.begin(t, 0)
+	*now = 100 * ms
+	c.batch(100 * ms)
+	require.Len(t, w.final, 1, "at once")
+	assert.Equal(t, Declined, w.final[0].Word, "a read may be asked again")
+	assert.Equal(t, 1, w.cuts)
+	assert.Equal(t, port.Withdrawn, m.ended[0].Ending)
+	assert.True(t, m.ended[0].Closed)
+	assert.Zero(t, c.doors.Held())
+	arrive(t, c, w, browse)
+	c.batch(110 * ms)
+	assert.Len(t, m.begun, 1, "no new txn is taken")
+	require.Len(t, w.final, 2)
+	assert.Equal(t, Declined, w.final[1].Word)
+	c.Post(Renew{Until: 300 * ms})
+	c.batch(120 * ms)
+	arrive(t, c, w, browse)
+	c.batch(130 * ms)
+	assert.Len(t, m.begun, 2)
+	assert.Equal(t, []bool{true, false}, stood)
+	assert.Equal(t, [2]int{2, 1}, [2]int{l.taken, l.ended})
+}
+
+func TestAWriteThatMayHaveRunIsRolledBackAndOneThatDidNotIsDeclined(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		c, m, w, _, _ := righted(t)
+		c.types[1].Effect = port.Referenced
+		arrive(t, c, w, "INSERT INTO facts (id) VALUES ('k') /* id=1,c=order,k=9,d=500,cluster=9 */")
+		m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+		c.batch(10 * ms)
+		if begun {
+			w.begin(t, 0)
+		}
+		c.batch(150 * ms)
+		require.Len(t, w.final, 1)
+		assert.Equal(t, map[bool]Word{true: Undone, false: Declined}[begun], w.final[0].Word)
+		assert.Equal(t, map[bool]port.Ending{true: port.Withdrawn, false: port.Void}[begun], m.ended[0].Ending)
+		assert.False(t, !begun && w.sent[0].Begin(func() {}), "nothing goes out afterwards")
+	}
+}
+
+// A machine that stood still between the core's look and the write: the link looks by itself, and what it found counts even
+// where a new right comes before the core looks again.
+func TestNothingBeginsBehindTheEndThoughTheCoreHasNotLooked(t *testing.T) {
+	c, m, w, _, now := righted(t)
+	out(t, c, m, w)
+	*now = 60 * time.Second
+	assert.False(t, w.sent[0].Begin(func() {}))
+	c.Post(Renew{Until: 70 * time.Second})
+	c.batch(60 * time.Second)
+	require.Len(t, w.final, 1)
+	assert.Equal(t, Declined, w.final[0].Word)
+	assert.Equal(t, port.Void, m.ended[0].Ending)
+	assert.False(t, w.sent[0].Begin(func() {}), "not under the new right either")
+	arrive(t, c, w, browse)
+	c.batch(60*time.Second + ms)
+	assert.Len(t, m.begun, 2)
+}
+
+func TestEveryTxnThatTheAuditHeardOfEndsThereOnce(t *testing.T) {
+	c, m, w, l, _ := righted(t)
+	a := out(t, c, m, w)
+	w.begin(t, 0)
+	c.Post(Gone{a})
+	c.batch(20 * ms)
+	arrive(t, c, w, "SELECT data FROM facts WHERE code = 'k' /* id=2,c=browse,t=acme,d=100,cluster=9 */")
+	m.wish = func(m *module) { m.RollBack(m.begun[1].Ref) }
+	c.batch(30 * ms)
+	c.batch(200 * ms)
+	assert.Equal(t, 2, l.taken)
+	assert.Equal(t, 2, l.ended)
+	assert.Equal(t, 1, l.words[Abandoned])
+	assert.Equal(t, 1, l.words[Undone])
+}
--- a/port/port.go
+++ b/port/port.go
@@ -107,6 +107,8 @@
 	Budget   time.Duration // until the client gives this try up
 	Hint     time.Duration // rough work, 0 where not told
 	TokenAge time.Duration // since the session's last write committed, where tokens are carried; 0 for none
+	Bound    time.Duration // its type's, or a tighter one that was in force when it came
+	Window   time.Duration // its type's, or a shorter one
 	Retry    bool          // marked by the client as a repetition
 	Write    bool
 }
--- a/router/host_test.go
+++ b/router/host_test.go
@@ -96,7 +96,7 @@
 func (y *story) begin(ty int, change ...func(*port.Txn)) port.Ref {
 	y.turns++
 	t := port.Txn{Ref: port.Ref{Place: y.turns, Turn: y.turns}, Type: ty, Customer: port.None, Session: 9,
-		Budget: y.types[ty].Expiry}
+		Budget: y.types[ty].Expiry, Bound: y.types[ty].Bound, Window: y.types[ty].Window}
 	for _, c := range change {
 		c(&t)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -540,7 +540,7 @@
 	g := r.group(t.Group)
 	needs := t.needs
 	if ty.Level == port.Bounded {
-		needs = now - ty.Bound
+		needs = now - t.Bound
 	}
 	best, least, behind, furthest, primary := none, math.Inf(1), none, never, none
 	r.turn++
@@ -753,7 +753,7 @@
 	kept := (ty.Level == port.Write || t.value < ty.Value) && !t.mayRun && !t.missed &&
 		now > t.begun+t.Budget/2-2*r.beat
 	spent := t.mayRun && (ty.Effect == port.OnceOnly || // it may have run, and nothing would drop the repeat
-		ty.Effect == port.Referenced && (now-t.ranSince > ty.Window*9/10 || ty.Scope == port.ScopeZone))
+		ty.Effect == port.Referenced && (now-t.ranSince > t.Window*9/10 || ty.Scope == port.ScopeZone))
 	senseless := t.errors > 1 || t.errors > 0 && r.erring > 1.0/4 // where errors are common, at the first
 	// A usual latency over the SLA time must not shut a type out: what is never sent is never learnt of.
 	return kept || spent || senseless || t.subs >= r.most || now > t.expiry-2*r.beat ||
--- /dev/null
+++ b/site/rules.go
@@ -0,0 +1,136 @@
+package site
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dapplerouter/conf"
+	"dapplerouter/port"
+)
+
+// RulesForm is the operator's form for what may change while fronts run, by a published version:
+//
+//	(rules
+//	  (bound slot-browse 2s)    ; reads of the type are no older; tighter than the site's bound only
+//	  (window book-table 1s)    ; marks of the type are counted on for no longer; shorter than the site's only
+//	  (given-up 7 12))          ; txns of these groups are not taken any more
+const RulesForm = "rules"
+
+// Rules are what the form says. Nil and the zero value change nothing.
+type Rules struct {
+	Bounds, Windows map[string]time.Duration // by txn type
+	GivenUp         []int64                  // groups, sorted
+	places          map[string]conf.Place
+	place           conf.Place
+}
+
+// ReadRules reads the form; what is wrong with it is noted with its reading.
+func ReadRules(f *conf.Form) *Rules {
+	r := &Rules{Bounds: map[string]time.Duration{}, Windows: map[string]time.Duration{}, places: map[string]conf.Place{}, place: f.Place}
+	for _, g := range f.Each() {
+		switch g.Name {
+		case "bound", "window":
+			w, ok := g.Head()
+			if !ok {
+				continue
+			}
+			to := r.Bounds
+			if g.Name == "window" {
+				to = r.Windows
+			}
+			if _, twice := to[w.Name]; twice {
+				g.Fault(w.Place, "keep one of the two", "%s of %s is named twice", g.Name, w.Name)
+			}
+			to[w.Name] = g.Span()
+			r.places[g.Name+" "+w.Name] = g.Place
+			if to[w.Name] <= 0 {
+				g.Fault(g.Place, "("+g.Name+" "+w.Name+" 2s)", "a %s is a time", g.Name)
+			}
+		case "given-up":
+			for _, w := range g.Words() {
+				n, err := strconv.ParseInt(w.Name, 10, 64)
+				if err != nil {
+					g.Fault(w.Place, "(given-up 7): groups as the list numbers them", "%s is no group", w.Name)
+				}
+				r.GivenUp = append(r.GivenUp, n)
+			}
+		default:
+			g.Fault(g.Place, "known are bound, window, given-up", "rules have no %s", g.Name)
+		}
+	}
+	slices.Sort(r.GivenUp)
+	r.GivenUp = slices.Compact(r.GivenUp)
+	return r
+}
+
+// Against finds what rules say against a site. The error is conf.Faults: a type that is none, a bound or a window that would
+// loosen what the site promises.
+func (r *Rules) Against(s *Site) error {
+	if r == nil {
+		return nil
+	}
+	var faults conf.Faults
+	look := func(what string, of map[string]time.Duration, most func(port.TxnType) (time.Duration, bool), kind string) {
+		for _, name := range slices.Sorted(maps.Keys(of)) {
+			place := r.places[what+" "+name]
+			i := slices.Index(s.Types, name)
+			if i < 0 {
+				faults = append(faults, conf.Fault{Place: place, What: name + " is no txn type of this site", Remedy: fmt.Sprint("its types are ", s.Types)})
+				continue
+			}
+			switch limit, ok := most(s.TxnTypes[i]); {
+			case !ok:
+				faults = append(faults, conf.Fault{Place: place, What: name + " has no " + what, Remedy: "name a type that " + kind})
+			case of[name] > limit:
+				faults = append(faults, conf.Fault{Place: place, What: fmt.Sprintf("%v is looser than the site's %s of %v for %s", of[name], what, limit, name),
+					Remedy: "rules only tighten: take it away, or make it smaller"})
+			}
+		}
+	}
+	look("bound", r.Bounds, func(t port.TxnType) (time.Duration, bool) { return t.Bound, t.Level == port.Bounded }, "reads within a bound")
+	look("window", r.Windows, func(t port.TxnType) (time.Duration, bool) { return t.Window, t.Effect == port.Referenced }, "carries a mark")
+	if faults == nil {
+		return nil
+	}
+	return faults
+}
+
+// Meaning is a digest of what rules say, whatever the order and spelling of the text: 16 hexadecimal digits.
+func (r *Rules) Meaning() string {
+	var b strings.Builder
+	if r != nil {
+		for _, name := range slices.Sorted(maps.Keys(r.Bounds)) {
+			fmt.Fprintf(&b, "bound %q %d\n", name, r.Bounds[name])
+		}
+		for _, name := range slices.Sorted(maps.Keys(r.Windows)) {
+			fmt.Fprintf(&b, "window %q %d\n", name, r.Windows[name])
+		}
+		for _, g := range r.GivenUp {
+			fmt.Fprintf(&b, "given-up %d\n", g)
+		}
+	}
+	sum := sha256.Sum256([]byte(b.String()))
+	return hex.EncodeToString(sum[:8])
+}
+
+// ParseRules reads a text that has the form and no other: what may be published. The error is conf.Faults.
+func ParseRules(name string, text []byte) (*Rules, error) {
+	f, err := conf.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	r := f.Read()
+	form := r.Forms(RulesForm)[RulesForm]
+	if form == nil {
+		r.Fault(conf.Place{File: name, Line: 1, Column: 1}, "(rules (given-up 7)); other forms take a restart", "the file has no form rules")
+		return nil, r.Err()
+	}
+	rules := ReadRules(form)
+	return rules, r.Err()
+}
