--- a/cmd/dapplerouter/file.go
+++ b/cmd/dapplerouter/file.go
@@ -9,6 +9,8 @@
 
 	"dapplerouter/conf"
 	"dapplerouter/fleet"
+	"dapplerouter/fleet/audit"
+	"dapplerouter/fleet/roll"
 	"dapplerouter/front"
 	"dapplerouter/gateway"
 	"dapplerouter/shape"
@@ -21,6 +23,9 @@
 	place    conf.Place // of the classing form
 	gateway  *gateway.Config
 	fleet    *fleet.Config
+	roll     *roll.Config
+	audit    *audit.Config
+	rules    *site.Rules
 }
 
 // readFile reads an operator's file. The error is conf.Faults where the text is at fault.
@@ -35,7 +40,7 @@
 	}
 	r := f.Read()
 	o := &operator{}
-	forms := r.Forms(shape.FormName, gateway.FormName, fleet.FormName)
+	forms := r.Forms(shape.FormName, gateway.FormName, fleet.FormName, roll.FormName, audit.FormName, site.RulesForm)
 	if form := forms[shape.FormName]; form != nil {
 		o.classing, o.place = shape.ReadSettings(form), form.Place
 	}
@@ -45,6 +50,26 @@
 	if form := forms[fleet.FormName]; form != nil {
 		o.fleet = fleet.ReadConfig(form)
 	}
+	if form := forms[roll.FormName]; form != nil {
+		o.roll = roll.ReadConfig(form)
+		if o.fleet != nil && o.fleet.Span > 0 {
+			if _, err := o.roll.Fit(o.fleet.Span); err != nil {
+				f := err.(conf.Faults)[0]
+				form.Fault(f.Place, f.Remedy, "%s", f.What)
+			}
+		}
+	}
+	if form := forms[audit.FormName]; form != nil {
+		o.audit = audit.ReadConfig(form)
+	}
+	if form := forms[site.RulesForm]; form != nil {
+		o.rules = site.ReadRules(form)
+	}
+	for _, name := range []string{roll.FormName, audit.FormName} {
+		if form := forms[name]; form != nil && o.fleet == nil {
+			form.Fault(form.Place, "add the form fleet, or take this one away", "%s stands on a fleet, and the file has none", name)
+		}
+	}
 	return o, r.Err()
 }
 
@@ -59,6 +84,9 @@
 			return err
 		}
 	}
+	if err := o.rules.Against(told.Site); err != nil {
+		return err
+	}
 	if o.classing == nil {
 		return nil
 	}
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -110,14 +110,21 @@
 		all = append(all, across)
 	}
 	if operator.fleet != nil {
-		if fellows, err = company.New(operator.fleet, told, directory, version); err != nil {
+		forms := company.Forms{Fleet: operator.fleet, Roll: operator.roll, Audit: operator.audit, Rules: operator.rules}
+		if fellows, err = company.New(forms, told, directory, version); err != nil {
 			return err
 		}
+		fellows.Clock, fellows.Born, fellows.Post = clock.Now, clock.Born, post
 		fellows.Scouts.Links, fellows.Scouts.Post = ways, post
 		ways = fellows.Scouts
 		all = append(all, fellows)
 	}
 	core = front.NewCore(clock.Born, told.Seed, told.Site, router.New, ways, directory, classing)
+	if fellows != nil {
+		core.Bind(fellows.Bound())
+	} else if operator.rules != nil {
+		post(front.Adopt{Rules: operator.rules})
+	}
 	if across != nil {
 		core.Stand(link.Members(operator.gateway.Peer, operator.gateway.Groups, gateway.Joining))
 	}
@@ -125,6 +132,14 @@
 		slog.Warn("an entry of the known list is passed over", "why", why)
 	}
 	seen(front.Listed{Kind: port.Cached, List: told.Known})
+	longest := time.Duration(0)
+	for _, ty := range told.Site.TxnTypes {
+		longest = max(longest, ty.Expiry)
+	}
+	server := sockets.NewServer(post, room, clock, longest)
+	if fellows != nil {
+		fellows.Rest = func(on bool) { server.Rest(on, operator.fleet.Span) }
+	}
 	go core.Run(clock, ctx.Done())
 	if err := all.start(); err != nil {
 		return err
@@ -139,11 +154,6 @@
 		return err
 	}
 	listener := l.(*net.TCPListener)
-	longest := time.Duration(0)
-	for _, ty := range told.Site.TxnTypes {
-		longest = max(longest, ty.Expiry)
-	}
-	server := sockets.NewServer(post, room, clock, longest)
 	if classing != nil {
 		links.Any()
 		server.Parse(parse)
--- /dev/null
+++ b/fleet/audit/book.go
@@ -0,0 +1,187 @@
+// Package audit tells which front acted on which version, when, and what it did meanwhile. It is a core: no I/O, no clock, no
+// goroutine; files are kept by fleet/disk.
+//
+// A Book belongs to a front's core and hears of each txn: it counts them in spans, in each of which the front acted on one
+// version of the operator's rules and of the list. A Chain makes lines of what happened, each bound to the one before by a
+// hash. Lines are read back by Read, weighed by Verify and asked by the queries.
+package audit
+
+import (
+	"sync/atomic"
+	"time"
+
+	"dapplerouter/front"
+)
+
+const (
+	// Longest is how long a span lasts at the most.
+	Longest   = 5 * time.Minute
+	mostIDs   = 32 << 10 // txns of a span
+	mostSpans = 64       // that wait for their last txns; behind it a list's changes widen the span in hand
+)
+
+// Span is a time in which a front acted on one version, with what it did. Times are the core's clock.
+type Span struct {
+	Number      uint32
+	From, Until time.Duration
+	Version     uint64
+	List        [2]int64              // the list's versions, first and last
+	Standby     bool                  // the front had no right to act, and took nothing
+	Right       time.Duration         // until when it might act, as of the span's end; 0 where it needs none
+	Ended       [][front.Words]uint32 // by txn type
+	IDs         []uint64              // of the txns taken, as Hash gives them, in the order in which they came
+	open        int
+	closed      bool
+}
+
+// Book counts txns. Its calls are those of front.Auditor, from the core's goroutine; Sums may be called from anywhere.
+type Book struct {
+	types int
+	sink  func(Span)
+	spans []*Span // the last is the one in hand; the others wait for their txns
+	sums  []sum
+	first bool // what the first span is: a time of standing by
+}
+
+type sum struct{ ended, served atomic.Uint64 }
+
+// NewBook makes a Book for so many txn types; sink takes spans whose txns have all ended and must not block, nil for none.
+// A front that needs a right stands by until it has one.
+func NewBook(types int, rights bool, sink func(Span)) *Book {
+	return &Book{types: types, sink: sink, sums: make([]sum, types), first: rights}
+}
+
+// Hash is how a txn's id is kept: FNV-1a of 64 bits, of which the index holds 40.
+func Hash(id []byte) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range id {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+func (b *Book) now(at time.Duration) *Span {
+	if n := len(b.spans); n > 0 {
+		return b.spans[n-1]
+	}
+	return b.turn(at)
+}
+
+// turn closes the span in hand and opens the next.
+func (b *Book) turn(at time.Duration) *Span {
+	next := &Span{From: at, Number: 1, Standby: b.first, Ended: make([][front.Words]uint32, b.types)}
+	if n := len(b.spans); n > 0 {
+		old := b.spans[n-1]
+		old.Until, old.closed = at, true
+		next.Number, next.Version, next.List = old.Number+1, old.Version, [2]int64{old.List[1], old.List[1]}
+		next.Standby, next.Right = old.Standby, old.Right
+		if b.sink != nil {
+			next.IDs = make([]uint64, 0, min(max(len(old.IDs), 256), mostIDs))
+		}
+	}
+	b.spans = append(b.spans, next)
+	b.done()
+	return next
+}
+
+// done hands on spans that are closed and whose txns have all ended, in their order.
+func (b *Book) done() {
+	for len(b.spans) > 1 && b.spans[0].open == 0 {
+		if b.sink != nil {
+			b.sink(*b.spans[0])
+		}
+		b.spans[0] = nil
+		b.spans = b.spans[1:]
+	}
+}
+
+// Taken notes a txn that was taken, and gives its span.
+func (b *Book) Taken(at time.Duration, id []byte, _ int) uint32 {
+	s := b.now(at)
+	if b.sink != nil {
+		if len(s.IDs) >= mostIDs || at-s.From > Longest {
+			s = b.turn(at)
+		}
+		s.IDs = append(s.IDs, Hash(id))
+	}
+	s.open++
+	return s.Number
+}
+
+// Ended notes a txn's end.
+func (b *Book) Ended(_ time.Duration, span uint32, typ int, w front.Word) {
+	if typ < len(b.sums) {
+		b.sums[typ].ended.Add(1)
+		if w == front.Served {
+			b.sums[typ].served.Add(1)
+		}
+	}
+	i := int(span) - int(b.spans[0].Number)
+	if i < 0 || i >= len(b.spans) {
+		return
+	}
+	s := b.spans[i]
+	if typ < len(s.Ended) { // types that classing adds count with none
+		s.Ended[typ][w]++
+	}
+	if s.open--; s.open == 0 && s.closed {
+		b.done()
+	}
+}
+
+// Listed notes that the list has another version.
+func (b *Book) Listed(at time.Duration, index int64) {
+	s := b.now(at)
+	if s.List[1] == index {
+		return
+	}
+	if s.List == [2]int64{} || len(s.IDs) == 0 && s.open == 0 || len(b.spans) >= mostSpans {
+		if s.List == [2]int64{} || len(s.IDs) == 0 && s.open == 0 {
+			s.List[0] = index
+		}
+		s.List[1] = index
+		return
+	}
+	b.turn(at).List = [2]int64{index, index}
+}
+
+// Adopted notes that other rules are in force.
+func (b *Book) Adopted(at time.Duration, version uint64) {
+	if s := b.now(at); s.Version != version {
+		b.turn(at).Version = version
+	}
+	for i := range b.sums { // they are told by version
+		b.sums[i].ended.Store(0)
+		b.sums[i].served.Store(0)
+	}
+}
+
+// Right notes until when the front may act, or that it may no more: then it did until its right's end, whenever it finds out.
+func (b *Book) Right(at, until time.Duration, standby bool) {
+	s := b.now(at)
+	switch {
+	case standby && !s.Standby:
+		s.Right = until
+		s = b.turn(min(max(until, s.From), at))
+	case !standby && s.Standby:
+		s = b.turn(at)
+	}
+	s.Standby, s.Right = standby, until
+}
+
+// Close closes the span in hand, with what its txns have come to.
+func (b *Book) Close(at time.Duration) {
+	b.turn(at)
+	for _, s := range b.spans[:len(b.spans)-1] {
+		s.open = 0
+	}
+	b.done()
+}
+
+// Sums are how many txns of each type ended, and how many of them were committed, since the version was adopted.
+func (b *Book) Sums(each func(typ int, ended, served uint64)) {
+	for i := range b.sums {
+		served := b.sums[i].served.Load() // first: it is never more than ended
+		each(i, b.sums[i].ended.Load(), served)
+	}
+}
--- /dev/null
+++ b/fleet/audit/settings.go
@@ -0,0 +1,56 @@
+package audit
+
+import (
+	"time"
+
+	"dapplerouter/conf"
+)
+
+// FormName is the operator's form for the audit; it stands beside the form fleet:
+//
+//	(audit
+//	  (dir "/var/lib/dapplerouter/audit")   ; this front's own log
+//	  (budget 64MiB) (segment 1MiB)         ; of its files, and of one
+//	  (clock-error 500ms)                   ; by how much the machine's clock may be wrong
+//	  (export "/mnt/audit")                 ; closed segments are copied there, each once
+//	  (collect "/var/lib/dapplerouter/all") ; this front may gather all fronts' closed segments there, over the mesh,
+//	  (rate 256KiB))                        ; at so many bytes a second
+const FormName = "audit"
+
+// Config is what the form says.
+type Config struct {
+	Dir, Export, Collect  string
+	Budget, Segment, Rate int64
+	ClockError            time.Duration
+	Place                 conf.Place
+}
+
+// ReadConfig reads the form; what is wrong with it is noted with its reading.
+func ReadConfig(f *conf.Form) *Config {
+	c := &Config{Budget: 64 << 20, Segment: 1 << 20, Rate: 256 << 10, ClockError: 500 * time.Millisecond, Place: f.Place}
+	is := f.Forms("dir", "budget", "segment", "clock-error", "export", "collect", "rate")
+	for name, to := range map[string]*string{"dir": &c.Dir, "export": &c.Export, "collect": &c.Collect} {
+		if g := is[name]; g != nil {
+			w, _ := g.One()
+			*to = w.Name
+		}
+	}
+	for name, to := range map[string]*int64{"budget": &c.Budget, "segment": &c.Segment, "rate": &c.Rate} {
+		if g := is[name]; g != nil {
+			*to = g.Size(4<<10, 1<<40)
+		}
+	}
+	if g := is["clock-error"]; g != nil {
+		c.ClockError = g.Span()
+	}
+	if c.Dir == "" {
+		f.Fault(f.Place, "(dir \"FOLDER\"), the front's own", "the audit does not say where it is kept")
+	}
+	if c.Budget < 2*c.Segment {
+		f.Fault(f.Place, "make the budget larger, or a segment smaller", "a budget of %d bytes does not hold two segments of %d", c.Budget, c.Segment)
+	}
+	if c.Collect != "" && (c.Collect == c.Dir || c.Collect == c.Export) {
+		f.Fault(f.Place, "a folder of its own", "what is collected can't lie among the front's own")
+	}
+	return c
+}
--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -16,9 +16,12 @@
 	"dapplerouter/control"
 	"dapplerouter/discovery"
 	"dapplerouter/fleet"
+	"dapplerouter/fleet/audit"
 	"dapplerouter/fleet/disk"
 	"dapplerouter/fleet/mesh"
+	"dapplerouter/fleet/roll"
 	"dapplerouter/framing"
+	"dapplerouter/front"
 	"dapplerouter/site"
 	"dapplerouter/sockets"
 )
@@ -36,13 +39,27 @@
 	self      string
 	seed      uint64
 
+	Clock func() time.Duration // the core's
+	Born  time.Time            // from which it counts
+	Post  func(front.Event)    // to the core
+	Rest  func(standby bool)   // the front stands by, or no more; nil where nobody cares
+
+	site        *site.Site
+	own         *site.Rules // of the operator's file
+	program     string
+	incarnation uint64
+	begins      front.Adopt
+	rolls       *rolling    // nil without its form
+	audit       *auditing   // the same
+	book        *audit.Book // where there is either
+
 	ctx   context.Context
 	end   context.CancelFunc
 	mu    sync.Mutex
 	lists string // address of the list's service
 	list  context.CancelFunc
 	heard time.Time // the holder's word that the service lives
-	asks  map[uint64]chan string
+	asks  map[uint64]chan fleet.Event
 	done  sync.WaitGroup
 }
 
@@ -53,10 +70,19 @@
 // scoutPart is the part of a front that takes errands of scouts.
 const scoutPart = "scout"
 
-// New makes the part that a fleet form tells of; version is the program's own. The error is a file, a socket or an address
-// that can't be used.
-func New(c *fleet.Config, told *site.Start, directory *sockets.Directory, version string) (*Company, error) {
-	f := &Company{c: c, seed: told.Seed, listing: fleet.NewListing(), directory: directory, self: told.Name, lists: told.Discovery, asks: map[uint64]chan string{}}
+// Forms are what the operator's file says; all but the fleet's may be nil.
+type Forms struct {
+	Fleet *fleet.Config
+	Roll  *roll.Config
+	Audit *audit.Config
+	Rules *site.Rules
+}
+
+// New makes the part that the forms tell of; version is the program's own. Clock, Born and Post are to be set before Start.
+// The error is a file, a socket or an address that can't be used.
+func New(forms Forms, told *site.Start, directory *sockets.Directory, version string) (*Company, error) {
+	c := forms.Fleet
+	f := &Company{c: c, site: told.Site, own: forms.Rules, program: version, seed: told.Seed, listing: fleet.NewListing(), directory: directory, self: told.Name, lists: told.Discovery, asks: map[uint64]chan fleet.Event{}}
 	f.ctx, f.end = context.WithCancel(context.Background())
 	f.Scouts = NewScouts(c.Span, told.Site.Allowance.DialTimeout)
 	f.Scouts.Want = func(duty string) {
@@ -69,12 +95,16 @@
 	f.Scouts.Now = func() time.Duration { return f.mesh.Now() }
 	var inc [8]byte
 	rand.Read(inc[:])
+	f.incarnation = binary.LittleEndian.Uint64(inc[:])>>24 | 1
 	pace := fleet.Pace{Span: c.Span}
-	o := fleet.Options{Fleet: c.ID, Name: told.Name, Incarnation: binary.LittleEndian.Uint64(inc[:])>>24 | 1, Address: c.Address,
+	o := fleet.Options{Fleet: c.ID, Name: told.Name, Incarnation: f.incarnation, Address: c.Address,
 		Version: version, Founders: c.Keepers, Joins: c.Joins, Pace: pace, Seed: told.Seed, Willing: c.Willing}
 	if z := told.Site.Topology.Zone; z >= 0 && z < len(told.Site.Zones) {
 		o.Zone = told.Site.Zones[z]
 	}
+	if err := f.versions(forms, &o); err != nil {
+		return nil, err
+	}
 	var state *fleet.State
 	if c.Keeper != "" {
 		var err error
@@ -87,6 +117,9 @@
 		return nil, err
 	}
 	node.Want(fleet.ListDuty, listBound)
+	if f.rolls != nil {
+		f.rolls.seat.Begin(node)
+	}
 	node.Mirror(fleet.ListDuty, f.listing)
 	options := mesh.Options{Listen: c.Listen, Reach: c.Reach, Node: node, Pace: pace, Told: f.took}
 	if f.disk != nil {
@@ -103,6 +136,29 @@
 	return f, err
 }
 
+// versions makes the parts of the forms roll and audit.
+func (f *Company) versions(forms Forms, o *fleet.Options) (err error) {
+	f.begins = front.Adopt{Rules: forms.Rules}
+	if forms.Roll == nil && forms.Audit == nil {
+		return nil
+	}
+	var sink func(audit.Span)
+	if forms.Audit != nil {
+		if f.audit, err = newAuditing(f, forms.Audit); err != nil {
+			return err
+		}
+		sink = func(s audit.Span) { f.audit.put(entry{span: &s}) }
+	}
+	f.book = audit.NewBook(len(f.site.Types), forms.Roll != nil, sink)
+	if forms.Roll != nil {
+		if o.Right, err = forms.Roll.Fit(f.c.Span); err != nil {
+			return err
+		}
+		f.rolls, f.begins, err = newRolling(f, forms.Roll, o.Right)
+	}
+	return err
+}
+
 // Name and those below are a part's of a front: started, asked for totals, drained and closed like all others.
 func (f *Company) Name() string { return "fleet" }
 
@@ -116,6 +172,7 @@
 		f.serveControl(s)
 		s.Run()
 	}
+	f.keeps()
 	f.mesh.Run()
 	f.done.Go(f.watch)
 	slog.Info("one of a fleet", "listen", f.mesh.Addr().String(), "keeper", f.c.Keeper != "", "span", f.c.Span)
@@ -152,6 +209,15 @@
 }
 
 func (f *Company) Close() {
+	if f.audit != nil { // what the core has counted, before it ends
+		closed := make(chan struct{})
+		f.Post(front.Closing{Done: func() { close(closed) }})
+		select {
+		case <-closed:
+			f.write(&audit.Line{What: audit.Closed})
+		case <-time.After(time.Second):
+		}
+	}
 	f.end()
 	if f.control != nil {
 		f.control.Close()
@@ -166,6 +232,9 @@
 	if f.disk != nil {
 		f.disk.Close()
 	}
+	if f.audit != nil {
+		f.audit.close()
+	}
 	f.history.close()
 }
 
@@ -173,6 +242,10 @@
 func (f *Company) took(e fleet.Event) {
 	f.history.note(f.mesh, e)
 	logged(e)
+	f.noted(e)
+	if f.rolls != nil && (e.What == fleet.Held || e.What == fleet.Ended || e.What == fleet.Posted || e.What == fleet.Answered) {
+		f.mesh.Do(func(n *fleet.Node, now time.Duration) { f.rolls.seat.Event(now, e) })
+	}
 	f.Scouts.Told(e, f.self)
 	switch e.What {
 	case fleet.Held:
@@ -206,7 +279,7 @@
 	case fleet.Answered:
 		f.mu.Lock()
 		if c := f.asks[e.Number]; c != nil {
-			c <- e.Why
+			c <- e
 			delete(f.asks, e.Number)
 		}
 		f.mu.Unlock()
@@ -340,6 +413,15 @@
 	return &history{f: f, who: who, inc: incarnation}, nil
 }
 
+// acts and turn note what versions came to, for the rig's judge.
+func (h *history) acts(m *mesh.Mesh, what string, version uint64) {
+	h.note(m, fleet.Event{At: m.Now(), What: what, Number: version})
+}
+
+func (h *history) turn(m *mesh.Mesh, s roll.State, index uint64) {
+	h.note(m, fleet.Event{At: m.Now(), What: "turned", Number: s.Base, Term: s.Next, Name: s.Phase.String(), Index: index, Why: s.Why})
+}
+
 func (h *history) note(m *mesh.Mesh, e fleet.Event) {
 	if h == nil {
 		return
--- a/fleet/company/door.go
+++ b/fleet/company/door.go
@@ -50,6 +50,9 @@
 
 // serveControl answers the operator.
 func (f *Company) serveControl(s *control.Server) {
+	if f.rolls != nil {
+		f.serveRolls(s)
+	}
 	s.Get("/v1/fleet", func(url.Values) (any, error) { return f.seen(), nil })
 	s.Do("/v1/fleet/hand", func(q url.Values) (any, error) {
 		duty, to := q.Get("duty"), q.Get("to")
@@ -65,7 +68,18 @@
 
 // asked puts a question to the giver and waits for the answer.
 func (f *Company) asked(ask func(n *fleet.Node, now time.Duration) uint64) (any, error) {
-	answer := make(chan string, 1)
+	e, ok := f.answered(ask)
+	if !ok {
+		return nil, control.Fault("no answer of the fleet")
+	}
+	if e.Why != "" {
+		return nil, control.Fault(e.Why)
+	}
+	return map[string]bool{"done": true}, nil
+}
+
+func (f *Company) answered(ask func(n *fleet.Node, now time.Duration) uint64) (e fleet.Event, ok bool) {
+	answer := make(chan fleet.Event, 1)
 	var number uint64
 	f.mesh.Do(func(n *fleet.Node, now time.Duration) {
 		number = ask(n, now)
@@ -74,19 +88,22 @@
 		f.mu.Unlock()
 	})
 	select {
-	case why := <-answer:
-		if why != "" {
-			return nil, control.Fault(why)
-		}
-		return map[string]bool{"done": true}, nil
+	case e := <-answer:
+		return e, true
 	case <-time.After(5 * f.c.Span):
 		f.mu.Lock()
 		delete(f.asks, number)
 		f.mu.Unlock()
-		return nil, control.Fault("no answer of the fleet")
+		return e, false
 	}
 }
 
+// tell gives all fronts' digests of a part, none where nobody gives.
+func (f *Company) tell(part string) []fleet.Told {
+	e, _ := f.answered(func(n *fleet.Node, now time.Duration) uint64 { return n.Tell(now, part) })
+	return e.Told
+}
+
 func hexed(n uint64) string { return fmt.Sprintf("%010x", n) }
 
 func (f *Company) seen() (s Seen) {
--- /dev/null
+++ b/fleet/disk/segments.go
@@ -0,0 +1,318 @@
+package disk
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"dapplerouter/fleet/audit"
+)
+
+// Segments keeps a front's audit: files of lines with their index beside them, closed at a size, the oldest taken away where a
+// budget is passed. What can't be written is counted, and the gap is the first line behind it.
+type Segments struct {
+	dir, front   string
+	size, budget int64
+
+	mu     sync.Mutex
+	chain  audit.Chain
+	number uint64
+	lines  *os.File
+	ids    *os.File
+	at     int64 // length of the lines' file
+	idsAt  int64
+	lost   uint64
+	why    string
+	sealed []string // names without ending, oldest first
+	cut    int64
+	Told   func(l *audit.Line) // fills in what a line of the keeper's own has to say of its front
+}
+
+// Bounds of an audit's files, in bytes.
+const (
+	LeastSegment = 4 << 10
+	UsualSegment = 1 << 20
+)
+
+// OpenSegments opens a front's audit in a folder, which is made where it is not there. A torn tail is cut off, and told as the
+// first line of the new segment. The error names the folder and the file.
+func OpenSegments(dir, front string, size, budget int64) (*Segments, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("the audit's folder: %w", err)
+	}
+	s := &Segments{dir: dir, front: front, size: size, budget: budget, Told: func(*audit.Line) {}}
+	names, err := SegmentsIn(dir, front)
+	if err != nil {
+		return nil, err
+	}
+	s.sealed = names
+	if n := len(names); n > 0 {
+		if err := s.resume(names[n-1]); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.begin()
+}
+
+// SegmentsIn are the names, without ending, of a front's segments in a folder, oldest first; of all fronts for "".
+func SegmentsIn(dir, front string) (names []string, err error) {
+	all, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("the audit's folder: %w", err)
+	}
+	for _, e := range all {
+		if f, _, ok := audit.ParseName(e.Name()); ok && (front == "" || f == front) {
+			names = append(names, e.Name()[:len(e.Name())-len(audit.LinesEnd)])
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// resume takes up the chain where the last segment left it.
+func (s *Segments) resume(name string) error {
+	path := filepath.Join(s.dir, name+audit.LinesEnd)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("the audit's last segment: %w", err)
+	}
+	good, ids := 0, int64(0)
+	for good < len(b) {
+		n := bytes.IndexByte(b[good:], '\n')
+		var l audit.Line
+		if n < 0 || json.Unmarshal(b[good:good+n], &l) != nil || l.Chain == "" {
+			break
+		}
+		s.chain.N, s.chain.Value = l.N, l.Chain
+		if l.IDs > 0 {
+			ids = l.IDs - 1 + audit.Size(l.Txns)
+		}
+		good += n + 1
+	}
+	if s.cut = int64(len(b) - good); s.cut > 0 {
+		if err := os.Truncate(path, int64(good)); err != nil {
+			return fmt.Errorf("the audit's torn tail: %w", err)
+		}
+	}
+	if at, err := os.Stat(filepath.Join(s.dir, name+audit.IDsEnd)); err == nil && at.Size() > ids { // of a line that was never written
+		if err := os.Truncate(filepath.Join(s.dir, name+audit.IDsEnd), ids); err != nil {
+			return fmt.Errorf("the audit's torn index: %w", err)
+		}
+	}
+	_, s.number, _ = audit.ParseName(name + audit.LinesEnd)
+	return nil
+}
+
+// begin opens the next segment.
+func (s *Segments) begin() (err error) {
+	s.number++
+	name := audit.SegmentName(s.front, s.number)
+	if s.lines, err = os.OpenFile(filepath.Join(s.dir, name+audit.LinesEnd), os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600); err != nil {
+		return fmt.Errorf("the audit: %w", err)
+	}
+	if s.ids, err = os.OpenFile(filepath.Join(s.dir, name+audit.IDsEnd), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600); err != nil {
+		return fmt.Errorf("the audit: %w", err)
+	}
+	s.at, s.idsAt = 0, 0
+	s.chain.Segment()
+	return nil
+}
+
+// Write appends a line, with its span's part of the index. What can't be written is counted; the error is for the log.
+func (s *Segments) Write(l *audit.Line, ids []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut > 0 {
+		cut := &audit.Line{What: audit.Cut, Lost: uint64(s.cut), Why: "the last line of the segment before was not whole"}
+		s.Told(cut)
+		if s.append(cut, nil) == nil {
+			s.cut = 0
+		}
+	}
+	if s.lost > 0 {
+		gap := &audit.Line{What: audit.Gap, Lost: s.lost, Why: s.why}
+		s.Told(gap)
+		if err := s.append(gap, nil); err != nil {
+			s.lost++
+			return err
+		}
+		s.lost = 0
+	}
+	if err := s.append(l, ids); err != nil {
+		s.lost, s.why = s.lost+1, err.Error()
+		return err
+	}
+	if s.at+s.idsAt >= s.size {
+		return s.turn()
+	}
+	return nil
+}
+
+// Missed counts lines that never came here.
+func (s *Segments) Missed(n uint64, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost, s.why = s.lost+n, why
+}
+
+func (s *Segments) append(l *audit.Line, ids []byte) error {
+	if len(ids) > 0 {
+		if _, err := s.ids.WriteAt(ids, s.idsAt); err != nil {
+			return err
+		}
+		l.IDs = s.idsAt + 1
+	}
+	was := s.chain
+	b := s.chain.Append(l)
+	if _, err := s.lines.WriteAt(b, s.at); err != nil {
+		s.chain = was
+		s.lines.Truncate(s.at)
+		return err
+	}
+	s.at += int64(len(b))
+	s.idsAt += int64(len(ids))
+	return nil
+}
+
+// turn closes the segment and opens the next; where the budget is passed the oldest goes, told.
+func (s *Segments) turn() error {
+	if err := s.seal(); err != nil {
+		return err
+	}
+	if err := s.begin(); err != nil {
+		return err
+	}
+	for len(s.sealed) > 0 && s.total() > s.budget {
+		oldest := s.sealed[0]
+		gone := &audit.Line{What: audit.Dropped, Name: oldest, Why: fmt.Sprintf("the audit may take %d bytes", s.budget)}
+		s.Told(gone)
+		if err := s.append(gone, nil); err != nil {
+			return err
+		}
+		for _, end := range []string{audit.LinesEnd, audit.IDsEnd} {
+			if err := os.Remove(filepath.Join(s.dir, oldest+end)); err != nil && !errors.Is(err, os.ErrNotExist) {
+				return err
+			}
+		}
+		s.sealed = s.sealed[1:]
+	}
+	return nil
+}
+
+func (s *Segments) seal() error {
+	err := errors.Join(s.ids.Sync(), s.lines.Sync(), s.ids.Close(), s.lines.Close())
+	s.sealed = append(s.sealed, audit.SegmentName(s.front, s.number))
+	return err
+}
+
+func (s *Segments) total() (sum int64) {
+	sum = s.at + s.idsAt
+	for _, name := range s.sealed {
+		for _, end := range []string{audit.LinesEnd, audit.IDsEnd} {
+			if at, err := os.Stat(filepath.Join(s.dir, name+end)); err == nil {
+				sum += at.Size()
+			}
+		}
+	}
+	return sum
+}
+
+// Sync writes through what was appended.
+func (s *Segments) Sync() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return errors.Join(s.ids.Sync(), s.lines.Sync())
+}
+
+// Sealed are the names of segments that change no more, oldest first.
+func (s *Segments) Sealed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sealed)
+}
+
+// Turn closes the segment in hand now, so that it can be exported.
+func (s *Segments) Turn() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at == 0 {
+		return nil
+	}
+	return s.turn()
+}
+
+// Close ends the use of the files.
+func (s *Segments) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seal()
+}
+
+// Dir is where they are.
+func (s *Segments) Dir() string { return s.dir }
+
+// Export copies a closed segment into a folder, once and only once: under its own name, whole or not at all. One that is
+// there already with the same content counts as exported, however often it is asked for; one with other content is an error
+// and stays as it is.
+func Export(dir, name, to string) error {
+	for _, end := range []string{audit.IDsEnd, audit.LinesEnd} { // the lines last: who finds them finds the index
+		b, err := os.ReadFile(filepath.Join(dir, name+end))
+		if err == nil {
+			err = Keep(to, name+end, b)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Keep puts a file into a folder, whole or not at all; see Export.
+func Keep(to, name string, b []byte) error {
+	path := filepath.Join(to, name)
+	was, err := os.ReadFile(path)
+	switch {
+	case err == nil && bytes.Equal(was, b):
+		return nil
+	case err == nil:
+		return fmt.Errorf("%s is there already, and with other content: two fronts of one name, or a log restored from an old copy; move it away to go on", path)
+	case !errors.Is(err, os.ErrNotExist):
+		return err
+	}
+	f, err := os.CreateTemp(to, ".coming-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	if err := os.Link(f.Name(), path); err != nil { // unlike a rename, it never takes another's place
+		return err
+	}
+	d, err := os.Open(to)
+	if err == nil {
+		err = errors.Join(d.Sync(), d.Close())
+	}
+	return err
+}
+
+// Replace puts a file in another's place, whole or not at all.
+func Replace(path string, b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".coming-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
--- a/fleet/giver.go
+++ b/fleet/giver.go
@@ -306,7 +306,7 @@
 func (g *giver) told(now time.Duration, part string) (all []Told) {
 	for _, name := range slices.Sorted(maps.Keys(g.fronts)) {
 		s := g.fronts[name]
-		t := Told{Front: name, Incarnation: s.Incarnation, Zone: s.Zone, Ago: now - s.at, Acts: s.Acts, Righted: s.Righted, Leaving: s.Leaving}
+		t := Told{Front: name, Incarnation: s.Incarnation, Zone: s.Zone, Ago: now - s.at, Acts: s.Acts, Righted: s.Righted, Leaving: s.Leaving, Index: s.Index}
 		for _, d := range s.Digests {
 			if d.Part == part {
 				t.Data = d.Data
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -133,6 +133,7 @@
 	Acts        uint64
 	Righted     bool
 	Leaving     bool
+	Index       uint64 // of the record that it had when it said so
 	Data        []byte
 }
 
@@ -284,3 +285,6 @@
 func (p Pace) Tick() time.Duration     { return p.tick() }
 func (p Pace) Quiet() time.Duration    { return p.quiet() }
 func (p Pace) Greeting() time.Duration { return p.quiet() }
+
+// Beat is how often the giver pulses.
+func (p Pace) Beat() time.Duration { return p.beat() }
--- /dev/null
+++ b/fleet/roll/agent.go
@@ -0,0 +1,100 @@
+package roll
+
+import (
+	"time"
+
+	"dapplerouter/fleet"
+)
+
+// AgentOptions are what an Agent is made of.
+type AgentOptions struct {
+	Name  string
+	Pace  fleet.Pace
+	Right time.Duration // as the node's
+	Stop  bool          // without the fleet it acts only as long as its right lasts; else it goes on with what it has
+	Acts  uint64        // the version that it starts with: the one that it acted on last, 0 for its own file
+	Tried uint64        // a version during whose adoption its last process ended, 0 for none
+}
+
+// Agent is a front's part in rolls.
+type Agent struct {
+	o       AgentOptions
+	acts    uint64
+	at      int64
+	refused uint64
+	why     string
+	taking  uint64 // the version that is being taken up, where busy
+	busy    bool
+	heard   bool // the fleet, once since the start
+	born    time.Duration
+	begun   bool
+	until   time.Duration
+	given   time.Duration // the node's right, as of the last look
+}
+
+// NewAgent makes one.
+func NewAgent(o AgentOptions) *Agent {
+	a := &Agent{o: o, acts: o.Acts}
+	if o.Tried != 0 && o.Tried != o.Acts {
+		a.refused, a.why = o.Tried, "the front went down when it took it up"
+	}
+	return a
+}
+
+// Adoption is a version to take up; Adopted or Refuse follows. Text is nil for the front's own file.
+type Adoption struct {
+	Version uint64
+	Text    []byte
+}
+
+// Acts is the version that the front acts on.
+func (a *Agent) Acts() uint64 { return a.acts }
+
+// Step looks at the record: what to take up, nil for nothing, and until when the front may act, on its clock; a moment that is
+// past means that it may not.
+func (a *Agent) Step(now time.Duration, n *fleet.Node) (adopt *Adoption, until time.Duration) {
+	if !a.begun {
+		a.begun, a.born = true, now
+	}
+	r := n.Record()
+	s, ok := Read(r)
+	alone := n.Alone()
+	a.heard = a.heard || !alone && r.Index > 0
+	if ok && a.heard {
+		if want := s.Wants(a.o.Name); want != a.acts && (want != a.refused || want == 0) && !(a.busy && want == a.taking) {
+			if text := Text(r, want); text != nil || want == 0 {
+				a.taking, a.busy = want, true
+				adopt = &Adoption{want, text}
+			}
+		}
+	}
+	if g := n.Right(); g > a.given {
+		a.given, a.until = g, max(a.until, g)
+	}
+	if alone && !a.o.Stop && (a.heard || now-a.born > a.o.Pace.Span) && !(s.Must && s.Next != 0 && a.acts != s.Next) {
+		// Nobody can be asked: it goes on with what it has. A must version that it knows to be on its way holds it.
+		a.until = max(a.until, now+a.o.Pace.Span)
+	}
+	if x, index := r.Right(); index != 0 && (a.acts < x.Least || a.acts > x.Most) {
+		a.until = min(a.until, now) // by the fleet's own word: no need to wait for the right's end
+	}
+	return adopt, a.until
+}
+
+// Adopted tells that the front acts on a version from now on; at is its wall clock's, for people.
+func (a *Agent) Adopted(version uint64, at int64) {
+	a.acts, a.at, a.busy = version, at, false
+	if a.refused == version {
+		a.refused, a.why = 0, ""
+	}
+}
+
+// Refuse tells that the front can't use a version.
+func (a *Agent) Refuse(version uint64, why string) {
+	a.refused, a.why, a.busy = version, why, false
+}
+
+// Word is the front's digest; sums are its totals by txn type on the version that it acts on.
+func (a *Agent) Word(kinds uint32, sums []Sum) Word {
+	return Word{At: a.at, Refused: a.refused, Why: a.why, Alone: !a.o.Stop, Kinds: kinds, Sums: sums}
+}
--- a/front/admit.go
+++ b/front/admit.go
@@ -12,6 +12,7 @@
 		a.span = c.bound.Audit.Taken(c.now, a.Statement.ID, a.typ)
 	}
 	c.ids[string(a.Statement.ID)] = struct{}{}
+	c.doorsOpen++
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
 	c.book.taken++
 	c.decider.Begin(c.now, t)
--- a/front/book.go
+++ b/front/book.go
@@ -101,6 +101,11 @@
 func (c *Core) close(d *Door[*Arrival]) {
 	d.Closed = true
 	delete(c.ids, string(d.What.Statement.ID))
+	c.doorsOpen--
+	if d.What.terms != c.terms {
+		c.older--
+		c.onlyNewest()
+	}
 }
 
 func (g Gone) take(c *Core, now time.Duration) {
--- a/front/core.go
+++ b/front/core.go
@@ -78,6 +78,9 @@
 	classes   *classes          // nil where statements are not classed
 	bound     Bound
 	terms     *terms // in force
+	doorsOpen int    // txns in hand without their final answer
+	older     int    // of these, on another version than the newest
+	alone     func() // hears when there are none
 	lapsed    bool   // the right has run out, and what was in hand is ended
 	comeBack  time.Duration
 	entries   []port.Entry
--- a/front/terms.go
+++ b/front/terms.go
@@ -24,6 +24,18 @@
 	Ended(now time.Duration, span uint32, typ int, w Word)
 	Listed(now time.Duration, index int64)     // the list's version is another
 	Adopted(now time.Duration, version uint64) // the terms are
+	Right(now, until time.Duration, standby bool)
+	Close(now time.Duration) // the front ends
+}
+
+// Closing is an event that ends the audit's book, behind all that was posted before. Done is called then.
+type Closing struct{ Done func() }
+
+func (e Closing) take(c *Core, now time.Duration) {
+	if c.bound.Audit != nil {
+		c.bound.Audit.Close(now)
+	}
+	e.Done()
 }
 
 // Bind sets what a core stands on. It is called before Run.
@@ -40,12 +52,20 @@
 	givenUp map[int64]struct{}
 }
 
+// Version is that of the rules in force. For hosts that step the core themselves; elsewhere Adopt's Done tells it.
+func (c *Core) Version() uint64 { return c.terms.version }
+
+// Lapsed tells the same way whether the core stands by without a right.
+func (c *Core) Lapsed() bool { return c.lapsed }
+
 // Adopt is an event that puts a version's rules in force for all txns that come from now on; those in hand keep theirs.
-// Done hears the moment, from the core's goroutine.
+// Done hears the moment, from the core's goroutine; Alone hears, at that moment or later, that no txn is in hand any more
+// that was taken on another version: from then on the front acts on this one alone.
 type Adopt struct {
 	Version uint64
 	Rules   *site.Rules // checked against the site before
 	Done    func(at time.Duration)
+	Alone   func()
 }
 
 func (e Adopt) take(c *Core, now time.Duration) {
@@ -71,6 +91,7 @@
 		}
 	}
 	c.terms = t
+	c.older, c.alone = c.doorsOpen, e.Alone
 	if c.bound.Audit != nil {
 		c.bound.Audit.Adopted(now, e.Version)
 	}
@@ -78,6 +99,16 @@
 	if e.Done != nil {
 		e.Done(now)
 	}
+	c.onlyNewest()
+}
+
+// onlyNewest tells, once, when no txn of an older version is in hand any more.
+func (c *Core) onlyNewest() {
+	if c.older == 0 && c.alone != nil {
+		call := c.alone
+		c.alone = nil
+		call()
+	}
 }
 
 // Right is until when a front may act on what it has. Behind it no submission begins, whoever is about to write it: the
@@ -115,6 +146,9 @@
 	}
 	r.until.Store(int64(e.Until))
 	r.ended.Store(false)
+	if c.bound.Audit != nil {
+		c.bound.Audit.Right(now, e.Until, false)
+	}
 	heap.Push(&c.alarms, alarm{at: e.Until, right: true})
 	if c.lapsed {
 		c.lapsed = false
@@ -122,6 +156,16 @@
 	}
 }
 
+// Lapse is an event that ends the right now.
+type Lapse struct{}
+
+func (Lapse) take(c *Core, now time.Duration) {
+	if r := c.bound.Right; r != nil {
+		r.until.Store(min(r.until.Load(), int64(now)))
+		c.lapse(now)
+	}
+}
+
 func (c *Core) stands(on bool) {
 	if on {
 		slog.Warn("the right to act has run out: no txns are taken until it is renewed")
@@ -141,6 +185,9 @@
 		return
 	}
 	c.lapsed = true
+	if c.bound.Audit != nil {
+		c.bound.Audit.Right(now, time.Duration(r.until.Load()), true)
+	}
 	r.until.Store(0)
 	c.stands(true)
 	c.doors.Each(func(ref port.Ref, d *Door[*Arrival]) {
--- a/front/terms_test.go
+++ b/front/terms_test.go
@@ -25,6 +25,8 @@
 	l.words[w]++
 }
 func (l *ledger) Listed(_ time.Duration, index int64)     { l.index = index }
+func (l *ledger) Close(time.Duration)                     {}
+func (l *ledger) Right(_, _ time.Duration, _ bool)        {}
 func (l *ledger) Adopted(_ time.Duration, version uint64) { l.version = version }
 
 // righted is a front with a right until 100 ms.
@@ -56,6 +58,15 @@
 	assert.EqualValues(t, 0, old.terms.version)
 	assert.Equal(t, 3*time.Second, old.terms.types[0].Bound, "those in hand keep theirs")
 
+	alone := 0
+	c.Post(Adopt{Version: 2, Alone: func() { alone++ }})
+	c.batch(35 * ms)
+	assert.Zero(t, alone, "txns of before are in hand")
+	m.wish = func(m *module) { m.RollBack(m.begun[0].Ref); m.Decline(m.begun[1].Ref, 0) }
+	c.batch(36 * ms)
+	assert.Equal(t, 1, alone)
+	w.final = nil
+
 	c.Post(Adopt{Version: 3, Rules: &site.Rules{GivenUp: []int64{9}}})
 	c.batch(40 * ms)
 	arrive(t, c, w, "SELECT data FROM facts WHERE code = 'k' /* id=3,c=browse,t=acme,d=100,cluster=9 */")
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -11,6 +11,7 @@
 	"dapplerouter/discovery"
 	"dapplerouter/fleet"
 	"dapplerouter/fleet/company"
+	"dapplerouter/fleet/roll"
 	"dapplerouter/front"
 	"dapplerouter/lab/sim"
 	"dapplerouter/pgwire"
@@ -31,8 +32,10 @@
 	Ask              bool    // the list's service answers only when it is asked
 	Span             time.Duration
 	Expiry, SLA      time.Duration
-	Writes           float64 // part of the txns
-	Unwatched        bool    // nothing is kept of single txns
+	Writes           float64       // part of the txns
+	Unwatched        bool          // nothing is kept of single txns
+	Right            time.Duration // versions are published, with rights of this length; 0 for none
+	Stop             bool          // fronts that hear nobody stop at the end of their right
 }
 
 // Town is fronts, members, clients and the list's service in one world.
@@ -43,8 +46,17 @@
 	Members []*Member
 	Lists   Lists
 	Txns    []*Txn
+	Turns   []Turn // of rolls, as the record took them first
 	byName  map[string]*Member
 	ids     int
+	turned  uint64 // index of the newest
+}
+
+// Turn is a state of rolls in the record, and when it came there.
+type Turn struct {
+	At    time.Duration
+	Index uint64
+	roll.State
 }
 
 // Lists is the list's service.
@@ -67,18 +79,34 @@
 
 // Front is one instance.
 type Front struct {
-	Name   string
-	t      *Town
-	host   *sim.Host
-	Core   *front.Core
-	scouts *company.Scouts
-	list   *fleet.Listing
-	dir    *directory
-	turn   int
-	due    time.Duration // of the alarm that is set, on its clock
-	inward bool          // a step is being taken
-	Asked  map[string]int
-	Served map[string]int
+	Name      string
+	t         *Town
+	host      *sim.Host
+	Core      *front.Core
+	scouts    *company.Scouts
+	list      *fleet.Listing
+	dir       *directory
+	turn      int
+	startedAt time.Duration
+	due       time.Duration // of the alarm that is set, on its clock
+	inward    bool          // a step is being taken
+	Asked     map[string]int
+	Served    map[string]int
+
+	Seat    *roll.Seat
+	right   *front.Right
+	disk    saved // what the front's own disk holds of versions
+	version uint64
+	sums    []roll.Sum
+	Bad     func(version uint64) bool    // the version is one that this front can't use
+	Crashes func(version uint64) bool    // it takes the process down
+	Spoils  func(version uint64) float64 // part of the txns that fail on it
+}
+
+// saved is what a front keeps of versions.
+type saved struct {
+	version, tried uint64
+	text           []byte
 }
 
 const epoch = 1_800_000_000_000 // Unix milliseconds of the world's beginning
@@ -105,7 +133,7 @@
 		}
 	}
 	for _, h := range t.Hosts {
-		h.Bare = !o.Fleet
+		h.Bare, h.Right = !o.Fleet, o.Right
 		t.Fronts = append(t.Fronts, &Front{Name: h.Name, t: t, host: h, Asked: map[string]int{}, Served: map[string]int{}})
 	}
 	t.Born = func(h *sim.Host) { t.Fronts[slices.Index(t.Hosts, h)].begin() }
@@ -146,6 +174,7 @@
 func (f *Front) begin() {
 	t := f.t
 	f.turn++
+	f.startedAt = t.Now
 	i := slices.Index(t.Hosts, f.host)
 	f.due = -1
 	ways := front.Links(&links{f: f})
@@ -170,6 +199,9 @@
 	}
 	born := time.UnixMilli(t.wall(t.Now)).Add(-f.host.Clock())
 	f.Core = front.NewCore(born, t.Rnd.Uint64(), s, router.New, ways, f.dir, nil)
+	if t.O.Right > 0 && f.host.Node != nil {
+		f.seat(s)
+	}
 	f.seen(front.Listed{Kind: port.Cached, List: t.whole()})
 	if !t.O.Ask {
 		f.dir.follows = true
@@ -208,7 +240,7 @@
 	if ok && (f.due < now || next < f.due) {
 		f.due = max(next, now)
 		turn := f.due
-		f.host.After(max(0, next-now), func(at time.Duration) {
+		f.host.After(min(max(0, next-now), time.Hour), func(at time.Duration) {
 			if f.due == turn {
 				f.due = -1
 			}
@@ -220,6 +252,9 @@
 // told takes what the fleet's node tells, as fleet/company does.
 func (f *Front) told(e fleet.Event) {
 	f.scouts.Told(e, f.Name)
+	if f.Seat != nil {
+		f.Seat.Event(f.host.Clock(), e)
+	}
 	switch e.What {
 	case fleet.Held:
 		if e.Duty == fleet.ListDuty {
@@ -232,6 +267,9 @@
 			f.t.Lists.Open--
 		}
 	case fleet.Posted:
+		if e.Duty != "scout" {
+			break
+		}
 		f.scouts.Errand(string(e.Data))
 	case fleet.Came:
 		switch {
@@ -370,10 +408,14 @@
 	t := f.t
 	t.ids++
 	x := &Txn{ID: "t" + decimal(t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
-	sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=%s,d=%d,cluster=%d */", x.ID, Browse, t.O.Expiry.Milliseconds(), group)
+	wait := t.O.Expiry.Milliseconds()
+	if f.Spoils != nil && t.Rnd.Float64() < f.Spoils(f.Core.Version()) {
+		wait = 1
+	}
+	sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=%s,d=%d,cluster=%d */", x.ID, Browse, wait, group)
 	if write {
 		x.Type = Book
-		sql = fmt.Sprintf("INSERT INTO bookings (id) VALUES ('%s') /* id=%s,c=%s,k=m%s,d=%d,cluster=%d */", x.ID, x.ID, Book, x.ID, t.O.Expiry.Milliseconds(), group)
+		sql = fmt.Sprintf("INSERT INTO bookings (id) VALUES ('%s') /* id=%s,c=%s,k=m%s,d=%d,cluster=%d */", x.ID, x.ID, Book, x.ID, wait, group)
 	}
 	s, err := pgwire.ParseStatement([]byte(sql + "\x00"))
 	if err != nil {
--- /dev/null
+++ b/lab/model/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package model
+
+const raceOn = false
--- /dev/null
+++ b/lab/model/rolls.go
@@ -0,0 +1,166 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dapplerouter/fleet"
+	"dapplerouter/fleet/roll"
+	"dapplerouter/front"
+	"dapplerouter/site"
+)
+
+// seat gives a front that starts its part in rolls, as fleet/company does.
+func (f *Front) seat(s *site.Site) {
+	t := f.t
+	f.right = front.NewRight(f.host.Clock)
+	f.Core.Bind(front.Bound{Right: f.right, Audit: (*tally)(f)})
+	f.sums = make([]roll.Sum, 2)
+	o := roll.AgentOptions{Name: f.Name, Pace: t.Pace, Right: t.O.Right, Stop: t.O.Stop, Acts: f.disk.version, Tried: f.disk.tried}
+	f.version = o.Acts
+	turn := f.turn
+	f.Seat = roll.NewSeat(o, roll.Hooks{
+		Adopt: func(a roll.Adoption) {
+			f.host.After(0, func(time.Duration) { f.adopt(a, s) })
+		},
+		Renew: func(until time.Duration) {
+			f.host.After(0, func(now time.Duration) {
+				if until > now {
+					f.post(front.Renew{Until: until})
+				} else {
+					f.post(front.Lapse{})
+				}
+			})
+		},
+		Sums: func() (uint32, []roll.Sum) { return 1, slices.Clone(f.sums) },
+		Wall: func() int64 { return t.wall(t.Now) * 1000 },
+	})
+	if f.disk.version != 0 {
+		if r, err := site.ParseRules("saved", f.disk.text); err == nil {
+			f.post(front.Adopt{Version: f.disk.version, Rules: r})
+		}
+	}
+	f.Seat.Begin(f.host.Node)
+	var tick func(now time.Duration)
+	tick = func(now time.Duration) {
+		if f.turn != turn || f.host.Node == nil {
+			return
+		}
+		f.host.Do(func(n *fleet.Node, now time.Duration) {
+			f.Seat.Tick(now, n)
+			f.noted(n)
+		})
+		t.checkVersions()
+		f.host.After(t.Pace.Tick(), tick)
+	}
+	f.host.After(t.Pace.Tick(), tick)
+}
+
+func (f *Front) adopt(a roll.Adoption, s *site.Site) {
+	do := func(call func(n *fleet.Node, now time.Duration)) { f.host.Do(call) }
+	var rules *site.Rules
+	if a.Text != nil {
+		var err error
+		if rules, err = site.ParseRules("published", a.Text); err == nil {
+			err = rules.Against(s)
+		}
+		if err == nil && f.Bad != nil && f.Bad(a.Version) {
+			err = fmt.Errorf("its limits are others")
+		}
+		if err != nil {
+			do(func(n *fleet.Node, now time.Duration) { f.Seat.Refused(now, n, a.Version, err.Error()) })
+			return
+		}
+	}
+	f.disk.tried = a.Version
+	if f.Crashes != nil && f.Crashes(a.Version) {
+		f.host.After(300*time.Millisecond, func(time.Duration) {
+			h := f.host
+			h.Crash()
+			f.t.After(time.Second, func() {
+				if !h.Up() {
+					h.Start()
+				}
+			})
+		})
+	}
+	f.post(front.Adopt{Version: a.Version, Rules: rules, Done: func(time.Duration) {
+		f.host.After(0, func(time.Duration) {
+			f.disk.version, f.disk.text = a.Version, a.Text
+			f.version, f.sums = a.Version, make([]roll.Sum, 2)
+			f.host.After(2*f.t.Pace.Span, func(time.Duration) {
+				if f.version == a.Version {
+					f.disk.tried = 0
+				}
+			})
+		})
+	}, Alone: func() {
+		f.host.After(0, func(time.Duration) {
+			do(func(n *fleet.Node, now time.Duration) { f.Seat.Adopted(now, n, a.Version) })
+		})
+	}})
+}
+
+// tally counts a front's txns, as the audit does in service.
+type tally Front
+
+func (f *tally) Taken(time.Duration, []byte, int) uint32  { return 0 }
+func (f *tally) Listed(time.Duration, int64)              {}
+func (f *tally) Adopted(time.Duration, uint64)            {}
+func (f *tally) Close(time.Duration)                      {}
+func (f *tally) Right(time.Duration, time.Duration, bool) {}
+func (f *tally) Ended(_ time.Duration, _ uint32, typ int, w front.Word) {
+	f.sums[typ].Ended++
+	if w == front.Served {
+		f.sums[typ].Served++
+	}
+}
+
+// noted keeps the turns of rolls, in the order of the record.
+func (f *Front) noted(n *fleet.Node) {
+	e := n.Record().Entries["roll"]
+	if e == nil || e.Index <= f.t.turned {
+		return
+	}
+	if s, ok := roll.Read(n.Record()); ok {
+		f.t.turned = e.Index
+		f.t.Turns = append(f.t.Turns, Turn{f.t.Now, e.Index, s})
+	}
+}
+
+// State is the newest of rolls that any front has.
+func (t *Town) State() roll.State {
+	if len(t.Turns) == 0 {
+		return roll.State{}
+	}
+	return t.Turns[len(t.Turns)-1].State
+}
+
+// checkVersions asserts invariants 1 to 3 of package roll: who acts, acts on Base or Next, and no other; a front that serves
+// alone by its operator's will is told in the record or hears nobody.
+func (t *Town) checkVersions() {
+	s := t.State()
+	for _, f := range t.Fronts {
+		if !f.host.Up() || f.Seat == nil || !f.right.Lasts() {
+			continue
+		}
+		v := f.Core.Version()
+		if v == s.Base || s.Next != 0 && v == s.Next {
+			continue
+		}
+		if !t.O.Stop && (f.host.Node.Alone() || f.host.Stopped()) {
+			continue
+		}
+		t.Wrong = append(t.Wrong, fmt.Sprintf("%v: %s acts on version %d, and in force are %d and %d (%v)", t.Now, f.Name, v, s.Base, s.Next, s.Phase))
+	}
+}
+
+// Publish lets an operator publish a text at a front, and gives the wish's outcome when it is there.
+func (t *Town) Publish(f *Front, w roll.Wish, outcome func(fault string)) {
+	if r, err := site.ParseRules("x", w.Text); err == nil {
+		w.Meaning = r.Meaning()
+	}
+	w.ID = t.Rnd.Uint64() | 1
+	f.host.Do(func(n *fleet.Node, now time.Duration) { f.Seat.Wish(now, w, 10*t.Pace.Span, outcome) })
+}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -16,7 +16,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +61,9 @@
 	Probes   int64
 	mustHalt []string // keepers whose disks lost something
 	later    sync.WaitGroup
+	door     net.Listener // holds the block of ports
+	base     int
+	used     int
 }
 
 const config = `{"name": %q, "listen": %q, "discovery": %q, "seed": "%x",
@@ -78,16 +80,32 @@
    "RetryAfter": true, "MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false}
  }}`
 
-// next is where ports are looked for: below those that the machine gives to whoever dials, so that a front that is down for
-// a while finds its own free again; rigs side by side begin at places of their own.
-var next atomic.Int64
+// Ports of a rig lie in a block of its own, below those that the machine gives to whoever dials: so a front that is down for a
+// while finds its own free again, though rigs run side by side. Who listens at a block's first port has the block.
+const (
+	firstPort  = 12000
+	blockPorts = 200
+	blocks     = 100
+)
 
-func init() { next.Store(int64(12000 + os.Getpid()%180*100)) }
+func (r *Rig) block() (err error) {
+	at := int(r.Seed%blocks*7) + os.Getpid()
+	for i := range blocks {
+		r.base = firstPort + (at+i)%blocks*blockPorts
+		if r.door, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.base)); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("no block of ports is free: %w", err)
+}
 
-// ports takes ports that nobody has; a front keeps its own over restarts.
-func ports(n int) (all []string, err error) {
+// ports takes ports of the block that nobody has; a front keeps its own over restarts.
+func (r *Rig) ports(n int) (all []string, err error) {
 	for len(all) < n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+next.Add(1)%20000))
+		if r.used++; r.used >= blockPorts {
+			return nil, errors.New("a rig has no more ports")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.base+r.used))
 		if err == nil {
 			all = append(all, l.Addr().String())
 			l.Close()
@@ -118,7 +136,11 @@
 	r.lists = newLists(listed.Endpoints)
 	defer r.lists.close()
 	defer r.close()
-	addresses, err := ports(2 * s.Fronts)
+	if err := r.block(); err != nil {
+		return nil, err
+	}
+	defer r.door.Close()
+	addresses, err := r.ports(2 * s.Fronts)
 	if err != nil {
 		return nil, err
 	}
@@ -590,7 +612,7 @@
 		r.after(span, func() { m.Hang(false); r.say("-", "the member answers again") })
 	case "twin":
 		twin := who[0]
-		two, err := ports(2)
+		two, err := r.ports(2)
 		if err != nil {
 			return err
 		}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -64,9 +64,10 @@
 	Pace      float64     // of its clock, 1 for true
 	Disk      *Disk       // nil for a follower
 	Joins     bool
-	Unwilling bool  // to take duties
-	Bare      bool  // without a fleet: the machine has a clock, stops and crashes, and no node
-	Bytes     int64 // sent, as they would be on the wire, where the world weighs them
+	Unwilling bool          // to take duties
+	Right     time.Duration // of its node, where versions are published
+	Bare      bool          // without a fleet: the machine has a clock, stops and crashes, and no node
+	Bytes     int64         // sent, as they would be on the wire, where the world weighs them
 	Sent      int64
 	Events    []fleet.Event // since the process started
 
@@ -169,6 +170,9 @@
 
 // After calls something later.
 func (w *World) After(d time.Duration, call func()) {
+	if d < 0 {
+		panic(fmt.Sprintf("the world would go back by %v", -d))
+	}
 	w.seq++
 	heap.Push(&w.queue, event{w.Now + d, w.seq, call})
 }
@@ -202,7 +206,7 @@
 	h.stopped, h.inbox, h.conns, h.dialling, h.terms, h.Events = false, nil, map[string]*conn{}, map[string]bool{}, map[string]uint64{}, nil
 	h.index = 0
 	o := fleet.Options{Fleet: "sim", Name: h.Name, Incarnation: w.Rnd.Uint64()>>24 | 1, Zone: h.Zone, Address: h.Name, Version: "sim",
-		Founders: w.keepers, Joins: h.Joins, Pace: w.Pace, Seed: w.Rnd.Uint64(), Willing: !h.Unwilling}
+		Founders: w.keepers, Joins: h.Joins, Pace: w.Pace, Seed: w.Rnd.Uint64(), Willing: !h.Unwilling, Right: h.Right}
 	h.up = true
 	if h.Bare {
 		if w.Born != nil {
@@ -272,7 +276,10 @@
 // another by then.
 func (h *Host) After(d time.Duration, call func(now time.Duration)) {
 	turn := h.turn
-	h.w.After(time.Duration(float64(d)/h.Pace), func() { h.do(turn, call) })
+	if d > 0 {
+		d = time.Duration(float64(d)/h.Pace) + 2 // rounded up: its clock has come there by then
+	}
+	h.w.After(d, func() { h.do(turn, call) })
 }
 
 // Cut cuts one way; Heal mends all.
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"hash/crc32"
 	"log/slog"
 	"net"
 	"runtime/debug"
@@ -35,6 +36,9 @@
 	parse    func(body []byte) (pgwire.Statement, error)
 
 	stopping atomic.Bool
+	rest     atomic.Int64 // newcomers are turned away: resting, or the moment since when they are taken again
+	pace     atomic.Int64 // over which they are, once the front is back
+	came     atomic.Int64
 	turning  chan struct{}
 	mu       sync.Mutex
 	clients  map[*client]struct{}
@@ -113,7 +117,50 @@
 	out      *front.Arrival
 }
 
+// Rest lets clients go once they are answered and turns newcomers away, as a front that stands by does; it ends with false:
+// newcomers are taken again, more and more of them over a span, so that a front that comes back is not flooded.
+func (sv *Server) Rest(on bool, pace time.Duration) {
+	if !on {
+		sv.pace.Store(int64(max(pace, 1)))
+		sv.rest.Store(int64(sv.clock.Now()) + 1)
+		return
+	}
+	sv.rest.Store(standsBy)
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for c := range sv.clients {
+		if c.idle.Load() > 0 {
+			c.leave.Store(true)
+			c.conn.SetReadDeadline(past)
+		}
+	}
+}
+
+const standsBy = -1
+
+// rests tells whether a newcomer is turned away since the front stands by, or came back a moment ago.
+func (sv *Server) rests() bool {
+	since := sv.rest.Load()
+	if since == 0 {
+		return false
+	}
+	if since == standsBy {
+		return true
+	}
+	gone, pace := float64(int64(sv.clock.Now())-since), float64(sv.pace.Load())
+	if gone >= pace {
+		sv.rest.CompareAndSwap(since, 0)
+		return false
+	}
+	n := sv.came.Add(1) // every eighth at first, all at the end
+	return float64(crc32.ChecksumIEEE(strconv.AppendInt(nil, n, 10)))/(1<<32) > max(gone/pace, 1.0/8)
+}
+
 func (sv *Server) begin(conn *net.TCPConn) {
+	if sv.rests() {
+		sv.turnAway(conn)
+		return
+	}
 	if !sv.room.client(sv.makeWay) {
 		sv.turnAway(conn)
 		return
@@ -299,7 +346,9 @@
 }
 
 // leaving says whether the connection is to end between txns.
-func (c *client) leaving() bool { return c.sv.stopping.Load() || c.leave.Load() }
+func (c *client) leaving() bool {
+	return c.sv.stopping.Load() || c.leave.Load() || c.sv.rest.Load() == standsBy
+}
 
 // Why a connection ends.
 var (
