A right is to one version: a front asks for it before it takes a version up

Now presences ask for the version to come as well, the giver renews by version, and a txn goes on under the right to what it was taken on.

--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -30,11 +30,14 @@
 	f     *Company
 	c     *roll.Config
 	seat  *roll.Seat
-	right *front.Right
 	kinds uint32
-	renew chan time.Duration // the latest wish of the seat
-	last  uint64             // turn of rolls that was noted
-	watch func()             // fleet: a turn was seen; for tests
+	renew chan renewal // the latest wish of the seat
+	last  uint64       // turn of rolls that was noted
+}
+
+type renewal struct {
+	version uint64
+	until   time.Duration
 }
 
 // kept is what a front keeps of versions over its restarts.
@@ -81,7 +84,7 @@
 
 // newRolling makes the part; the front begins with what it acted on last.
 func newRolling(f *Company, c *roll.Config, right time.Duration) (r *rolling, begins front.Adopt, err error) {
-	r = &rolling{f: f, c: c, renew: make(chan time.Duration, 1), kinds: crc32.ChecksumIEEE([]byte(strings.Join(f.site.Types, ",")))}
+	r = &rolling{f: f, c: c, renew: make(chan renewal, 1), kinds: crc32.ChecksumIEEE([]byte(strings.Join(f.site.Types, ",")))}
 	k, err := r.load()
 	if err != nil {
 		return nil, begins, err
@@ -113,10 +116,10 @@
 }
 
 // wants keeps the latest wish for the core; whoever calls holds the mesh.
-func (r *rolling) wants(until time.Duration) {
+func (r *rolling) wants(version uint64, until time.Duration) {
 	for {
 		select {
-		case r.renew <- until:
+		case r.renew <- renewal{version, until}:
 			return
 		default:
 		}
@@ -140,17 +143,23 @@
 				r.seat.Tick(now, n)
 				r.turned(n)
 			})
-		case until := <-r.renew:
-			core := r.f.Clock() // before the other clock: a stall between the two readings makes the right shorter, never longer
-			if left := until - r.f.mesh.Now(); left > 0 {
-				r.f.Post(front.Renew{Until: core + left})
+		case x := <-r.renew:
+			if until, left := r.core(x.until); left {
+				r.f.Post(front.Renew{Version: x.version, Until: until})
 			} else {
-				r.f.Post(front.Lapse{})
+				r.f.Post(front.Lapse{Version: x.version})
 			}
 		}
 	}
 }
 
+// core puts a moment of the mesh's clock on the core's, and says whether it is to come.
+func (r *rolling) core(until time.Duration) (at time.Duration, left bool) {
+	now := r.f.Clock() // before the other clock: a stall between the two readings makes the right shorter, never longer
+	ahead := until - r.f.mesh.Now()
+	return now + ahead, ahead > 0
+}
+
 // turned notes a turn of rolls, once.
 func (r *rolling) turned(n *fleet.Node) {
 	e := n.Record().Entries["roll"]
@@ -184,12 +193,14 @@
 	}
 	was.Tried = a.Version
 	r.save(was)
-	f.Post(front.Adopt{Version: a.Version, Rules: rules, Done: func(at time.Duration) {
+	until, _ := r.core(a.Until)
+	f.Post(front.Adopt{Version: a.Version, Rules: rules, Until: until, Done: func(at time.Duration) {
 		go func() { // the core must not wait
 			wall := f.wall(at)
 			f.write(&audit.Line{What: audit.Adopted, At: wall, Version: a.Version, Meaning: rules.Meaning()})
 			f.sync()
 			r.save(kept{Version: a.Version, Text: string(a.Text), Tried: a.Version})
+			f.mesh.Do(func(*fleet.Node, time.Duration) { r.seat.Adopted(a.Version) })
 			f.history.acts(f.mesh, "adopted", a.Version)
 			select { // it has held
 			case <-time.After(2 * f.c.Span):
@@ -202,7 +213,7 @@
 		}()
 	}, Alone: func() { // acknowledged once nothing goes on on another
 		go f.mesh.Do(func(n *fleet.Node, now time.Duration) {
-			r.seat.Adopted(now, n, a.Version)
+			r.seat.Alone(now, n, a.Version)
 			f.history.acts(f.mesh, "acts", a.Version)
 		})
 	}})
@@ -273,7 +284,7 @@
 	f.mesh.Do(func(n *fleet.Node, now time.Duration) {
 		st, _ := roll.Read(n.Record())
 		s = RollSeen{Phase: st.Phase.String(), Base: st.Base, Next: st.Next, Must: st.Must, Held: st.Held, Wave: st.Wave + 1, Waves: st.Waves,
-			Why: st.Why, Meaning: st.Meaning, Unproven: st.Unproven, Acts: f.rolls.seat.Agent.Acts(), Right: max(0, (n.Right() - now).Seconds())}
+			Why: st.Why, Meaning: st.Meaning, Unproven: st.Unproven, Acts: f.rolls.seat.Agent.Acts(), Right: max(0, (n.Right(f.rolls.seat.Agent.Acts()) - now).Seconds())}
 		if st.Watch > 0 {
 			s.Watch = st.Watch.String()
 		}
--- a/fleet/giver.go
+++ b/fleet/giver.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"hash/crc32"
 	"maps"
 	"slices"
@@ -57,6 +58,8 @@
 	claim Claim
 	at    time.Duration
 	round uint64
+
+	version uint64 // of a right
 }
 
 // second is a process whose name another has, since when it is heard, and how often the other was heard beside it.
@@ -127,8 +130,12 @@
 		g.joining[p.Name] = now + 2*g.n.o.Pace.elect()
 		g.k.propose(&Command{Do: doJoin, Front: &Front{Name: p.Name, Incarnation: p.Incarnation, Zone: p.Zone, Address: p.Address, Version: p.Version}})
 	}
-	if p.Righted && g.n.record.rightTo(p.Acts) { // confirmed by the next round, which begins behind this word
-		g.rights = append(g.rights, claimed{name: p.Name, inc: p.Incarnation, seq: p.Seq, round: g.k.reads + 1, at: now})
+	if p.Righted { // confirmed by the next round, which begins behind this word
+		c := claimed{name: p.Name, inc: p.Incarnation, seq: p.Seq, round: g.k.reads + 1, at: now, version: p.Acts}
+		g.rights = append(g.rights, c)
+		if c.version = p.Takes; p.Taking {
+			g.rights = append(g.rights, c)
+		}
 	}
 	for _, c := range p.Claims {
 		d, l := g.n.record.Duties[c.Duty], g.leases[c.Duty]
@@ -201,20 +208,23 @@
 // renew renews rights that were asked for before a round that is confirmed. A version that the record rules out meanwhile gets
 // none: what was renewed before the record said so is what its holder waits out.
 func (g *giver) renew(now time.Duration, round uint64) {
-	latest := map[string]Mark{}
+	type of struct {
+		name    string
+		version uint64
+	}
+	latest := map[of]Mark{}
 	later := g.rights[:0]
 	for _, c := range g.rights {
+		at := of{c.name, c.version}
 		if c.round > round {
 			later = append(later, c)
-		} else if s := g.fronts[c.name]; s != nil && s.Incarnation == c.inc && g.n.record.rightTo(s.Acts) {
-			latest[c.name] = Mark{Name: c.name, Term: c.inc, Index: max(c.seq, latest[c.name].Index)}
+		} else if s := g.fronts[c.name]; s != nil && s.Incarnation == c.inc && g.n.record.rightTo(c.version) {
+			latest[at] = Mark{Name: c.name, Term: c.inc, Index: max(c.seq, latest[at].Index), Version: c.version}
 		}
 	}
 	g.rights = later
-	var all []Mark
-	for _, name := range slices.Sorted(maps.Keys(latest)) {
-		all = append(all, latest[name])
-	}
+	all := slices.Collect(maps.Values(latest))
+	slices.SortFunc(all, func(a, b Mark) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version)) })
 	if len(all) > 0 {
 		g.n.rights(all)
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -109,8 +109,10 @@
 	Willing     bool   // to take duties
 	Leaving     bool
 	Claims      []Claim
-	Acts        uint64   // the version that it acts on, where versions are published
-	Righted     bool     // it asks for a right to act on it
+	Acts        uint64 // the version that it acts on, where versions are published
+	Righted     bool   // it asks for a right to act on it
+	Takes       uint64 // another version that it asks for a right to, before it takes it up
+	Taking      bool
 	Digests     []Digest // of the parts that stand on the fleet
 }
 
@@ -193,9 +195,10 @@
 type Mark struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Name  string
-	Term  uint64
-	Index uint64
+	Name    string
+	Term    uint64
+	Index   uint64
+	Version uint64 // of a right
 }
 
 // Bounds of what a peer may send.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -74,7 +74,7 @@
 	Shed         = "shed"      // a link to Name that was of no use; Why
 	Stuck        = "stuck"     // the record can't be read further by this program
 	Posted       = "posted"    // Name sent Data to this front, for the part named Duty
-	Righted      = "righted"   // this front may act until Until
+	Righted      = "righted"   // this front may act on version Number until Until
 )
 
 // Event is something that happened, for the log, the history and the parts that stand on the fleet.
@@ -170,7 +170,9 @@
 	askedAt   [askedKept]time.Duration // by seq
 	above     map[string]Presence      // on their way up
 	acts      uint64                   // the version that this front acts on
-	right     time.Duration            // until when it may
+	takes     uint64                   // another, that it is about to take up, where taking
+	taking    bool
+	may       map[uint64]time.Duration // until when it may act on a version
 	digests   []Digest
 	bringing  map[string]*bringing // peers that are brought a long record
 	pieces    map[string]*pieces   // of one that comes
@@ -199,7 +201,7 @@
 	}
 	n := &Node{o: o, record: newRecord(), peers: map[string]*peer{}, refused: map[string]time.Duration{}, denied: map[string]int{}, hints: map[string]string{},
 		above: map[string]Presence{}, passed: map[string]sight{}, ways: map[string]way{}, holds: map[string]*hold{},
-		bringing: map[string]*bringing{}, pieces: map[string]*pieces{},
+		bringing: map[string]*bringing{}, pieces: map[string]*pieces{}, may: map[uint64]time.Duration{},
 		wants: map[string]time.Duration{}, fences: map[string]fence{}, mirrors: map[string]Mirror{}, asks: map[uint64]*asked{},
 		nextAsk: o.Incarnation << 20, alone: true, pulseAt: -o.Pace.silent() - 1}
 	if disk != nil {
@@ -876,7 +878,7 @@
 	n.saidAt = now
 	n.askedAt[n.seq%askedKept] = now
 	p := Presence{Name: n.o.Name, Incarnation: n.o.Incarnation, Seq: n.seq, Zone: n.o.Zone, Address: n.o.Address, Version: n.o.Version,
-		Index: n.record.Index, Willing: n.o.Willing && !n.leaving, Leaving: n.leaving, Acts: n.acts, Righted: n.o.Right > 0, Digests: n.digests}
+		Index: n.record.Index, Willing: n.o.Willing && !n.leaving, Leaving: n.leaving, Acts: n.acts, Righted: n.o.Right > 0, Takes: n.takes, Taking: n.taking, Digests: n.digests}
 	for _, d := range slices.Sorted(maps.Keys(n.holds)) {
 		if h := n.holds[d]; !h.stopping {
 			p.Claims = append(p.Claims, Claim{Duty: d, Term: h.term, Done: h.done})
@@ -968,17 +970,25 @@
 	n.digests = append(all, Digest{Part: part, Data: data})
 }
 
-// Acting sets the version that this front acts on from now on, and says so at once. Its right counts for the version that it
-// acts on when it asks: who adopts another keeps what is left.
+// Acting sets the version that this front acts on, and no other, from now on, and says so at once.
 func (n *Node) Acting(now time.Duration, version uint64) {
-	if n.acts != version {
-		n.acts = version
+	if n.acts != version || n.taking && n.takes == version {
+		n.acts, n.taking = version, false
 		n.present(now)
 	}
 }
 
-// Right is until when this front may act on its version, on its clock.
-func (n *Node) Right() time.Duration { return n.right }
+// Taking asks for a right to another version as well, before it is taken up: a record that is old would name one that must
+// not be acted on any more, and its right is refused.
+func (n *Node) Taking(now time.Duration, version uint64) {
+	if !n.taking || n.takes != version {
+		n.takes, n.taking = version, true
+		n.present(now)
+	}
+}
+
+// Right is until when this front may act on a version, on its clock.
+func (n *Node) Right(version uint64) time.Duration { return n.may[version] }
 
 // rights takes renewals on their way down: our own, reckoned from when we asked, and those of fronts behind us.
 func (n *Node) rights(all []Mark) {
@@ -990,12 +1000,19 @@
 			}
 			continue
 		}
-		if m.Term != n.o.Incarnation || m.Index > n.seq || n.seq-m.Index >= askedKept || n.gone {
+		if m.Term != n.o.Incarnation || m.Index > n.seq || n.seq-m.Index >= askedKept || n.gone ||
+			m.Version != n.acts && !(n.taking && m.Version == n.takes) {
 			continue
 		}
-		if until := n.askedAt[m.Index%askedKept] + n.o.Pace.ours(n.o.Right); until > n.right {
-			n.right = until
-			n.tell(Event{What: Righted, Until: until, Since: n.askedAt[m.Index%askedKept]})
+		since := n.askedAt[m.Index%askedKept]
+		if until := since + n.o.Pace.ours(n.o.Right); until > n.may[m.Version] {
+			for v := range n.may {
+				if v != n.acts && !(n.taking && v == n.takes) {
+					delete(n.may, v)
+				}
+			}
+			n.may[m.Version] = until
+			n.tell(Event{What: Righted, Number: m.Version, Until: until, Since: since})
 		}
 	}
 	for _, via := range slices.Sorted(maps.Keys(next)) {
--- a/fleet/roll/agent.go
+++ b/fleet/roll/agent.go
@@ -28,8 +28,7 @@
 	heard   bool // the fleet, once since the start
 	born    time.Duration
 	begun   bool
-	until   time.Duration
-	given   time.Duration // the node's right, as of the last look
+	alone   time.Duration // until when it may act since it hears nobody
 }
 
 // NewAgent makes one.
@@ -41,17 +40,20 @@
 	return a
 }
 
-// Adoption is a version to take up; Adopted or Refuse follows. Text is nil for the front's own file.
+// Adoption is a version to take up, on which the front may act until Until; Adopted or Refuse follows. Text is nil for the
+// front's own file.
 type Adoption struct {
 	Version uint64
 	Text    []byte
+	Until   time.Duration
 }
 
 // Acts is the version that the front acts on.
 func (a *Agent) Acts() uint64 { return a.acts }
 
-// Step looks at the record: what to take up, nil for nothing, and until when the front may act, on its clock; a moment that is
-// past means that it may not.
+// Step looks at the record: what to take up, nil for nothing, and until when the front may act on its version, on its clock; a
+// moment that is past means that it may not. A version is taken up only with a right to it: a front that sees an old record, as
+// a keeper that has just started does, is refused one that must not be acted on any more.
 func (a *Agent) Step(now time.Duration, n *fleet.Node) (adopt *Adoption, until time.Duration) {
 	if !a.begun {
 		a.begun, a.born = true, now
@@ -60,28 +62,29 @@
 	s, ok := Read(r)
 	alone := n.Alone()
 	a.heard = a.heard || !alone && r.Index > 0
-	if ok && a.heard {
-		if want := s.Wants(a.o.Name); want != a.acts && (want != a.refused || want == 0) && !(a.busy && want == a.taking) {
-			if text := Text(r, want); text != nil || want == 0 {
+	if ok && a.heard && !alone {
+		want := s.Wants(a.o.Name)
+		if text := Text(r, want); want != a.acts && (want != a.refused || want == 0) && !a.busy && (text != nil || want == 0) {
+			n.Taking(now, want)
+			if until := n.Right(want); until > now {
 				a.taking, a.busy = want, true
-				adopt = &Adoption{want, text}
+				adopt = &Adoption{want, text, until}
 			}
 		}
 	}
-	if g := n.Right(); g > a.given {
-		a.given, a.until = g, max(a.until, g)
-	}
+	until = n.Right(a.acts)
 	if alone && !a.o.Stop && (a.heard || now-a.born > a.o.Pace.Span) && !(s.Must && s.Next != 0 && a.acts != s.Next) {
 		// Nobody can be asked: it goes on with what it has. A must version that it knows to be on its way holds it.
-		a.until = max(a.until, now+a.o.Pace.Span)
+		a.alone = now + a.o.Pace.Span
 	}
+	until = max(until, a.alone)
 	if x, index := r.Right(); index != 0 && (a.acts < x.Least || a.acts > x.Most) {
-		a.until = min(a.until, now) // by the fleet's own word: no need to wait for the right's end
+		until = min(until, now) // by the fleet's own word: no need to wait for the right's end
 	}
-	return adopt, a.until
+	return adopt, until
 }
 
-// Adopted tells that the front acts on a version from now on; at is its wall clock's, for people.
+// Adopted tells that the front takes txns on a version from now on; at is its wall clock's, for people.
 func (a *Agent) Adopted(version uint64, at int64) {
 	a.acts, a.at, a.busy = version, at, false
 	if a.refused == version {
--- a/fleet/roll/seat.go
+++ b/fleet/roll/seat.go
@@ -8,10 +8,10 @@
 
 // Hooks are what a Seat needs of the front that hosts it; none of them waits.
 type Hooks struct {
-	Adopt func(a Adoption)                  // takes a version up, or refuses it: Adopted or Refused follows
-	Renew func(until time.Duration)         // the front may act until then, on the node's clock; a moment past: no more
-	Sums  func() (kinds uint32, sums []Sum) // the front's totals on the version that it acts on
-	Wall  func() int64                      // its wall clock, microseconds
+	Adopt func(a Adoption)                          // takes a version up: Adopted and, once no txn is in hand on another, Alone follow; or refuses it: Refused
+	Renew func(version uint64, until time.Duration) // the front may act on it until then, on the node's clock; a moment past: no more
+	Sums  func() (kinds uint32, sums []Sum)         // the front's totals on the version that it acts on
+	Wall  func() int64                              // its wall clock, microseconds
 }
 
 // Seat hosts a front's Agent beside its node and, while it holds the duty, the Driver. Its calls come with the node's.
@@ -20,6 +20,7 @@
 	o      AgentOptions
 	h      Hooks
 	driver *Driver
+	acts   uint64 // that until belongs to
 	until  time.Duration
 	saidAt time.Duration
 	word   string
@@ -50,9 +51,10 @@
 	if adopt != nil {
 		s.h.Adopt(*adopt)
 	}
-	if until != s.until && (until > s.until+s.o.Right/32 || until < s.until) {
-		s.until = until
-		s.h.Renew(until)
+	acts := s.Agent.Acts()
+	if acts != s.acts || until > s.until+s.o.Right/32 || until < s.until && until <= now {
+		s.acts, s.until = acts, until
+		s.h.Renew(acts, until)
 	}
 	if now-s.saidAt >= s.o.Pace.Beat() {
 		s.saidAt = now
@@ -85,9 +87,14 @@
 	}
 }
 
-// Adopted tells that the front acts on a version from now on.
-func (s *Seat) Adopted(now time.Duration, n *fleet.Node, version uint64) {
-	s.Agent.Adopted(version, s.h.Wall())
+// Adopted tells that the front takes txns on a version from now on.
+func (s *Seat) Adopted(version uint64) { s.Agent.Adopted(version, s.h.Wall()) }
+
+// Alone tells that the front acts on a version and on no other any more: this is what it acknowledges.
+func (s *Seat) Alone(now time.Duration, n *fleet.Node, version uint64) {
+	if version != s.Agent.Acts() {
+		return // it has taken up another since
+	}
 	s.saidAt = now
 	n.Digest(Part, s.Agent.Word(0, nil).Encode())
 	n.Acting(now, version)
--- a/front/core.go
+++ b/front/core.go
@@ -77,11 +77,12 @@
 	standing  []discovery.Entry // members that no list tells of
 	classes   *classes          // nil where statements are not classed
 	bound     Bound
-	terms     *terms // in force
-	doorsOpen int    // txns in hand without their final answer
-	older     int    // of these, on another version than the newest
-	alone     func() // hears when there are none
-	lapsed    bool   // the right has run out, and what was in hand is ended
+	terms     *terms   // in force
+	past      []*terms // of which txns are in hand still
+	doorsOpen int      // txns in hand without their final answer
+	older     int      // of these, on another version than the newest
+	alone     func()   // hears when there are none
+	lapsed    bool     // the right has run out, and what was in hand is ended
 	comeBack  time.Duration
 	entries   []port.Entry
 }
--- a/front/send.go
+++ b/front/send.go
@@ -20,7 +20,7 @@
 	sent   time.Duration
 	probe  bool
 	way    Way
-	right  *Right // of the front; nil where it needs none
+	right  *Right // to what its txn was taken on; nil where none is needed
 	done   bool   // the core's: its ending is told, or about to be
 	cut    func() // set by who sends it, before stage says so
 	stage  atomic.Int32
@@ -63,8 +63,8 @@
 func (c *Core) send(s *Submission, until time.Duration) {
 	if d := c.doors.At(s.ref); d != nil {
 		d.What.out = append(d.What.out, s)
+		s.right = d.What.terms.right
 	}
-	s.right = c.bound.Right
 	heap.Push(&c.alarms, alarm{at: until, s: s})
 	c.book.submissions++
 	c.links.Send(s.member, s)
--- a/front/terms.go
+++ b/front/terms.go
@@ -13,7 +13,7 @@
 // Bound is what a core stands on where its front is one of a fleet that publishes versions and audits; the zero value is a
 // front by itself, which pays nothing for it.
 type Bound struct {
-	Right  *Right
+	Clock  func() time.Duration // the core's, for whoever is about to write; nil where no right is needed
 	Audit  Auditor
 	Stands func(standing bool) // the front takes no txns from now on, or takes them again; it must not block
 }
@@ -41,7 +41,8 @@
 // Bind sets what a core stands on. It is called before Run.
 func (c *Core) Bind(b Bound) {
 	c.bound = b
-	c.lapsed = b.Right != nil // until the first right comes
+	c.lapsed = b.Clock != nil // until the first right comes
+	c.terms.right = c.newRight()
 }
 
 // terms are the bounds and windows of types by index, and the groups given up, of one version. They never change: a txn keeps
@@ -50,6 +51,7 @@
 	version uint64
 	types   []port.TxnType
 	givenUp map[int64]struct{}
+	right   *Right // to act on it; nil where none is needed
 }
 
 // Version is that of the rules in force. For hosts that step the core themselves; elsewhere Adopt's Done tells it.
@@ -63,13 +65,14 @@
 // that was taken on another version: from then on the front acts on this one alone.
 type Adopt struct {
 	Version uint64
-	Rules   *site.Rules // checked against the site before
+	Rules   *site.Rules   // checked against the site before
+	Until   time.Duration // the right to act on it, where one is needed
 	Done    func(at time.Duration)
 	Alone   func()
 }
 
 func (e Adopt) take(c *Core, now time.Duration) {
-	t := &terms{version: e.Version, types: c.types, givenUp: map[int64]struct{}{}}
+	t := &terms{version: e.Version, types: c.types, givenUp: map[int64]struct{}{}, right: c.newRight()}
 	if r := e.Rules; r != nil {
 		t.types = append([]port.TxnType{}, c.types...)
 		put := func(name string, set func(*port.TxnType)) {
@@ -90,6 +93,9 @@
 			t.givenUp[g] = struct{}{}
 		}
 	}
+	if c.doorsOpen > c.older { // txns of the version before go on under its right
+		c.past = append(c.past, c.terms)
+	}
 	c.terms = t
 	c.older, c.alone = c.doorsOpen, e.Alone
 	if c.bound.Audit != nil {
@@ -99,11 +105,20 @@
 	if e.Done != nil {
 		e.Done(now)
 	}
+	if t.right != nil {
+		c.renew(now, t, e.Until)
+		if e.Until <= now && !c.lapsed {
+			c.lapse(now)
+		}
+	}
 	c.onlyNewest()
 }
 
 // onlyNewest tells, once, when no txn of an older version is in hand any more.
 func (c *Core) onlyNewest() {
+	if c.older == 0 {
+		c.past = nil
+	}
 	if c.older == 0 && c.alone != nil {
 		call := c.alone
 		c.alone = nil
@@ -131,39 +146,72 @@
 	return false
 }
 
-// Renew is an event that lets the core act until a moment of its clock. One that comes behind the end of the last ends all
-// that is in hand first: nothing of it is answered by what was begun under another right.
-type Renew struct{ Until time.Duration }
+func (c *Core) newRight() *Right {
+	if c.bound.Clock == nil {
+		return nil
+	}
+	return NewRight(c.bound.Clock)
+}
+
+// over tells whether it has run out, or a submission found it so.
+func (r *Right) over(now time.Duration) bool { return int64(now) >= r.until.Load() || r.ended.Load() }
+
+// Renew is an event that lets the core act on a version until a moment of its clock. One that comes behind the end of the last
+// ends all that is in hand on it first: nothing of it is answered by what was begun under another right.
+type Renew struct {
+	Version uint64
+	Until   time.Duration
+}
 
 func (e Renew) take(c *Core, now time.Duration) {
-	r := c.bound.Right
-	if r == nil {
-		return
-	}
 	c.lapse(now)
-	if e.Until <= now || int64(e.Until) <= r.until.Load() {
+	for _, t := range append(c.past, c.terms) {
+		if t.version == e.Version && t.right != nil {
+			c.renew(now, t, e.Until)
+		}
+	}
+}
+
+func (c *Core) renew(now time.Duration, t *terms, until time.Duration) {
+	r := t.right
+	if until <= now || int64(until) <= r.until.Load() || r.ended.Load() && t != c.terms {
 		return
 	}
-	r.until.Store(int64(e.Until))
+	r.until.Store(int64(until))
 	r.ended.Store(false)
+	heap.Push(&c.alarms, alarm{at: until, right: true})
+	if t != c.terms {
+		return
+	}
 	if c.bound.Audit != nil {
-		c.bound.Audit.Right(now, e.Until, false)
+		c.bound.Audit.Right(now, until, false)
 	}
-	heap.Push(&c.alarms, alarm{at: e.Until, right: true})
 	if c.lapsed {
 		c.lapsed = false
 		c.stands(false)
 	}
 }
 
-// Lapse is an event that ends the right now.
-type Lapse struct{}
+// Lapse is an event that ends the right to a version now.
+type Lapse struct{ Version uint64 }
+
+func (e Lapse) take(c *Core, now time.Duration) {
+	for _, t := range append(c.past, c.terms) {
+		if t.version == e.Version && t.right != nil {
+			t.right.until.Store(min(t.right.until.Load(), int64(now)))
+		}
+	}
+	c.lapse(now)
+}
 
-func (Lapse) take(c *Core, now time.Duration) {
-	if r := c.bound.Right; r != nil {
-		r.until.Store(min(r.until.Load(), int64(now)))
-		c.lapse(now)
+// Acting are the versions on which the core may begin something at this moment. For hosts that step the core themselves.
+func (c *Core) Acting() (all []uint64) {
+	for _, t := range append(c.past, c.terms) {
+		if t.right == nil || int64(t.right.now()) < t.right.until.Load() {
+			all = append(all, t.version)
+		}
 	}
+	return all
 }
 
 func (c *Core) stands(on bool) {
@@ -177,21 +225,26 @@
 	}
 }
 
-// lapse ends all that is in hand where the right has run out: each txn gets its final answer at once, and nothing more goes
+// lapse ends all that is in hand on a version whose right has run out: each txn gets its final answer at once, and nothing more goes
 // out for it. A txn of which something may have run promises nothing; of the others trying again is harmless.
 func (c *Core) lapse(now time.Duration) {
-	r := c.bound.Right
-	if r == nil || c.lapsed || int64(now) < r.until.Load() && !r.ended.Load() {
-		return
+	gone := false
+	for _, t := range c.past {
+		gone = gone || t.right != nil && t.right.over(now)
 	}
-	c.lapsed = true
-	if c.bound.Audit != nil {
-		c.bound.Audit.Right(now, time.Duration(r.until.Load()), true)
+	if t := c.terms; t.right != nil && !c.lapsed && t.right.over(now) {
+		gone, c.lapsed = true, true
+		if c.bound.Audit != nil {
+			c.bound.Audit.Right(now, time.Duration(t.right.until.Load()), true)
+		}
+		t.right.until.Store(0)
+		c.stands(true)
+	}
+	if !gone {
+		return
 	}
-	r.until.Store(0)
-	c.stands(true)
 	c.doors.Each(func(ref port.Ref, d *Door[*Arrival]) {
-		if d.Closed {
+		if d.Closed || !d.What.terms.right.over(now) {
 			return
 		}
 		a := d.What
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -94,8 +94,8 @@
 	Served    map[string]int
 
 	Seat    *roll.Seat
-	right   *front.Right
-	disk    saved // what the front's own disk holds of versions
+	aloneAt time.Duration // it heard nobody, or stood still, last
+	disk    saved         // what the front's own disk holds of versions
 	version uint64
 	sums    []roll.Sum
 	Bad     func(version uint64) bool    // the version is one that this front can't use
