--- /dev/null
+++ b/cmd/dapplerouter/auditcalls.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"dapplerouter/fleet/audit"
+	"dapplerouter/fleet/disk"
+	"dapplerouter/front"
+)
+
+// fleetAudit reads logs of audits, wherever they lie: no front is asked.
+type fleetAudit struct {
+	At       auditAt       `cmd:"" help:"Say which front acted on which version at a moment."`
+	Txn      auditTxn      `cmd:"" help:"Say which front took a txn, when, and on which version."`
+	Front    auditFront    `cmd:"" help:"Say what one front acted on, over time."`
+	Versions auditVersions `cmd:"" help:"Say of each version when it was in use, by how many fronts, and what was served on it."`
+	Verify   auditVerify   `cmd:"" help:"Look whether the logs are whole and hang together."`
+}
+
+// folders are where logs are read from.
+type folders struct {
+	Dir  []string `type:"existingdir" placeholder:"DIR" help:"Folders with logs; the file's own audit, and what it collects, where left out."`
+	File string   `env:"DAPPLEROUTER_FILE" type:"path" placeholder:"FILE" help:"The operator's file, to take the folders from."`
+	JSON bool     `help:"Lines of JSON instead."`
+}
+
+func (f *folders) logs() (*disk.Logs, error) {
+	dirs := f.Dir
+	if len(dirs) == 0 && f.File != "" {
+		o, err := readFile(f.File)
+		if err != nil {
+			return nil, err
+		}
+		if o.audit != nil {
+			dirs = []string{o.audit.Dir}
+			if o.audit.Collect != "" {
+				dirs = append(dirs, o.audit.Collect)
+			}
+		}
+	}
+	if len(dirs) == 0 {
+		return nil, fmt.Errorf("no folder is named: give --dir DIR, or --file with a form audit")
+	}
+	return disk.OpenLogs(dirs...)
+}
+
+func (f *folders) read() (l *disk.Logs, all []*audit.Journal, found []audit.Finding, code int) {
+	l, err := f.logs()
+	if err == nil && len(l.Names()) == 0 {
+		err = fmt.Errorf("there are no logs of an audit in %s", strings.Join(f.Dir, ", "))
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", err)
+		return nil, nil, nil, unable
+	}
+	all, found = audit.Read(l)
+	return l, all, found, done
+}
+
+func moment(micros int64) string {
+	return time.UnixMicro(micros).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func served(w [front.Words]uint32) string {
+	total := uint32(0)
+	for _, n := range w {
+		total += n
+	}
+	return fmt.Sprintf("%d\t%d\t%d\t%d", total, w[front.Served], w[front.Declined], w[front.Undone]+w[front.Senseless]+w[front.Abandoned])
+}
+
+// uses prints times of use.
+func (f *folders) uses(all []audit.Use, sure []bool) {
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if !f.JSON {
+		fmt.Fprintln(t, "FRONT\tINCARNATION\tVERSION\tFROM\tUNTIL\tTXNS\tCOMMITTED\tDECLINED\tOTHER\tNOTE")
+	}
+	for i, u := range all {
+		note := ""
+		if sure != nil && !sure[i] {
+			note = fmt.Sprintf("by its clock, which may be wrong by %v: perhaps not", time.Duration(u.Clock)*time.Microsecond)
+		}
+		if u.Lapses > 0 {
+			note += fmt.Sprintf(" stood by %d times", u.Lapses)
+		}
+		if f.JSON {
+			json.NewEncoder(os.Stdout).Encode(struct {
+				audit.Use
+				Sure bool `json:"sure"`
+			}{u, sure == nil || sure[i]})
+			continue
+		}
+		until := moment(u.Until)
+		if u.Open {
+			until += " (last told)"
+		}
+		fmt.Fprintf(t, "%s\t%010x\t%d\t%s\t%s\t%s\t%s\n", u.Front, u.Incarnation, u.Version, moment(u.From), until, served(u.Ended), strings.TrimSpace(note))
+	}
+	t.Flush()
+}
+
+type auditAt struct {
+	Time string `arg:"" help:"As 2026-12-01T18:00:00Z, with or without parts of a second."`
+	folders
+}
+
+func (c *auditAt) run() int {
+	at, err := time.Parse(time.RFC3339Nano, c.Time)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: %q is no time: write 2026-12-01T18:00:00Z\n", c.Time)
+		return unable
+	}
+	_, all, _, code := c.read()
+	if code != done {
+		return code
+	}
+	uses, sure := audit.At(audit.Uses(all), at.UnixMicro())
+	c.uses(uses, sure)
+	if len(uses) == 0 {
+		fmt.Fprintln(os.Stderr, "dapplerouter: no log tells of that moment")
+		return notSo
+	}
+	return done
+}
+
+type auditFront struct {
+	Name string `arg:"" help:"The front's name."`
+	folders
+}
+
+func (c *auditFront) run() int {
+	_, all, _, code := c.read()
+	if code != done {
+		return code
+	}
+	var its []audit.Use
+	for _, u := range audit.Uses(all) {
+		if u.Front == c.Name {
+			its = append(its, u)
+		}
+	}
+	c.uses(its, nil)
+	if len(its) == 0 {
+		fmt.Fprintf(os.Stderr, "dapplerouter: no log is of %s\n", c.Name)
+		return notSo
+	}
+	return done
+}
+
+type auditVersions struct{ folders }
+
+func (c *auditVersions) run() int {
+	_, all, _, code := c.read()
+	if code != done {
+		return code
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if !c.JSON {
+		fmt.Fprintln(t, "VERSION\tMEANING\tFIRST\tLAST\tFRONTS\tTXNS\tCOMMITTED\tDECLINED\tOTHER")
+	}
+	for _, v := range audit.Versions(all, audit.Uses(all)) {
+		if c.JSON {
+			json.NewEncoder(os.Stdout).Encode(v)
+		} else {
+			fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%d\t%s\n", v.Version, v.Meaning, moment(v.First), moment(v.Last), v.Fronts, served(v.Ended))
+		}
+	}
+	t.Flush()
+	return done
+}
+
+type auditTxn struct {
+	ID string `arg:"" help:"The txn's id, as its client gave it."`
+	folders
+}
+
+// txnSeen is a span that took a txn.
+type txnSeen struct {
+	Front       string `json:"front"`
+	Incarnation uint64 `json:"incarnation"`
+	Span        uint32 `json:"span"`
+	Version     uint64 `json:"version"`
+	From        int64  `json:"from"`
+	Until       int64  `json:"until"`
+	Index       uint64 `json:"index"`
+	Txns        int    `json:"txns"`
+}
+
+func (c *auditTxn) run() int {
+	l, err := c.logs()
+	var hits []disk.Hit
+	if err == nil {
+		hits, err = l.Find(c.ID)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", err)
+		return unable
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if !c.JSON {
+		fmt.Fprintln(t, "FRONT\tINCARNATION\tVERSION\tTAKEN BETWEEN\tAND\tSPAN\tOF TXNS")
+	}
+	for _, h := range hits {
+		b, err := l.Lines(h.Segment)
+		if err != nil {
+			continue
+		}
+		for _, text := range strings.Split(string(b), "\n") {
+			var x audit.Line
+			if json.Unmarshal([]byte(text), &x) != nil || x.What != audit.InSpan || x.IDs != h.IDs+1 {
+				continue
+			}
+			s := txnSeen{x.Front, x.Incarnation, x.Span, x.Version, x.From, x.Until, x.Index, x.Txns}
+			if c.JSON {
+				json.NewEncoder(os.Stdout).Encode(s)
+			} else {
+				fmt.Fprintf(t, "%s\t%010x\t%d\t%s\t%s\t%d\t%d\n", s.Front, s.Incarnation, s.Version, moment(s.From), moment(s.Until), s.Span, s.Txns)
+			}
+		}
+	}
+	t.Flush()
+	if len(hits) == 0 {
+		fmt.Fprintf(os.Stderr, "dapplerouter: no span in these logs took %s; one that is not closed yet, or that was lost by a crash, is not in them\n", c.ID)
+		return notSo
+	}
+	return done
+}
+
+type auditVerify struct{ folders }
+
+func (c *auditVerify) run() int {
+	_, all, found, code := c.read()
+	if code != done {
+		return code
+	}
+	lines, wrong := 0, 0
+	for _, j := range all {
+		lines += len(j.Lines)
+	}
+	for _, f := range found {
+		if f.Wrong {
+			wrong++
+		}
+		if c.JSON {
+			json.NewEncoder(os.Stdout).Encode(f)
+		} else {
+			fmt.Println(f)
+		}
+	}
+	if !c.JSON {
+		fmt.Printf("%d fronts, %d lines, %d wrong, %d notes\n", len(all), lines, wrong, len(found)-wrong)
+	}
+	if wrong > 0 {
+		return notSo
+	}
+	return done
+}
--- a/cmd/dapplerouter/fleetcalls.go
+++ b/cmd/dapplerouter/fleetcalls.go
@@ -21,6 +21,9 @@
 	Status  fleetStatus  `cmd:"" help:"Say how the fleet looks from one front."`
 	Duties  fleetDuties  `cmd:"" help:"Say who holds which duty, in which term."`
 	Hand    fleetHand    `cmd:"" help:"Hand a duty on."`
+	Publish fleetPublish `cmd:"" help:"Bring rules to all fronts, in waves that are watched."`
+	Roll    fleetRoll    `cmd:"" help:"Look at a version on its way, and turn it."`
+	Audit   fleetAudit   `cmd:"" help:"Read which front acted on which version."`
 	Keepers fleetKeepers `cmd:"" help:"Add or remove a keeper of the record."`
 	ID      fleetIDs     `cmd:"" name:"id" help:"Make a fleet's id."`
 }
@@ -147,7 +150,7 @@
 }
 
 func (d *door) change(path string, q url.Values, good string) int {
-	var out map[string]bool
+	var out map[string]any
 	if err := d.call("POST", path, q, &out); err != nil {
 		return ended(err)
 	}
--- /dev/null
+++ b/cmd/dapplerouter/rollcalls.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"dapplerouter/fleet/company"
+	"dapplerouter/site"
+)
+
+// fleetPublish brings rules to the whole fleet in waves.
+type fleetPublish struct {
+	Rules   string        `arg:"" type:"existingfile" help:"A file with the form rules, and no other."`
+	Waves   string        `default:"1,10%,50%,100%" help:"Parts of the fleet that are on the new version, one after the other; 1 is one front."`
+	Watch   time.Duration `default:"30s" help:"For how long each wave is watched before the next."`
+	Must    bool          `help:"Nobody may act on the old version once the new one is in force."`
+	ShutOut string        `default:"20%" help:"The most of the fleet, and of a zone, that may be shut out at once where fronts lag."`
+	On      string        `placeholder:"VERSION" help:"The version that you saw in force; the asked front's where left out."`
+	door
+}
+
+// thousandths reads 10% or, where one is allowed, 1 for one front.
+func thousandths(s string, one bool) (uint16, error) {
+	if s == "1" && one {
+		return 1, nil
+	}
+	p, ok := strings.CutSuffix(s, "%")
+	n, err := strconv.ParseFloat(p, 64)
+	if !ok || err != nil || n <= 0 || n > 100 {
+		return 0, fmt.Errorf("%q is no part of a fleet: 10%%, or 1 for one front", s)
+	}
+	return uint16(max(1, n*10)), nil
+}
+
+func (c *fleetPublish) run() int {
+	text, err := os.ReadFile(c.Rules)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", err)
+		return unable
+	}
+	if _, err := site.ParseRules(c.Rules, text); err != nil {
+		return sayFaults(os.Stderr, err)
+	}
+	var waves []string
+	last := uint16(0)
+	for _, w := range strings.Split(c.Waves, ",") {
+		n, err := thousandths(strings.TrimSpace(w), true)
+		if err == nil && n < last {
+			err = fmt.Errorf("waves rise, and %s comes behind a larger one", w)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "dapplerouter: --waves: %v\n", err)
+			return unable
+		}
+		last = n
+		waves = append(waves, strconv.Itoa(int(n)))
+	}
+	if last != 1000 {
+		fmt.Fprintln(os.Stderr, "dapplerouter: --waves: the last one is 100%")
+		return unable
+	}
+	out, err := thousandths(c.ShutOut, false)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dapplerouter: --shut-out: %v\n", err)
+		return unable
+	}
+	return c.change("/v1/fleet/roll", url.Values{"do": {"publish"}, "text": {string(text)}, "waves": {strings.Join(waves, ",")}, "watch": {c.Watch.String()},
+		"must": {strconv.FormatBool(c.Must)}, "shut_out": {strconv.Itoa(int(out))}, "on": {c.On}}, "the version is on its way: dapplerouter fleet roll status")
+}
+
+// fleetRoll looks at a version on its way, and turns it.
+type fleetRoll struct {
+	Status rollStatus `cmd:"" help:"Say which version is in force, which is on its way, and how each front stands."`
+	Back   rollBack   `cmd:"" help:"Take the version that is on its way back."`
+	Hold   rollHold   `cmd:"" help:"Let it go no further."`
+	Resume rollResume `cmd:"" help:"Let it go on."`
+}
+
+type rollStatus struct{ door }
+
+func (c *rollStatus) run() int {
+	var s company.RollSeen
+	if err := c.call("GET", "/v1/fleet/roll", nil, &s); err != nil {
+		return ended(err)
+	}
+	exit := done
+	if s.Held || len(s.Unproven) > 0 {
+		exit = notSo
+	}
+	if c.JSON {
+		json.NewEncoder(os.Stdout).Encode(s)
+		return exit
+	}
+	fmt.Printf("version %d is in force", s.Base)
+	if s.Next != 0 {
+		fmt.Printf(", version %d on its way: %s, wave %d of %d, each watched for %s", s.Next, s.Phase, s.Wave, len(s.Waves), s.Watch)
+		if s.Must {
+			fmt.Print(", must")
+		}
+		if s.Held {
+			fmt.Print(", held")
+		}
+	}
+	fmt.Println()
+	if s.Why != "" {
+		fmt.Println("last turn:", s.Why)
+	}
+	if len(s.Unproven) > 0 {
+		fmt.Printf("may act on an older version, since they hear nobody and serve alone: %s\n", strings.Join(s.Unproven, " "))
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "\nFRONT\tZONE\tVERSION\tADOPTED\tHEARD\tNOTE")
+	for _, x := range s.Fronts {
+		note := x.Why
+		if !x.Takes {
+			note = "takes no part in versions"
+		} else if x.Refused != 0 {
+			note = fmt.Sprintf("refused %d: %s", x.Refused, x.Why)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%.1f s ago\t%s\n", x.Front, x.Zone, x.Acts, x.Adopted, x.Ago, note)
+	}
+	t.Flush()
+	return exit
+}
+
+// turning is a wish about the version on its way.
+type turning struct {
+	Why string `required:"" help:"For those who read it later."`
+	door
+}
+
+func (t *turning) turn(what, good string) int {
+	return t.change("/v1/fleet/roll", url.Values{"do": {what}, "why": {t.Why}}, good)
+}
+
+type rollBack struct{ turning }
+
+func (c *rollBack) run() int { return c.turn("back", "it goes back") }
+
+type rollHold struct{ turning }
+
+func (c *rollHold) run() int { return c.turn("hold", "it is held") }
+
+type rollResume struct{ turning }
+
+func (c *rollResume) run() int { return c.turn("resume", "it goes on") }
--- a/fleet/audit/book.go
+++ b/fleet/audit/book.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// Longest is how long a span lasts at the most.
-	Longest   = 5 * time.Minute
+	// Longest is how long a span lasts at the most, while txns come: a front that dies loses what it counted in the one in hand.
+	Longest   = 30 * time.Second
 	mostIDs   = 32 << 10 // txns of a span
 	mostSpans = 64       // that wait for their last txns; behind it a list's changes widen the span in hand
 )
@@ -169,6 +169,13 @@
 	s.Standby, s.Right = standby, until
 }
 
+// Tick closes a span that has lasted long enough, though nothing comes.
+func (b *Book) Tick(at time.Duration) {
+	if s := b.now(at); b.sink != nil && at-s.From > Longest && len(s.IDs) > 0 {
+		b.turn(at)
+	}
+}
+
 // Close closes the span in hand, with what its txns have come to.
 func (b *Book) Close(at time.Duration) {
 	b.turn(at)
--- a/fleet/company/auditing.go
+++ b/fleet/company/auditing.go
@@ -4,6 +4,8 @@
 	"errors"
 	"log/slog"
 	"os"
+	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,10 @@
 	written  atomic.Uint64
 	exported atomic.Uint64
 	ended    chan struct{}
+
+	exporting sync.Mutex
+	done      map[string]bool // segments that were exported, or are gone
+	stuck     bool
 }
 
 type entry struct {
@@ -36,7 +42,7 @@
 const linesWait = 4096
 
 func newAuditing(f *Company, c *audit.Config) (*auditing, error) {
-	a := &auditing{f: f, c: c, queue: make(chan entry, linesWait), ended: make(chan struct{})}
+	a := &auditing{f: f, c: c, queue: make(chan entry, linesWait), ended: make(chan struct{}), done: map[string]bool{}}
 	var err error
 	if a.segments, err = disk.OpenSegments(c.Dir, f.self, c.Segment, c.Budget); err != nil {
 		return nil, err
@@ -115,41 +121,47 @@
 	return l, ids
 }
 
-// export copies closed segments, each once.
+// export copies closed segments as they come, each once.
 func (a *auditing) export() {
+	for {
+		a.exportAll()
+		select {
+		case <-a.f.ctx.Done():
+			return
+		case <-time.After(a.f.c.Span):
+		}
+	}
+}
+
+// exportAll copies what is closed and was not copied yet. A receipt that was lost, as by a crash, costs another look: what lies
+// there already, and is the same, counts.
+func (a *auditing) exportAll() {
 	if a.c.Export == "" {
 		return
 	}
-	done := map[string]bool{}
-	failing := false
-	for {
-		for _, name := range a.segments.Sealed() {
-			if done[name] {
+	a.exporting.Lock()
+	defer a.exporting.Unlock()
+	for _, name := range a.segments.Sealed() {
+		if a.done[name] {
+			continue
+		}
+		err := disk.Export(a.c.Dir, name, a.c.Export)
+		if errors.Is(err, os.ErrNotExist) {
+			if _, gone := os.Stat(filepath.Join(a.c.Dir, name+audit.LinesEnd)); gone != nil { // the budget took it away meanwhile
+				a.done[name] = true
 				continue
 			}
-			err := disk.Export(a.c.Dir, name, a.c.Export)
-			if errors.Is(err, os.ErrNotExist) {
-				if _, there := os.Stat(a.c.Export); there == nil {
-					done[name] = true // the budget took it away meanwhile
-					continue
-				}
-			}
-			if (err != nil) != failing {
-				if failing = err != nil; failing {
-					slog.Error("audit: a segment can't be exported; it is tried again", "segment", name, "why", err)
-				}
-			}
-			if err != nil {
-				break
+		}
+		if (err != nil) != a.stuck {
+			if a.stuck = err != nil; a.stuck {
+				slog.Error("audit: a segment can't be exported; it is tried again", "segment", name, "why", err)
 			}
-			done[name] = true
-			a.exported.Add(1)
 		}
-		select {
-		case <-a.f.ctx.Done():
+		if err != nil {
 			return
-		case <-time.After(a.f.c.Span):
 		}
+		a.done[name] = true
+		a.exported.Add(1)
 	}
 }
 
@@ -164,6 +176,7 @@
 	case <-time.After(time.Second):
 	}
 	a.segments.Close()
+	a.exportAll()
 }
 
 // --- The company's side.
@@ -216,6 +229,18 @@
 		go f.audit.run()
 		f.write(&audit.Line{What: audit.Opened, Program: f.program, Kinds: f.site.Types, Clock: f.audit.c.ClockError.Microseconds(), Version: f.begins.Version, Meaning: f.begins.Rules.Meaning()})
 		go f.audit.export()
+		f.done.Go(func() {
+			t := time.NewTicker(audit.Longest / 6)
+			defer t.Stop()
+			for {
+				select {
+				case <-t.C:
+					f.Post(front.Tick{})
+				case <-f.ctx.Done():
+					return
+				}
+			}
+		})
 	}
 	if f.rolls != nil {
 		f.history.acts(f.mesh, "adopted", f.begins.Version)
@@ -223,14 +248,18 @@
 	}
 }
 
+// stood notes where the record stands, for the lines that follow.
+func (f *Company) stood(n *fleet.Node) {
+	if f.audit != nil {
+		f.audit.index.Store(max(n.Record().Index, f.audit.index.Load()))
+	}
+}
+
 // noted takes what the fleet tells into the audit.
 func (f *Company) noted(e fleet.Event) {
 	if f.audit == nil {
 		return
 	}
-	if e.Index > 0 {
-		f.audit.index.Store(max(e.Index, f.audit.index.Load()))
-	}
 	switch e.What {
 	case fleet.Held:
 		f.write(&audit.Line{What: audit.Held, Duty: e.Duty, Term: e.Term})
--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -382,6 +382,7 @@
 		case <-f.ctx.Done():
 			return
 		}
+		f.mesh.Do(func(n *fleet.Node, _ time.Duration) { f.stood(n) })
 		f.mu.Lock()
 		silent := time.Since(f.heard) > listBound
 		f.mu.Unlock()
--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -142,6 +142,7 @@
 			r.f.mesh.Do(func(n *fleet.Node, now time.Duration) {
 				r.seat.Tick(now, n)
 				r.turned(n)
+				r.f.stood(n)
 			})
 		case x := <-r.renew:
 			if until, left := r.core(x.until); left {
@@ -194,6 +195,7 @@
 	was.Tried = a.Version
 	r.save(was)
 	until, _ := r.core(a.Until)
+	adopted := make(chan struct{})
 	f.Post(front.Adopt{Version: a.Version, Rules: rules, Until: until, Done: func(at time.Duration) {
 		go func() { // the core must not wait
 			wall := f.wall(at)
@@ -202,6 +204,7 @@
 			r.save(kept{Version: a.Version, Text: string(a.Text), Tried: a.Version})
 			f.mesh.Do(func(*fleet.Node, time.Duration) { r.seat.Adopted(a.Version) })
 			f.history.acts(f.mesh, "adopted", a.Version)
+			close(adopted)
 			select { // it has held
 			case <-time.After(2 * f.c.Span):
 				if k := r.kept(); k.Version == a.Version && k.Tried == a.Version {
@@ -212,10 +215,13 @@
 			}
 		}()
 	}, Alone: func() { // acknowledged once nothing goes on on another
-		go f.mesh.Do(func(n *fleet.Node, now time.Duration) {
-			r.seat.Alone(now, n, a.Version)
-			f.history.acts(f.mesh, "acts", a.Version)
-		})
+		go func() {
+			<-adopted
+			f.mesh.Do(func(n *fleet.Node, now time.Duration) {
+				r.seat.Alone(now, n, a.Version)
+				f.history.acts(f.mesh, "acts", a.Version)
+			})
+		}()
 	}})
 }
 
@@ -361,7 +367,12 @@
 		if why != "" {
 			return nil, control.Fault(why)
 		}
-		return map[string]bool{"done": true}, nil
+		out := map[string]any{"done": true}
+		f.mesh.Do(func(n *fleet.Node, _ time.Duration) {
+			st, _ := roll.Read(n.Record())
+			out["version"] = st.Next
+		})
+		return out, nil
 	case <-time.After(10 * f.c.Span):
 		return nil, control.Fault("no answer of the fleet")
 	}
--- /dev/null
+++ b/fleet/disk/logs.go
@@ -0,0 +1,127 @@
+package disk
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+
+	"dapplerouter/fleet/audit"
+)
+
+// Logs reads audits from folders: a front's own, or one where many were exported or collected. It is audit.Files.
+type Logs struct {
+	at map[string]string // folder, by a segment's name
+	in []string
+}
+
+// OpenLogs looks for segments in folders and in those below them. One that lies in two of them counts once.
+func OpenLogs(dirs ...string) (*Logs, error) {
+	l := &Logs{at: map[string]string{}}
+	for _, dir := range dirs {
+		err := filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
+			if err != nil || d.IsDir() {
+				return err
+			}
+			if _, _, ok := audit.ParseName(d.Name()); ok {
+				name := strings.TrimSuffix(d.Name(), audit.LinesEnd)
+				if _, twice := l.at[name]; !twice {
+					l.at[name] = filepath.Dir(path)
+					l.in = append(l.in, name)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	slices.Sort(l.in)
+	return l, nil
+}
+
+// Names, Lines and IDs are those of audit.Files.
+func (l *Logs) Names() []string { return l.in }
+
+func (l *Logs) Lines(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(l.at[name], name+audit.LinesEnd))
+}
+
+func (l *Logs) IDs(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(l.at[name], name+audit.IDsEnd))
+}
+
+// Hit is a span that took a txn of an id.
+type Hit struct {
+	Segment string
+	Span    uint32
+	IDs     int64 // where the span stands in the index
+}
+
+// Find looks for a txn's id in all indexes, by as many at once as there are processors. A span of n txns that did not take it
+// is named by mistake with chance n in 2^40.
+func (l *Logs) Find(id string) (hits []Hit, err error) {
+	want := audit.Hash([]byte(id))
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	next := make(chan string)
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for name := range next {
+				found, fault := l.find(name, want)
+				mu.Lock()
+				hits = append(hits, found...)
+				if fault != nil && !errors.Is(fault, os.ErrNotExist) {
+					err = errors.Join(err, fault)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, name := range l.in {
+		next <- name
+	}
+	close(next)
+	all.Wait()
+	slices.SortFunc(hits, func(a, b Hit) int { return strings.Compare(a.Segment, b.Segment) })
+	return hits, err
+}
+
+func (l *Logs) find(name string, want uint64) (hits []Hit, err error) {
+	f, err := os.Open(filepath.Join(l.at[name], name+audit.IDsEnd))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var buf [512]byte
+	for off := int64(0); ; {
+		n, err := f.ReadAt(buf[:16], off)
+		if n == 0 && errors.Is(err, io.EOF) {
+			return hits, nil
+		}
+		span, ids, ok := audit.Head(buf[:n])
+		if !ok {
+			return hits, nil // torn: what is behind can't be found
+		}
+		at := off + audit.Size(0)
+		found, err := audit.Find(want, ids, at, func(off int64, n int) ([]byte, error) {
+			b := buf[:]
+			if n > len(b) {
+				b = make([]byte, n)
+			}
+			_, err := f.ReadAt(b[:n], off)
+			return b[:n], err
+		})
+		if err != nil {
+			return hits, nil
+		}
+		if found {
+			hits = append(hits, Hit{name, span, off})
+		}
+		off += audit.Size(ids)
+	}
+}
--- a/front/terms.go
+++ b/front/terms.go
@@ -25,9 +25,19 @@
 	Listed(now time.Duration, index int64)     // the list's version is another
 	Adopted(now time.Duration, version uint64) // the terms are
 	Right(now, until time.Duration, standby bool)
+	Tick(now time.Duration)  // now and then, though nothing comes
 	Close(now time.Duration) // the front ends
 }
 
+// Tick is an event that gives the audit its time.
+type Tick struct{}
+
+func (Tick) take(c *Core, now time.Duration) {
+	if c.bound.Audit != nil {
+		c.bound.Audit.Tick(now)
+	}
+}
+
 // Closing is an event that ends the audit's book, behind all that was posted before. Done is called then.
 type Closing struct{ Done func() }
 
--- a/lab/model/rolls.go
+++ b/lab/model/rolls.go
@@ -108,6 +108,7 @@
 func (f *tally) Taken(time.Duration, []byte, int) uint32  { return 0 }
 func (f *tally) Listed(time.Duration, int64)              {}
 func (f *tally) Adopted(time.Duration, uint64)            {}
+func (f *tally) Tick(time.Duration)                       {}
 func (f *tally) Close(time.Duration)                      {}
 func (f *tally) Right(time.Duration, time.Duration, bool) {}
 func (f *tally) Ended(_ time.Duration, _ uint32, typ int, w front.Word) {
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -182,6 +182,9 @@
 	for _, t := range txns {
 		v.slice(t, began)
 		did := r.group.Committed(t.id)
+		if t.group == 1 {
+			did = r.other.Committed(t.id)
+		}
 		switch {
 		case t.broken:
 			v.Unanswered++
@@ -206,6 +209,7 @@
 			broke("%s took effect %d times", t.id, did)
 		}
 	}
+	r.judgeVersions(began, txns, all, broke)
 	slices.Sort(v.Took)
 	v.chart = r.chart(began, all)
 	return v
--- a/lab/rig/load.go
+++ b/lab/rig/load.go
@@ -18,6 +18,7 @@
 	code   string // "" for committed
 	broken bool   // no final answer: the connection ended
 	write  bool
+	group  int
 }
 
 // load is clients that ask fronts, each in turn, and keep what they heard.
@@ -66,10 +67,13 @@
 			}
 		}
 		k := l.next.Add(1)
-		t := txn{id: fmt.Sprintf("t%d", k), front: front.Name, at: time.Now(), write: k%4 == 0}
-		sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=browse,d=2000,cluster=0 */", t.id)
+		t := txn{id: fmt.Sprintf("t%d", k), front: front.Name, at: time.Now(), write: k%4 == 3}
+		if l.r.other != nil && k%16 >= 14 {
+			t.group = 1
+		}
+		sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=browse,d=2000,cluster=%d */", t.id, t.group)
 		if t.write {
-			sql = fmt.Sprintf("INSERT INTO bookings (id, house, diner) VALUES ('%s', '1', 'x') RETURNING id /* id=%s,c=book,k=m%s,d=2000,cluster=0 */", t.id, t.id, t.id)
+			sql = fmt.Sprintf("INSERT INTO bookings (id, house, diner) VALUES ('%s', '1', 'x') RETURNING id /* id=%s,c=book,k=m%s,d=2000,cluster=%d */", t.id, t.id, t.id, t.group)
 		}
 		a, err := c.Query(sql)
 		t.took, t.code, t.broken = time.Since(t.at), a.Code, err != nil
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -20,6 +20,9 @@
 	"time"
 
 	"dapplerouter/control"
+	"dapplerouter/fleet/audit"
+	"dapplerouter/fleet/company"
+	"dapplerouter/fleet/disk"
 	"dapplerouter/standin/hop"
 	"dapplerouter/standin/store"
 )
@@ -53,6 +56,9 @@
 	fronts   []*Front
 	hops     map[[2]int]*hop.Hop
 	group    *store.Group
+	other    *store.Group // that may be given up
+	mustBy   []uint64     // versions that give it up for all
+	cutAudit int          // torn tails of audits that were made
 	lists    *lists
 	rnd      *rand.Rand
 	born     time.Time
@@ -72,7 +78,7 @@
   "Zones": ["a", "b", "c"], "Locality": %q, "FleetSize": %d, "Ordinal": %d, "Discovery": %q, "Tick": 5000000,
   "Classes": [
    {"Name": "browse", "Aim": 250000000, "Deadline": 2000000000, "Effect": "read_like", "Group": "all", "Worth": 1.0},
-   {"Name": "book", "Aim": 250000000, "Deadline": 2000000000, "Effect": "idempotency_key", "Group": "cell", "Window": 2000000000, "Worth": 5.0}],
+   {"Name": "book", "Aim": 250000000, "Deadline": 2000000000, "Effect": "idempotency_key", "Group": "cell", "Window": %d, "Worth": 5.0}],
   "FamilyInfo": {"ReadLevel": ["eventual", "mutate"], "StalenessBound": [0, 0], "RoleListed": "trailing",
    "Checks": "bounce", "HoldsFor": 50000000, "WriteMarks": "kept", "TellsPosition": true},
   "Rules": {"AnswerSlack": 20000000, "StopSendingWithin": 2000000000, "Cold": 1000000000, "Fall": 2000000000, "AskEvery": 2000000000},
@@ -129,6 +135,13 @@
 		return nil, err
 	}
 	defer r.group.Close()
+	if s.Right > 0 {
+		if r.other, err = store.Start(store.Restaurants(5, 20, 50), 2, 8, time.Millisecond, 0); err != nil {
+			return nil, err
+		}
+		defer r.other.Close()
+		r.other.ID, r.group.Guests = 1, r.other.Members
+	}
 	var listed struct{ Endpoints json.RawMessage }
 	if err := json.Unmarshal(r.group.Listed(), &listed); err != nil {
 		return nil, err
@@ -216,7 +229,8 @@
 	if err := os.MkdirAll(f.dir, 0o700); err != nil {
 		return err
 	}
-	told := fmt.Sprintf(config, f.Name, f.clients, r.lists.address(), r.rnd.Uint64()|1, r.group.Listed(), string(rune('a'+f.i%3)), len(r.fronts), f.i, map[bool]string{true: "ask", false: "push"}[r.Script.Ask])
+	told := fmt.Sprintf(config, f.Name, f.clients, r.lists.address(), r.rnd.Uint64()|1, r.group.Listed(), string(rune('a'+f.i%3)), len(r.fronts), f.i, map[bool]string{true: "ask", false: "push"}[r.Script.Ask],
+		map[bool]int64{true: 1e9, false: 2e9}[r.Script.Differ && f.i%2 == 1])
 	if err := os.WriteFile(filepath.Join(f.dir, "config.json"), []byte(told), 0o600); err != nil {
 		return err
 	}
@@ -241,12 +255,22 @@
 		fmt.Fprintf(&form, "\n (keeper %q)", f.disk())
 	}
 	fmt.Fprintln(&form, ")")
+	if s := r.Script; s.Right > 0 {
+		alone := map[bool]string{true: "stop", false: "serve"}[s.Stop]
+		fmt.Fprintf(&form, "(roll (right %v) (when-alone %s) (dir %q))\n", s.Right, alone, filepath.Join(f.dir, "roll"))
+		fmt.Fprintf(&form, "(audit (dir %q) (segment 16KiB) (budget 8MiB) (clock-error 50ms) (export %q))\n", f.audit(), r.exports())
+		if err := os.MkdirAll(r.exports(), 0o700); err != nil {
+			return err
+		}
+	}
 	return os.WriteFile(f.file(), []byte(form.String()), 0o600)
 }
 
 func (f *Front) file() string        { return filepath.Join(f.dir, "operator.sexp") }
 func (f *Front) disk() string        { return filepath.Join(f.dir, "fleet.db") }
 func (f *Front) socket() string      { return filepath.Join(f.dir, "ctl") }
+func (f *Front) audit() string       { return filepath.Join(f.dir, "audit") }
+func (r *Rig) exports() string       { return filepath.Join(r.Dir, "exported") }
 func (f *Front) historyFile() string { return filepath.Join(f.dir, "history.jsonl") }
 
 // start starts a front's process; its log is kept.
@@ -362,14 +386,46 @@
 	return ""
 }
 
+// rolled says what versions lack that a fleet at rest has: none on its way, and every front on the one in force.
+func (r *Rig) rolled() string {
+	if r.Script.Right == 0 {
+		return ""
+	}
+	f := r.fronts[0]
+	s, err := f.rolls()
+	if err != nil {
+		return f.Name + " says nothing of versions"
+	}
+	if s.Next != 0 {
+		return fmt.Sprintf("version %d is on its way: %s, wave %d, %s", s.Next, s.Phase, s.Wave, s.Why)
+	}
+	for _, x := range s.Fronts {
+		if x.Acts != s.Base {
+			return fmt.Sprintf("%s acts on version %d, and %d is in force", x.Front, x.Acts, s.Base)
+		}
+	}
+	if len(s.Fronts) < len(r.fronts) {
+		return fmt.Sprintf("%d fronts tell their version", len(s.Fronts))
+	}
+	return ""
+}
+
+func (f *Front) rolls() (s company.RollSeen, err error) {
+	err = control.Call(f.socket(), "GET", "/v1/fleet/roll", nil, &s)
+	return s, err
+}
+
 // rest lets the fleet come back after the script, and says what it lacks still.
 func (r *Rig) rest() string {
 	if r.Script.Off {
 		return ""
 	}
 	bad := ""
-	for end := time.Now().Add(12*r.Script.Span + 5*time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if bad = r.whole(); bad == "" || time.Now().After(end) {
+	for end := time.Now().Add(12*r.Script.Span + 5*time.Second + 5*r.Script.Right); ; time.Sleep(50 * time.Millisecond) {
+		if bad = r.whole(); bad == "" {
+			bad = r.rolled()
+		}
+		if bad == "" || time.Now().After(end) {
 			return bad
 		}
 	}
@@ -453,12 +509,20 @@
 		}
 		gives = s.Gives
 	}
+	newest := map[string]bool{}
+	if w.Name == "new" {
+		for _, f := range r.fronts {
+			if s, err := f.rolls(); err == nil && up(f) && s.Next != 0 && s.Acts == s.Next {
+				newest[f.Name] = true
+			}
+		}
+	}
 	for _, f := range r.fronts {
 		switch {
 		case f.Name == w.Name:
 			return f
 		case !up(f):
-		case w.Name == "giver" && f.Name == gives, w.Name == "any", w.Name == "keeper" && f.keeper,
+		case w.Name == "giver" && f.Name == gives, w.Name == "any", w.Name == "new" && newest[f.Name], w.Name == "keeper" && f.keeper,
 			w.Name == "follower" && !f.keeper && !holders[f.Name]:
 			fit = append(fit, f)
 		}
@@ -511,7 +575,7 @@
 	if len(who) > 0 {
 		r.say(who[0].Name, "%s %s for %v", st.What, names(who), span)
 	} else {
-		r.say("-", "%s %s %v", st.What, st.Duty, st.Spans)
+		r.say("-", "%s %s %v", st.What, cmp.Or(st.Duty, strings.Join(st.Words, " ")), st.Spans)
 	}
 	switch st.What {
 	case "stop":
@@ -529,7 +593,7 @@
 			f.signal(syscall.SIGCONT)
 			r.say(f.Name, "goes on")
 		})
-	case "kill", "end", "old-disk", "torn":
+	case "kill", "end", "old-disk", "torn", "torn-audit":
 		f := who[0]
 		if st.What == "old-disk" || st.What == "torn" {
 			r.mustHalt = append(r.mustHalt, f.Name)
@@ -545,6 +609,9 @@
 				os.WriteFile(f.disk(), whole[:len(whole)/4], 0o600)
 			}
 		}
+		if st.What == "torn-audit" {
+			r.tearAudit(f)
+		}
 		if st.What == "old-disk" {
 			if err := copyFile(f.disk()+".old", f.disk()); err != nil {
 				return err
@@ -598,6 +665,8 @@
 				return nil
 			}
 		}
+	case "publish", "take-back":
+		r.publish(st)
 	case "lists":
 		r.lists.set(func() { r.lists.away = true })
 		r.after(span, func() { r.lists.set(func() { r.lists.away = false }) })
@@ -634,6 +703,63 @@
 	return nil
 }
 
+// publish brings an operator's wish to a front that is not alone.
+func (r *Rig) publish(st Step) {
+	q := url.Values{"do": {"back"}, "why": {"the script"}}
+	must := false
+	if st.What == "publish" {
+		var waves []string
+		for _, w := range st.Words[1:] {
+			switch p, ok := strings.CutSuffix(w, "%"); {
+			case w == "must":
+				must = true
+			case ok:
+				waves = append(waves, p+"0")
+			default:
+				waves = append(waves, w)
+			}
+		}
+		if waves == nil {
+			waves = []string{"1", "500", "1000"}
+		}
+		q = url.Values{"do": {"publish"}, "text": {texts[st.Words[0]]}, "waves": {strings.Join(waves, ",")}, "watch": {r.Script.Span.String()},
+			"must": {fmt.Sprint(must)}, "shut_out": {"400"}}
+	}
+	r.later.Go(func() {
+		for range 20 {
+			for _, f := range r.fronts {
+				s, err := f.seen()
+				if err != nil || s.Alone {
+					continue
+				}
+				var out struct{ Version uint64 }
+				err = control.Call(f.socket(), "POST", "/v1/fleet/roll", q, &out)
+				r.say("-", "%s %s by %s: %s", st.What, strings.Join(st.Words, " "), f.Name, cmp.Or(errText(err), fmt.Sprintf("done, version %d", out.Version)))
+				if err == nil && st.What == "publish" && st.Words[0] == "give-up" && must {
+					r.said.Lock()
+					r.mustBy = append(r.mustBy, out.Version)
+					r.said.Unlock()
+				}
+				return
+			}
+			time.Sleep(r.Script.Span / 4)
+		}
+	})
+}
+
+// tearAudit cuts the last line of a front's audit in half.
+func (r *Rig) tearAudit(f *Front) {
+	names, err := disk.SegmentsIn(f.audit(), f.Name)
+	if err != nil || len(names) == 0 {
+		return
+	}
+	path := filepath.Join(f.audit(), names[len(names)-1]+audit.LinesEnd)
+	if b, err := os.ReadFile(path); err == nil && len(b) > 20 {
+		os.WriteFile(path, b[:len(b)-20], 0o600)
+		r.cutAudit++
+	}
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -665,8 +791,22 @@
 	}
 }
 
-// close ends every process, and waits.
+// close ends every process, and waits. What audits have in hand is written first.
 func (r *Rig) close() {
+	if r.Script.Right > 0 {
+		for _, f := range r.fronts {
+			f.signal(syscall.SIGCONT)
+			f.signal(syscall.SIGTERM)
+		}
+		for _, f := range r.fronts {
+			if f.ended != nil {
+				select {
+				case <-f.ended:
+				case <-time.After(8 * time.Second):
+				}
+			}
+		}
+	}
 	for _, f := range r.fronts {
 		f.signal(syscall.SIGCONT)
 		f.signal(syscall.SIGKILL)
--- a/lab/rig/script.go
+++ b/lab/rig/script.go
@@ -22,8 +22,11 @@
 	Fronts, Keepers  int
 	Members, Clients int
 	Span, For        time.Duration
-	Off              bool // without the fleet form: what the fleet is compared with
-	Ask              bool // the list's service answers only when it is asked
+	Off              bool          // without the fleet form: what the fleet is compared with
+	Ask              bool          // the list's service answers only when it is asked
+	Right            time.Duration // versions are published and audited, with rights of this length; 0: not
+	Stop             bool          // fronts that hear nobody stop at the end of their right
+	Differ           bool          // fronts of even numbers allow a shorter window than the others
 	Steps            []Step
 }
 
@@ -34,6 +37,7 @@
 	Who   []Who
 	Spans []time.Duration
 	Duty  string
+	Words []string // of a publish
 	Place conf.Place
 }
 
@@ -50,31 +54,42 @@
 	return w.Name
 }
 
+// texts that are published.
+var texts = map[string]string{
+	"give-up": "(rules (given-up 1))",
+	"window":  "(rules (window book 1500ms))",
+	"tight":   "(rules (window book 900ms))",
+	"none":    "(rules)",
+}
+
 // words of a step: how many fronts it names, and how many spans.
 var words = map[string]struct {
 	fronts, spans int
 	help          string
 }{
-	"stop":     {1, 1, "(stop FRONT FOR): SIGSTOP, and SIGCONT later"},
-	"kill":     {1, 1, "(kill FRONT FOR): SIGKILL, and a start later"},
-	"end":      {1, 1, "(end FRONT FOR): SIGTERM, and a start later"},
-	"cut":      {2, 1, "(cut FRONT FRONT FOR): nothing passes between the two"},
-	"one-way":  {2, 1, "(one-way FRONT FRONT FOR): nothing passes from the first to the second"},
-	"apart":    {1, 1, "(apart FRONT FOR): nothing passes between it and the others"},
-	"deaf":     {1, 1, "(deaf FRONT FOR): it is heard and hears nobody"},
-	"mute":     {1, 1, "(mute FRONT FOR): it hears and is not heard"},
-	"slow":     {0, 2, "(slow BY FOR): all that passes between fronts comes later, by up to twice as much"},
-	"reset":    {0, 0, "(reset): every link between fronts breaks"},
-	"spoil":    {0, 1, "(spoil FOR): bytes between fronts are changed now and then"},
-	"hand":     {0, 0, "(hand DUTY): it is handed on by the operator"},
-	"lists":    {0, 1, "(lists FOR): the list's service is away"},
-	"older":    {0, 1, "(older FOR): the list's service hands back an older list"},
-	"change":   {0, 0, "(change): the list changes"},
-	"keep":     {1, 0, "(keep FRONT): a copy of the keeper's file is laid aside"},
-	"old-disk": {1, 1, "(old-disk FRONT FOR): it is killed, and started later from the copy"},
-	"torn":     {1, 1, "(torn FRONT FOR): it is killed, its file cut in half, and started later"},
-	"hang":     {0, 1, "(hang FOR): a replica takes connections and says nothing"},
-	"twin":     {1, 1, "(twin FRONT FOR): a second process of its name runs for a while"},
+	"stop":       {1, 1, "(stop FRONT FOR): SIGSTOP, and SIGCONT later"},
+	"kill":       {1, 1, "(kill FRONT FOR): SIGKILL, and a start later"},
+	"end":        {1, 1, "(end FRONT FOR): SIGTERM, and a start later"},
+	"cut":        {2, 1, "(cut FRONT FRONT FOR): nothing passes between the two"},
+	"one-way":    {2, 1, "(one-way FRONT FRONT FOR): nothing passes from the first to the second"},
+	"apart":      {1, 1, "(apart FRONT FOR): nothing passes between it and the others"},
+	"deaf":       {1, 1, "(deaf FRONT FOR): it is heard and hears nobody"},
+	"mute":       {1, 1, "(mute FRONT FOR): it hears and is not heard"},
+	"slow":       {0, 2, "(slow BY FOR): all that passes between fronts comes later, by up to twice as much"},
+	"reset":      {0, 0, "(reset): every link between fronts breaks"},
+	"spoil":      {0, 1, "(spoil FOR): bytes between fronts are changed now and then"},
+	"publish":    {0, 0, "(publish give-up|window|tight|none [must] [1 50% 100%]): rules are published, by a front that is not alone"},
+	"take-back":  {0, 0, "(take-back): the version on its way is taken back by the operator"},
+	"torn-audit": {1, 1, "(torn-audit FRONT FOR): it is killed, the last line of its audit cut in half, and started later"},
+	"hand":       {0, 0, "(hand DUTY): it is handed on by the operator"},
+	"lists":      {0, 1, "(lists FOR): the list's service is away"},
+	"older":      {0, 1, "(older FOR): the list's service hands back an older list"},
+	"change":     {0, 0, "(change): the list changes"},
+	"keep":       {1, 0, "(keep FRONT): a copy of the keeper's file is laid aside"},
+	"old-disk":   {1, 1, "(old-disk FRONT FOR): it is killed, and started later from the copy"},
+	"torn":       {1, 1, "(torn FRONT FOR): it is killed, its file cut in half, and started later"},
+	"hang":       {0, 1, "(hang FOR): a replica takes connections and says nothing"},
+	"twin":       {1, 1, "(twin FRONT FOR): a second process of its name runs for a while"},
 }
 
 // Load reads a script from a file.
@@ -125,6 +140,19 @@
 			s.Off = true
 		case "ask":
 			s.Ask = true
+		case "versions":
+			for _, w := range g.Words() {
+				switch d, err := time.ParseDuration(w.Name); {
+				case w.Name == "stop":
+					s.Stop = true
+				case w.Name == "differ":
+					s.Differ = true
+				case err != nil || d <= 0:
+					g.Fault(w.Place, "(versions 4s [stop] [differ])", "%s is no right", w.Name)
+				default:
+					s.Right = d
+				}
+			}
 		case "at":
 			w, ok := g.Head()
 			if !ok {
@@ -138,7 +166,7 @@
 				s.Steps = append(s.Steps, s.step(x, at))
 			}
 		default:
-			g.Fault(g.Place, "known are fronts, keepers, members, clients, span, for, alone, ask, at", "a rig has no %s", g.Name)
+			g.Fault(g.Place, "known are fronts, keepers, members, clients, span, for, alone, ask, versions, at", "a rig has no %s", g.Name)
 		}
 	}
 	if s.Keepers > s.Fronts || s.Keepers%2 == 0 {
@@ -158,6 +186,15 @@
 		x.Fault(x.Place, "known are"+names, "nothing is called %s", x.Name)
 		return st
 	}
+	if x.Name == "publish" {
+		for _, w := range x.Words() {
+			st.Words = append(st.Words, w.Name)
+		}
+		if len(st.Words) == 0 || texts[st.Words[0]] == "" || s.Right == 0 {
+			x.Fault(x.Place, known.help+"; and (versions 4s) before it", "publish is not whole")
+		}
+		return st
+	}
 	if known.fronts+known.spans == 0 && x.Name != "hand" {
 		return st
 	}
@@ -189,12 +226,12 @@
 		}
 	}
 	switch {
-	case w.Name == "giver" || w.Name == "follower" || w.Name == "any" || w.Name == "keeper":
+	case w.Name == "giver" || w.Name == "follower" || w.Name == "new" || w.Name == "any" || w.Name == "keeper":
 		return Who{Name: w.Name}
 	case len(w.Name) > 7 && w.Name[:7] == "holder:":
 		return Who{Name: "holder", Duty: w.Name[7:]}
 	}
-	x.Fault(w.Place, "n1 to n"+strconv.Itoa(s.Fronts)+", holder:DUTY, giver, keeper, follower or any", "%s is no front", w.Name)
+	x.Fault(w.Place, "n1 to n"+strconv.Itoa(s.Fronts)+", holder:DUTY, giver, keeper, follower, new (on the newest version) or any", "%s is no front", w.Name)
 	return Who{Name: "any"}
 }
 
