--- a/cmd/dapplerouter/auditcalls.go
+++ b/cmd/dapplerouter/auditcalls.go
@@ -59,7 +59,7 @@
 		return nil, nil, nil, unable
 	}
 	all, found = audit.Read(l)
-	return l, all, found, done
+	return l, all, append(found, l.Apart...), done
 }
 
 func moment(micros int64) string {
--- /dev/null
+++ b/fleet/audit/audit_test.go
@@ -0,0 +1,313 @@
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"dapplerouter/front"
+)
+
+const ms = time.Millisecond
+
+// memory is logs held in memory; it is Files.
+type memory struct{ lines, ids map[string][]byte }
+
+func (m memory) Names() (all []string) {
+	for n := range m.lines {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (m memory) Lines(name string) ([]byte, error) { return m.lines[name], nil }
+
+func (m memory) IDs(name string) ([]byte, error) {
+	if b, ok := m.ids[name]; ok {
+		return b, nil
+	}
+	return nil, fmt.Errorf("no such file")
+}
+
+// log writes a front's log of some spans, in segments of a few lines.
+func log(m memory, name string, incarnation uint64, chain *Chain, from uint64, spans int) (segments uint64) {
+	at, ids, seg := int64(1_000_000), []byte{}, from
+	put := func(l *Line, idx []byte) {
+		n := SegmentName(name, seg)
+		if len(idx) > 0 {
+			l.IDs = int64(len(ids)) + 1
+			ids = append(ids, idx...)
+		}
+		l.Front, l.Incarnation, l.At, l.Index = name, incarnation, at, 10
+		m.lines[n] = append(m.lines[n], chain.Append(l)...)
+		m.ids[n] = ids
+		at += 1000
+	}
+	chain.Segment()
+	put(&Line{What: Opened, Kinds: []string{"browse"}, Clock: 50_000}, nil)
+	for i := range spans {
+		s := Span{Number: uint32(i + 1), Ended: make([][front.Words]uint32, 1)}
+		for k := range 4 {
+			s.IDs = append(s.IDs, Hash(fmt.Appendf(nil, "%s-%d-%d", name, i, k)))
+		}
+		idx, hash := Index(&s)
+		if i == 3 {
+			put(&Line{What: Adopted, Version: 1, Meaning: "m1"}, nil)
+		}
+		put(&Line{What: InSpan, Span: s.Number, From: int64(i) * 10_000, Until: int64(i+1) * 10_000, Version: uint64(i / 3), Txns: 4, IDsHash: hash,
+			Right: int64(i+1)*10_000 + 500, List: []int64{3, 3}, Ended: [][]uint32{{3, 1, 0, 0, 0}}}, idx)
+		if i%3 == 2 {
+			seg++
+			ids = nil
+			chain.Segment()
+		}
+	}
+	put(&Line{What: Closed}, nil)
+	return seg
+}
+
+func logs() memory {
+	m := memory{map[string][]byte{}, map[string][]byte{}}
+	for _, n := range []string{"n1", "n2"} {
+		log(m, n, 7, &Chain{}, 1, 9)
+	}
+	return m
+}
+
+func TestAWholeLogHoldsAndAnswers(t *testing.T) {
+	all, found := Read(logs())
+	assert.Empty(t, found)
+	require.Len(t, all, 2)
+	vs := Versions(all, Uses(all))
+	require.Len(t, vs, 2)
+	assert.Equal(t, 2, vs[1].Fronts)
+	assert.Equal(t, "m1", vs[1].Meaning)
+	assert.EqualValues(t, 2*4*3, vs[0].Ended[front.Served]+vs[0].Ended[front.Declined])
+}
+
+// Wrongs of twelve kinds and more, planted one at a time: each is named at its place.
+func TestVerifyNamesWhatIsWrongAtItsPlace(t *testing.T) {
+	edit := func(m memory, name string, call func(lines []string) []string) {
+		lines := strings.SplitAfter(strings.TrimSuffix(string(m.lines[name]), "\n")+"\n", "\n")
+		m.lines[name] = []byte(strings.Join(call(lines[:len(lines)-1]), ""))
+	}
+	relink := func(m memory, front string, change func(l *Line)) { // whoever can write the log can make the chain hold: what it says still has to fit
+		c := Chain{}
+		for _, name := range m.Names() {
+			if !strings.HasPrefix(name, front+".") {
+				continue
+			}
+			out := []byte{}
+			c.Segment()
+			for _, text := range strings.Split(strings.TrimSpace(string(m.lines[name])), "\n") {
+				var l Line
+				if json.Unmarshal([]byte(text), &l) == nil {
+					change(&l)
+					out = append(out, c.Append(&l)...)
+				}
+			}
+			m.lines[name] = out
+		}
+	}
+	for name, x := range map[string]struct {
+		plant func(m memory)
+		want  string
+	}{
+		"a line taken out": {func(m memory) {
+			edit(m, "n1.00000002", func(l []string) []string { return append(l[:1:1], l[2:]...) })
+		}, "n1.00000002:2: wrong: lines 6 to 6 are missing before it"},
+		"a line changed": {func(m memory) {
+			edit(m, "n1.00000002", func(l []string) []string {
+				l[1] = strings.Replace(l[1], `"txns":4`, `"txns":5`, 1)
+				return l
+			})
+		}, "n1.00000002:2: wrong: line 6 is not what was written"},
+		"a line doubled": {func(m memory) {
+			edit(m, "n1.00000001", func(l []string) []string { return slices.Insert(l, 2, l[1]) })
+		}, "n1.00000001:3: wrong: line 2 stands twice"},
+		"a line moved": {func(m memory) {
+			edit(m, "n1.00000001", func(l []string) []string { l[1], l[2] = l[2], l[1]; return l })
+		}, "n1.00000001:3: wrong: line 2 stands behind line 3: it was moved"},
+		"a line of another front": {func(m memory) {
+			edit(m, "n1.00000001", func(l []string) []string {
+				return append(l, strings.SplitAfter(string(m.lines["n2.00000002"]), "\n")[0])
+			})
+		}, "n1.00000001:5: wrong: the line is of front n2"},
+		"a segment taken away": {func(m memory) { delete(m.lines, "n1.00000002") }, "n1.00000002: wrong: the segment is missing"},
+		"a segment in another's place": {func(m memory) { m.lines["n1.00000002"] = m.lines["n1.00000001"] },
+			"n1.00000002:1: wrong: the segment does not go on where the one before it ended"},
+		"a torn tail": {func(m memory) {
+			m.lines["n1.00000003"] = m.lines["n1.00000003"][:len(m.lines["n1.00000003"])-200]
+		}, "the line can't be read: torn"},
+		"no line at all": {func(m memory) {
+			edit(m, "n1.00000001", func(l []string) []string { l[1] = "nonsense\n"; return l })
+		}, "n1.00000001:2: wrong: the line can't be read"},
+		"an index changed": {func(m memory) {
+			b := slices.Clone(m.ids["n1.00000001"])
+			b[headSize+2] ^= 1
+			m.ids["n1.00000001"] = b
+		}, "n1.00000001:2: wrong: the index of span 1 is not what was written"},
+		"an index taken away": {func(m memory) { delete(m.ids, "n2.00000001") }, "n2.00000001:2: wrong: the index of its txns is missing"},
+		"an index cut short":  {func(m memory) { m.ids["n1.00000001"] = m.ids["n1.00000001"][:60] }, "the index has not the txns of span 2"},
+		"spans that overlap":  {func(m memory) { relink(m, "n1", func(l *Line) { l.From -= 300 * int64(l.Span/5) }) }, "span 5 begins 300 µs before the end of the one before it"},
+		"a time left out": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span == 5 {
+					l.From += 900
+				}
+			})
+		}, "between spans 4 and 5 900 µs are not told"},
+		"a span beyond a right": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span == 4 {
+					l.Right -= 9000
+				}
+			})
+		}, "span 4 acts on version 1 until 40000, and its right ended at 31500"},
+		"txns that never ended": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span == 2 {
+					l.Ended[0][0]--
+				}
+			})
+		}, "span 2 took 4 txns, and 3 ended"},
+		"a clock set back": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span > 4 {
+					l.At -= 3_600_000_000
+				}
+			})
+		}, "its clock stands"},
+		"a record gone back": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.What == Adopted {
+					l.Index = 4
+				}
+			})
+		}, "its record stands at 4, and stood at 10 before"},
+		"two fronts of a name": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span == 5 {
+					l.Incarnation = 8
+				}
+			})
+		}, "a line of another process while this one goes on: two fronts with one name"},
+		"restored from an old copy": {func(m memory) { // it went on behind segment 1, and what it wrote since stands beside
+			c := Chain{}
+			old := memory{map[string][]byte{}, map[string][]byte{}}
+			log(old, "n1", 7, &c, 1, 3)
+			c.N, c.Value = 4, lastChain(m.lines["n1.00000001"])
+			log(m, "n1", 8, &c, 5, 3)
+		}, "restored from an old copy, or two fronts with one name"},
+	} {
+		m := logs()
+		x.plant(m)
+		_, found := Read(m)
+		var said []string
+		for _, f := range found {
+			said = append(said, f.String())
+		}
+		assert.Contains(t, strings.Join(said, "\n"), x.want, name)
+		assert.True(t, slices.ContainsFunc(found, func(f Finding) bool { return f.Wrong }), name)
+	}
+}
+
+func lastChain(b []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	var l Line
+	json.Unmarshal([]byte(lines[len(lines)-1]), &l)
+	return l.Chain
+}
+
+func TestWhatALogItselfTellsIsMissingIsNoWrong(t *testing.T) {
+	m := memory{map[string][]byte{}, map[string][]byte{}}
+	c := &Chain{}
+	last := log(m, "n1", 7, c, 1, 6)
+	c.Segment()
+	n := SegmentName("n1", last+1)
+	for _, l := range []*Line{{What: Opened, Incarnation: 9}, {What: Cut, Lost: 12}, {What: Gap, Lost: 3, Why: "no space left on device"},
+		{What: Dropped, Name: "n1.00000001"}} {
+		l.Front, l.At, l.Incarnation, l.Index = "n1", 5_000_000, 9, 12
+		m.lines[n] = append(m.lines[n], c.Append(l)...)
+	}
+	m.ids[n] = nil
+	delete(m.lines, "n1.00000001")
+	_, found := Read(m)
+	var said []string
+	for _, f := range found {
+		assert.False(t, f.Wrong, f)
+		said = append(said, f.What)
+	}
+	assert.Equal(t, []string{"a torn tail of 12 bytes was cut off", "3 lines could not be written: no space left on device",
+		"the log is not closed: the front runs, or its process died"}, said)
+}
+
+func TestATxnCountsInTheSpanInWhichItWasTaken(t *testing.T) {
+	var out []Span
+	b := NewBook(2, true, func(s Span) { out = append(out, s) })
+	b.Listed(1*ms, 10)
+	b.Right(10*ms, 100*ms, false)
+	one := b.Taken(11*ms, []byte("a"), 0)
+	b.Adopted(20*ms, 2)
+	two := b.Taken(21*ms, []byte("b"), 1)
+	b.Ended(30*ms, two, 1, front.Declined)
+	assert.Len(t, out, 1, "the span of version 0 waits for its txn")
+	assert.True(t, out[0].Standby)
+	b.Ended(40*ms, one, 0, front.Served)
+	require.Len(t, out, 2)
+	assert.Equal(t, Span{Number: 2, From: 10 * ms, Until: 20 * ms, List: [2]int64{10, 10}, Right: 100 * ms,
+		Ended: [][front.Words]uint32{{1}, {}}, IDs: []uint64{Hash([]byte("a"))}, closed: true}, out[1])
+	b.Right(400*ms, 100*ms, true) // found late: it had ended at its right's end
+	require.Len(t, out, 3)
+	assert.Equal(t, 100*ms, out[2].Until)
+	assert.EqualValues(t, 2, out[2].Version)
+	assert.EqualValues(t, 1, out[2].Ended[1][front.Declined])
+	b.Close(500 * ms)
+	require.Len(t, out, 4)
+	assert.True(t, out[3].Standby)
+	assert.Equal(t, 100*ms, out[3].From, "no time is left out")
+}
+
+func TestEveryTxnIsFoundAndHardlyAnyOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 5000).Draw(t, "n")
+		s := Span{Number: 3}
+		for i := range n {
+			s.IDs = append(s.IDs, Hash(fmt.Appendf(nil, "t%d", i)))
+		}
+		b, _ := Index(&s)
+		span, ids, ok := Head(b)
+		if !ok || span != 3 || ids != n || Size(n) != int64(len(b)) {
+			t.Fatal("the head is wrong")
+		}
+		read := func(off int64, n int) ([]byte, error) { return b[off : off+int64(n)], nil }
+		for i := range n + 50 {
+			found, err := Find(Hash(fmt.Appendf(nil, "t%d", i)), ids, headSize, read)
+			if err != nil || found != (i < n) {
+				t.Fatalf("t%d of %d: found %v, %v", i, n, found, err)
+			}
+		}
+	})
+}
+
+// BenchmarkTxn tells what the audit costs a txn in the core.
+func BenchmarkTxn(b *testing.B) {
+	book := NewBook(6, true, func(Span) {})
+	book.Right(0, time.Hour, false)
+	id := []byte("a-txn-id-of-24-characters")
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		s := book.Taken(time.Duration(i)*100*time.Microsecond, id, i%6)
+		book.Ended(time.Duration(i)*100*time.Microsecond, s, i%6, front.Served)
+	}
+}
--- a/fleet/disk/logs.go
+++ b/fleet/disk/logs.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -15,11 +16,13 @@
 
 // Logs reads audits from folders: a front's own, or one where many were exported or collected. It is audit.Files.
 type Logs struct {
-	at map[string]string // folder, by a segment's name
-	in []string
+	at    map[string]string // folder, by a segment's name
+	in    []string
+	Apart []audit.Finding // segments of which there are two copies that differ
 }
 
-// OpenLogs looks for segments in folders and in those below them. One that lies in two of them counts once.
+// OpenLogs looks for segments in folders and in those below them. Of one that lies in two of them the longer counts, where it
+// goes on from the other; where they differ, that is told.
 func OpenLogs(dirs ...string) (*Logs, error) {
 	l := &Logs{at: map[string]string{}}
 	for _, dir := range dirs {
@@ -29,9 +32,25 @@
 			}
 			if _, _, ok := audit.ParseName(d.Name()); ok {
 				name := strings.TrimSuffix(d.Name(), audit.LinesEnd)
-				if _, twice := l.at[name]; !twice {
+				was, twice := l.at[name]
+				if !twice {
 					l.at[name] = filepath.Dir(path)
 					l.in = append(l.in, name)
+					return nil
+				}
+				a, err := os.ReadFile(filepath.Join(was, name+audit.LinesEnd))
+				if err != nil {
+					return err
+				}
+				b, err := os.ReadFile(path)
+				switch {
+				case err != nil:
+					return err
+				case bytes.HasPrefix(b, a):
+					l.at[name] = filepath.Dir(path)
+				case !bytes.HasPrefix(a, b):
+					l.Apart = append(l.Apart, audit.Finding{Segment: name, Wrong: true,
+						What: "two copies differ, in " + was + " and " + filepath.Dir(path) + ": two fronts of one name, or a log restored from an old copy"})
 				}
 			}
 			return nil
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -146,6 +146,7 @@
 		return
 	}
 	journals, found := audit.Read(l)
+	found = append(found, l.Apart...)
 	cuts := 0
 	for _, f := range found {
 		if f.Wrong {
