--- a/fleet/company/auditing.go
+++ b/fleet/company/auditing.go
@@ -27,6 +27,7 @@
 	written  atomic.Uint64
 	exported atomic.Uint64
 	ended    chan struct{}
+	gathers  *gathering
 
 	exporting sync.Mutex
 	done      map[string]bool // segments that were exported, or are gone
@@ -48,7 +49,8 @@
 		return nil, err
 	}
 	a.segments.Told = a.sign
-	return a, nil
+	a.gathers, err = newGathering(a)
+	return a, err
 }
 
 // sign fills in whose line it is.
@@ -229,6 +231,10 @@
 		go f.audit.run()
 		f.write(&audit.Line{What: audit.Opened, Program: f.program, Kinds: f.site.Types, Clock: f.audit.c.ClockError.Microseconds(), Version: f.begins.Version, Meaning: f.begins.Rules.Meaning()})
 		go f.audit.export()
+		f.done.Go(f.audit.gathers.serve)
+		if f.audit.gathers.g != nil {
+			f.done.Go(f.audit.gathers.gather)
+		}
 		f.done.Go(func() {
 			t := time.NewTicker(audit.Longest / 6)
 			defer t.Stop()
--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -273,8 +273,11 @@
 			f.Scouts.Came(e.Term, e.Data)
 		}
 	case fleet.Posted:
-		if e.Duty == scoutPart {
+		switch {
+		case e.Duty == scoutPart:
 			f.Scouts.Errand(string(e.Data))
+		case e.Duty == audit.Part && f.audit != nil:
+			f.audit.gathers.took(e)
 		}
 	case fleet.Answered:
 		f.mu.Lock()
--- a/fleet/roll/driver.go
+++ b/fleet/roll/driver.go
@@ -462,9 +462,7 @@
 	if silentNew >= 2 && silentNew*2 > allNew && silentOld*4 < allOld {
 		return fmt.Sprintf("%d of %d fronts on version %d fell silent, and %d of %d on the old one", silentNew, allNew, s.Next, silentOld, allOld)
 	}
-	for i := range fresh {
-		d.trial.add(i, fresh[i], old[i])
-	}
+	d.trial.add(fresh, old)
 	if v, evidence := d.trial.verdict(); v == Worse {
 		return fmt.Sprintf("version %d serves worse: %s", s.Next, evidence)
 	}
--- a/fleet/roll/trial.go
+++ b/fleet/roll/trial.go
@@ -6,46 +6,65 @@
 )
 
 // A Trial weighs whether fronts on a new version serve worse than those on the old one beside them. It is Wald's sequential
-// test on pairs: in each interval, and for each txn type, the failures (txns that ended and were not committed) of both sides
-// are looked at together. Given how many there were in all, and how many txns each side ended, a failure falls to the new side
-// with chance p = n1/(n1+n0) where both serve alike, and with p' = worse*n1/(worse*n1+n0) where the new one fails worse times
-// as often. So a bad minute of the members, a burst or a quiet night weigh on both sides alike and cancel out.
+// test on pairs: in each interval the failures (txns that ended and were not committed) of both sides are looked at together.
+// Given how many there were in all, and how many txns each side ended, a failure falls to the new side with chance
+// p = n1/(n1+n0) where both serve alike, and with p' = odds*n1/(odds*n1+n0) where the new one fails odds times as often. So a
+// bad minute of the members, a burst or a quiet night weigh on both sides alike and cancel out. It is done for each txn type
+// and for all together, against a version that fails twice and one that fails eight times as often: the first finds small
+// harm in the end, the second finds great harm at once.
 //
-// Errors: a version that serves alike is called worse with chance alpha over all its types together, as the test is asked as
-// often as one likes; one that fails twice as often is called alike with chance beta, once the test says so at all. Where
+// Errors: a version that serves alike is called worse with chance alpha over all these tests together, as often as they are
+// looked at; one that fails twice as often is called alike with chance beta, where a test comes to say so at all. Where
 // failures are common the sums vary less than the law says, which errs to the careful side.
 type Trial struct {
-	weights []float64 // logarithms of the likelihoods' ratio, by type
-	fails   [2][]uint64
-	ended   [2][]uint64
+	kinds []weighing // of all types together, then of each
+}
+
+type weighing struct {
+	weights [len(odds)]float64 // logarithms of the likelihoods' ratio
+	fails   [2]uint64          // of the new side and of the old
+	ended   [2]uint64
 }
 
 // The error rates, and what counts as worse.
 const (
 	alpha = 0.01
 	beta  = 0.01
-	worse = 2.0
 )
 
-// add takes an interval's sums of one type, of the new side and of the old.
-func (t *Trial) add(kind int, now, old Sum) {
-	for len(t.weights) <= kind {
-		t.weights = append(t.weights, 0)
-		for i := range 2 {
-			t.fails[i], t.ended[i] = append(t.fails[i], 0), append(t.ended[i], 0)
-		}
+var odds = [...]float64{2, 8}
+
+// add takes an interval's sums by type, of the new side and of the old.
+func (t *Trial) add(fresh, old []Sum) {
+	var all [2]Sum
+	for i := range fresh {
+		all[0].Ended, all[0].Served = all[0].Ended+fresh[i].Ended, all[0].Served+fresh[i].Served
+		all[1].Ended, all[1].Served = all[1].Ended+old[i].Ended, all[1].Served+old[i].Served
+	}
+	for len(t.kinds) <= len(fresh) {
+		t.kinds = append(t.kinds, weighing{})
 	}
-	for i, s := range []Sum{now, old} {
-		t.fails[i][kind] += s.Ended - s.Served
-		t.ended[i][kind] += s.Ended
+	t.kinds[0].add(all[0], all[1])
+	for i := range fresh {
+		t.kinds[i+1].add(fresh[i], old[i])
 	}
-	if now.Ended == 0 || old.Ended == 0 {
+}
+
+func (w *weighing) add(fresh, old Sum) {
+	for i, s := range []Sum{fresh, old} {
+		w.fails[i] += s.Ended - s.Served
+		w.ended[i] += s.Ended
+	}
+	if fresh.Ended == 0 || old.Ended == 0 {
 		return
 	}
-	n1, n0 := float64(now.Ended), float64(old.Ended)
-	f1, f0 := float64(now.Ended-now.Served), float64(old.Ended-old.Served)
-	p, q := n1/(n1+n0), worse*n1/(worse*n1+n0)
-	t.weights[kind] += f1*math.Log(q/p) + f0*math.Log((1-q)/(1-p))
+	n1, n0 := float64(fresh.Ended), float64(old.Ended)
+	f1, f0 := float64(fresh.Ended-fresh.Served), float64(old.Ended-old.Served)
+	p := n1 / (n1 + n0)
+	for i, worse := range odds {
+		q := worse * n1 / (worse*n1 + n0)
+		w.weights[i] += f1*math.Log(q/p) + f0*math.Log((1-q)/(1-p))
+	}
 }
 
 // Verdict of a trial.
@@ -57,28 +76,41 @@
 	Worse
 )
 
-// verdict says what the sums show so far, and of which type. Alike is the word of all types that saw failures.
+// verdict says what the sums show so far, and of which type. Alike is the word of all kinds that saw failures.
 func (t *Trial) verdict() (v Verdict, evidence string) {
-	k := float64(max(len(t.weights), 1))
+	k := float64(max(len(t.kinds)*len(odds), 1))
 	up, down := math.Log((1-beta)/(alpha/k)), math.Log(beta/(1-alpha/k))
-	alike := len(t.weights) > 0
-	for i, w := range t.weights {
-		if w >= up {
-			return Worse, fmt.Sprintf("of txn type %d, %d of %d failed on the new version and %d of %d on the old", i, t.fails[0][i], t.ended[0][i], t.fails[1][i], t.ended[1][i])
+	alike, seen := true, false
+	for i, w := range t.kinds {
+		for _, x := range w.weights {
+			if x >= up {
+				what := "of all txns"
+				if i > 0 {
+					what = fmt.Sprintf("of txn type %d", i-1)
+				}
+				return Worse, fmt.Sprintf("%s, %d of %d failed on the new version and %d of %d on the old", what, w.fails[0], w.ended[0], w.fails[1], w.ended[1])
+			}
+		}
+		if w.fails[0]+w.fails[1] > 0 {
+			seen = true
+			alike = alike && w.weights[0] <= down
 		}
-		alike = alike && (w <= down || t.fails[0][i]+t.fails[1][i] == 0)
 	}
-	if alike {
+	if seen && alike {
 		return Alike, ""
 	}
 	return Undecided, ""
 }
 
-// leans tells whether an undecided trial leans towards worse.
+// leans tells whether an undecided trial leans towards worse: more than half of the way.
 func (t *Trial) leans() bool {
-	for _, w := range t.weights {
-		if w > 0 {
-			return true
+	k := float64(max(len(t.kinds)*len(odds), 1))
+	half := math.Log((1-beta)/(alpha/k)) / 2
+	for _, w := range t.kinds {
+		for _, x := range w.weights {
+			if x > half {
+				return true
+			}
 		}
 	}
 	return false
--- /dev/null
+++ b/lab/model/walk_test.go
@@ -0,0 +1,82 @@
+package model
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/fleet/roll"
+)
+
+// TestEveryPairOfFaultsOverTwoPublishes walks faults of all kinds at each of three fronts and at moments all through two
+// publishes, the second a must version: each alone, and pairs of them. In each world at most two adjacent versions are acted
+// on, and in the end all fronts are on one, all new or all old, with one answer for each txn. ROLL_WALK=all walks every pair.
+func TestEveryPairOfFaultsOverTwoPublishes(t *testing.T) {
+	type at struct {
+		f    Fault
+		host int
+		when time.Duration
+	}
+	var all []at
+	for _, f := range Faults {
+		for host := range 3 {
+			for _, when := range []time.Duration{0, 600, 1400, 2600, 4200, 7000, 9500, 12500} {
+				all = append(all, at{f, host, when * time.Millisecond})
+			}
+		}
+	}
+	step := 23
+	switch {
+	case os.Getenv("ROLL_WALK") == "all":
+		step = 1
+	case raceOn || testing.Short():
+		step = len(all)
+	}
+	play := func(x, y *at) []string {
+		w := New(Options{Seed: 7, Fronts: 3, Keepers: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.3,
+			Span: time.Second, Fleet: true, Right: 3 * time.Second, Stop: true, Expiry: time.Second, SLA: 250 * time.Millisecond})
+		w.StartAll()
+		w.Run(4 * time.Second)
+		w.Publish(w.Fronts[0], roll.Wish{What: roll.Publish, Text: []byte("(rules (window book 1500ms))"), Waves: []uint16{1, 1000}, Watch: time.Second, ShutOut: 400}, func(string) {})
+		must := func() {
+			s := w.State()
+			for _, f := range w.Fronts {
+				if f.host.Up() && !f.host.Stopped() {
+					w.Publish(f, roll.Wish{What: roll.Publish, On: s.Base, Text: []byte("(rules (given-up 1))"), Waves: []uint16{500, 1000}, Watch: time.Second, ShutOut: 400, Must: true}, func(string) {})
+					return
+				}
+			}
+		}
+		w.After(8*time.Second, must)
+		for _, z := range []*at{x, y} {
+			if z != nil {
+				w.After(z.when, func() {
+					if h := w.Hosts[z.host]; h.Up() && !h.Stopped() {
+						z.f.Do(w, h)
+					}
+				})
+			}
+		}
+		w.Run(16 * time.Second)
+		return w.Rest(2 * time.Minute)
+	}
+	say := func(x *at) string { return fmt.Sprintf("%s of front %d at %v", x.f.Name, x.host, x.when) }
+	const parts = 6
+	for part := range parts {
+		t.Run(fmt.Sprint("part", part), func(t *testing.T) {
+			t.Parallel()
+			for i := part; i < len(all); i += parts {
+				if raceOn && i%7 > 0 {
+					continue
+				}
+				require.Empty(t, play(&all[i], nil), say(&all[i]))
+				for j := i + 1 + i%step; j < len(all); j += step {
+					require.Empty(t, play(&all[i], &all[j]), "%s, %s", say(&all[i]), say(&all[j]))
+				}
+			}
+		})
+	}
+}
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -258,7 +258,7 @@
 	if s := r.Script; s.Right > 0 {
 		alone := map[bool]string{true: "stop", false: "serve"}[s.Stop]
 		fmt.Fprintf(&form, "(roll (right %v) (when-alone %s) (dir %q))\n", s.Right, alone, filepath.Join(f.dir, "roll"))
-		fmt.Fprintf(&form, "(audit (dir %q) (segment 16KiB) (budget 8MiB) (clock-error 50ms) (export %q))\n", f.audit(), r.exports())
+		fmt.Fprintf(&form, "(audit (dir %q) (segment 16KiB) (budget 8MiB) (clock-error 50ms) (export %q)%s)\n", f.audit(), r.exports(), f.collects(r))
 		if err := os.MkdirAll(r.exports(), 0o700); err != nil {
 			return err
 		}
@@ -266,10 +266,19 @@
 	return os.WriteFile(f.file(), []byte(form.String()), 0o600)
 }
 
-func (f *Front) file() string        { return filepath.Join(f.dir, "operator.sexp") }
-func (f *Front) disk() string        { return filepath.Join(f.dir, "fleet.db") }
-func (f *Front) socket() string      { return filepath.Join(f.dir, "ctl") }
-func (f *Front) audit() string       { return filepath.Join(f.dir, "audit") }
+func (f *Front) file() string   { return filepath.Join(f.dir, "operator.sexp") }
+func (f *Front) disk() string   { return filepath.Join(f.dir, "fleet.db") }
+func (f *Front) socket() string { return filepath.Join(f.dir, "ctl") }
+func (f *Front) audit() string  { return filepath.Join(f.dir, "audit") }
+
+// collects is the folder in which the first front gathers all others' audits.
+func (f *Front) collects(r *Rig) string {
+	if f.i > 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (collect %q) (rate 1MiB)", filepath.Join(r.Dir, "collected"))
+}
+
 func (r *Rig) exports() string       { return filepath.Join(r.Dir, "exported") }
 func (f *Front) historyFile() string { return filepath.Join(f.dir, "history.jsonl") }
 
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -185,6 +186,9 @@
 			}
 		}
 	}
+	if collected, err := disk.OpenLogs(filepath.Join(r.Dir, "collected")); err != nil || r.cutAudit > 0 && len(collected.Names()) == 0 {
+		broke("audits of processes that ended were not collected (%v)", err)
+	}
 	if exported, err := disk.OpenLogs(r.exports()); err != nil || len(exported.Names()) == 0 {
 		broke("nothing was exported (%v)", err)
 	}
