--- a/cmd/dapplerlab/main.go
+++ b/cmd/dapplerlab/main.go
@@ -13,6 +13,9 @@
 	"github.com/alecthomas/kong"
 
 	"dapplerouter/conf"
+	"dapplerouter/fleet/audit"
+	"dapplerouter/fleet/disk"
+	"dapplerouter/lab/report"
 	"dapplerouter/lab/rig"
 )
 
@@ -24,7 +27,8 @@
 )
 
 type commands struct {
-	Rig rigCall `cmd:"" help:"Start a fleet of processes on loopback, break what a script says, and judge what came of it."`
+	Rig   rigCall   `cmd:"" help:"Start a fleet of processes on loopback, break what a script says, and judge what came of it."`
+	Audit auditCall `cmd:"" help:"Join many fronts' audits on one page."`
 }
 
 func main() {
@@ -43,6 +47,36 @@
 	os.Exit(k.Selected().Target.Addr().Interface().(interface{ run() int }).run())
 }
 
+type auditCall struct {
+	Dirs []string `arg:"" type:"existingdir" help:"Folders with logs of audits, and those below them."`
+	Out  string   `type:"path" default:"audit.html" help:"The page."`
+}
+
+func (c *auditCall) run() int {
+	l, err := disk.OpenLogs(c.Dirs...)
+	if err != nil {
+		return faults(err)
+	}
+	if len(l.Names()) == 0 {
+		return faults(fmt.Errorf("there are no logs of an audit in %v", c.Dirs))
+	}
+	all, found := audit.Read(l)
+	f, err := os.Create(c.Out)
+	if err == nil {
+		err = errors.Join(report.Audit(f, all, append(found, l.Apart...)), f.Close())
+	}
+	if err != nil {
+		return faults(err)
+	}
+	fmt.Println(c.Out)
+	for _, x := range append(found, l.Apart...) {
+		if x.Wrong {
+			return notSo
+		}
+	}
+	return done
+}
+
 type rigCall struct {
 	Scripts []string `arg:"" type:"existingfile" help:"Scripts, played one after the other."`
 	Seed    uint64   `default:"1" help:"Of what a script leaves to chance."`
