--- /dev/null
+++ b/fleet/disk/find_bench_test.go
@@ -0,0 +1,75 @@
+package disk
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"dapplerouter/fleet/audit"
+)
+
+// BenchmarkFind tells how long it takes to find a txn in the logs of FIND_FRONTS fronts of a day: a span each 30 s, of 10 txns a
+// second. It writes 1.3 GB for 300 fronts, so it wants a folder: FIND_DIR.
+func BenchmarkFind(b *testing.B) {
+	dir := os.Getenv("FIND_DIR")
+	if dir == "" {
+		b.Skip("no FIND_DIR")
+	}
+	fronts := 300
+	fmt.Sscan(os.Getenv("FIND_FRONTS"), &fronts)
+	r := rand.New(rand.NewPCG(1, 1))
+	lines := int64(0)
+	for f := range fronts {
+		name := fmt.Sprintf("f%03d", f)
+		if _, err := os.Stat(filepath.Join(dir, audit.SegmentName(name, 1)+audit.IDsEnd)); err == nil {
+			continue
+		}
+		c := audit.Chain{}
+		number, seg := uint32(0), uint64(0)
+		for number < 2880 {
+			seg++
+			c.Segment()
+			var ids, text []byte
+			for len(text)+len(ids) < 1<<20 && number < 2880 {
+				number++
+				s := audit.Span{Number: number}
+				for range 300 {
+					s.IDs = append(s.IDs, r.Uint64())
+				}
+				if number == 1440 && f == fronts/2 {
+					s.IDs[7] = audit.Hash([]byte("the-one"))
+				}
+				b, hash := audit.Index(&s)
+				at := int64(number) * (30 * time.Second).Microseconds()
+				l := &audit.Line{What: audit.InSpan, At: at, Front: name, Incarnation: 7, Index: 100, Span: number, From: at, Until: at + 30_000_000, Txns: 300,
+					IDs: int64(len(ids)) + 1, IDsHash: hash, Version: 3, List: []int64{10, 10}, Ended: [][]uint32{{300, 0, 0, 0, 0}, {0, 0, 0, 0, 0}, {0, 0, 0, 0, 0}}}
+				ids = append(ids, b...)
+				text = append(text, c.Append(l)...)
+			}
+			base := filepath.Join(dir, audit.SegmentName(name, seg))
+			if err := os.WriteFile(base+audit.IDsEnd, ids, 0o600); err != nil {
+				b.Fatal(err)
+			}
+			if err := os.WriteFile(base+audit.LinesEnd, text, 0o600); err != nil {
+				b.Fatal(err)
+			}
+			lines += int64(len(text) + len(ids))
+		}
+	}
+	if lines > 0 {
+		b.Logf("%d bytes a front a day", lines/int64(fronts))
+	}
+	for b.Loop() {
+		l, err := OpenLogs(dir)
+		if err != nil {
+			b.Fatal(err)
+		}
+		hits, err := l.Find("the-one")
+		if err != nil || len(hits) != 1 {
+			b.Fatal(hits, err)
+		}
+	}
+}
