--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What there is to do here. .ci/run does what a landing must pass.
 
-.PHONY: build test race lint fuzz run clean fleet-soak rig-soak fleet-bench
+.PHONY: build test race lint fuzz run clean fleet-soak roll-soak roll-walk rig-soak fleet-bench
 
 build:
 	mkdir -p bin
@@ -26,6 +26,13 @@
 fleet-soak:
 	FLEET_SEEDS=20000 go test ./lab/sim -run Rough -timeout 3h
 
+# 10,000 rough runs of versions in virtual time, and every pair of faults over two publishes; about a quarter of an hour each.
+roll-soak:
+	ROLL_SEEDS=10000 go test ./lab/model -run Rough -timeout 3h
+
+roll-walk:
+	ROLL_WALK=all go test ./lab/model -run EveryPair -timeout 3h
+
 # Every script of the rig with 200 seeds; hours.
 rig-soak: build
 	bin/dapplerlab rig --quiet --seeds 200 lab/scripts/*.sexp
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -20,7 +20,7 @@
 )
 
 // protocol of the mesh; docs/fleet.md describes it.
-var protocol = framing.Protocol{Magic: [4]byte{'D', 'R', 'F', 'M'}, Version: 1, Who: "front of a fleet", Longest: fleet.Longest + 4096}
+var protocol = framing.Protocol{Magic: [4]byte{'D', 'R', 'F', 'M'}, Version: 2, Who: "front of a fleet", Longest: fleet.Longest + 4096}
 
 // Disk keeps what a keeper must not forget.
 type Disk interface {
--- a/front/terms_test.go
+++ b/front/terms_test.go
@@ -25,7 +25,7 @@
 	l.words[w]++
 }
 func (l *ledger) Listed(_ time.Duration, index int64)     { l.index = index }
-func (l *ledger) Tick(time.Duration) {}
+func (l *ledger) Tick(time.Duration)                      {}
 func (l *ledger) Close(time.Duration)                     {}
 func (l *ledger) Right(_, _ time.Duration, _ bool)        {}
 func (l *ledger) Adopted(_ time.Duration, version uint64) { l.version = version }
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -38,6 +38,7 @@
 	Watches    int             // of the list's service, open at the end
 	Memory     []int           // resident KiB of each front at the end, sorted
 	CPU        time.Duration   // of all fronts while clients asked
+	Rolls      []Rolled
 	chart      []string
 }
 
@@ -209,6 +210,7 @@
 			broke("%s took effect %d times", t.id, did)
 		}
 	}
+	v.Rolls = rolled(all)
 	r.judgeVersions(began, txns, all, broke)
 	slices.Sort(v.Took)
 	v.chart = r.chart(began, all)
@@ -364,6 +366,16 @@
 	for _, g := range v.Gaps {
 		fmt.Fprintf(w, "nobody held %s for %v at %.1f s: %s\n", g.Duty, g.For.Round(time.Millisecond), g.At.Seconds(), g.Because)
 	}
+	for _, x := range v.Rolls {
+		fmt.Fprintf(w, "version %d: taken up %d times, first %v and last %v behind its publishing", x.Version, x.Fronts, x.First.Round(time.Millisecond), x.Last.Round(time.Millisecond))
+		switch {
+		case x.InForce > 0:
+			fmt.Fprintf(w, ", in force after %v", x.InForce.Round(time.Millisecond))
+		case x.Back > 0:
+			fmt.Fprintf(w, ", taken back after %v", x.Back.Round(time.Millisecond))
+		}
+		fmt.Fprintln(w)
+	}
 	if len(v.Broke) == 0 {
 		fmt.Fprintln(w, "verdict: held")
 		return
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -98,6 +98,39 @@
 	return all
 }
 
+// Rolled is how a version came to the fleet, reckoned from the moment at which the first front heard of it.
+type Rolled struct {
+	Version       uint64
+	Fronts        int           // that took it up
+	First, Last   time.Duration // adoption
+	InForce, Back time.Duration // 0 where it did not come to that
+}
+
+// rolled puts together how versions came to the fleet.
+func rolled(all []Moment) (out []Rolled) {
+	began := map[uint64]int64{}
+	at := map[uint64]int{}
+	for _, m := range all {
+		since := func(v uint64) time.Duration { return time.Duration(m.At-began[v]) * time.Microsecond }
+		switch {
+		case m.What == "turned" && m.Term != 0 && began[m.Term] == 0:
+			began[m.Term], at[m.Term] = m.At, len(out)
+			out = append(out, Rolled{Version: m.Term})
+		case m.What == "adopted" && began[m.Number] != 0:
+			r := &out[at[m.Number]]
+			if r.Fronts++; r.First == 0 {
+				r.First = since(m.Number)
+			}
+			r.Last = since(m.Number)
+		case m.What == "turned" && m.Name == "steady" && began[m.Number] != 0 && out[at[m.Number]].InForce == 0:
+			out[at[m.Number]].InForce = since(m.Number)
+		case m.What == "turned" && m.Name == "going back" && began[m.Term] != 0 && out[at[m.Term]].Back == 0:
+			out[at[m.Term]].Back = since(m.Term)
+		}
+	}
+	return out
+}
+
 // judgeVersions reads what fronts told of versions, what reached members, and the audits.
 func (r *Rig) judgeVersions(began time.Time, txns []txn, all []Moment, broke func(string, ...any)) {
 	if r.Script == nil || r.Script.Right == 0 {
--- a/lab/sim/measure_test.go
+++ b/lab/sim/measure_test.go
@@ -15,10 +15,17 @@
 // BenchmarkRest tells what a fleet at rest costs: messages and bytes a second at a keeper and at a follower, in virtual time.
 // One run is one measurement: -benchtime 1x.
 func BenchmarkRest(b *testing.B) {
-	for _, fronts := range []int{10, 50, 300} {
-		b.Run(fmt.Sprint(fronts), func(b *testing.B) {
+	for _, x := range []struct {
+		fronts int
+		right  time.Duration // versions are published: each front asks for a right to act
+	}{{10, 0}, {50, 0}, {300, 0}, {10, 12 * time.Second}, {50, 12 * time.Second}, {300, 12 * time.Second}} {
+		fronts := x.fronts
+		b.Run(fmt.Sprintf("%d/right=%v", fronts, x.right), func(b *testing.B) {
 			for b.Loop() {
 				w := New(1, fronts, 3, pace, two)
+				for _, h := range w.Hosts {
+					h.Right = x.right
+				}
 				w.Weigh = func(m *fleet.Message) int {
 					data, _ := msgpack.Marshal(m)
 					return len(data) + 8
