--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -318,6 +318,9 @@
 		if err != nil {
 			return nil, control.Fault(err.Error())
 		}
+		if err := rules.Against(f.site); err != nil { // what this front can't use need not begin
+			return nil, control.Fault(err.Error())
+		}
 		if len(w.Text) > roll.MostText {
 			return nil, control.Fault(fmt.Sprintf("the file has %d bytes, and %d are the most", len(w.Text), roll.MostText))
 		}
--- a/fleet/roll/agent.go
+++ b/fleet/roll/agent.go
@@ -87,7 +87,7 @@
 // Adopted tells that the front takes txns on a version from now on; at is its wall clock's, for people.
 func (a *Agent) Adopted(version uint64, at int64) {
 	a.acts, a.at, a.busy = version, at, false
-	if a.refused == version {
+	if a.refused <= version { // it is history
 		a.refused, a.why = 0, ""
 	}
 }
