--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -311,3 +311,17 @@
 		book.Ended(time.Duration(i)*100*time.Microsecond, s, i%6, front.Served)
 	}
 }
+
+// Clocks an hour apart: what two of them say of one moment is told as unsure, as far as their told errors go.
+func TestAMomentIsSureOnlyAsFarAsClocksAre(t *testing.T) {
+	hour := int64(3_600_000_000)
+	uses := []Use{{Front: "n1", Version: 1, From: 10 * hour, Until: 20 * hour, Clock: hour}, {Front: "n2", Version: 2, From: 10 * hour, Until: 20 * hour}}
+	for at, want := range map[int64]string{15: "n1 true n2 true ", 10: "n1 false n2 true ", 9: "n1 false ", 21: "n1 false ", 22: ""} {
+		said := ""
+		found, sure := At(uses, at*hour)
+		for i, u := range found {
+			said += fmt.Sprint(u.Front, " ", sure[i], " ")
+		}
+		assert.Equal(t, want, said, "at %d", at)
+	}
+}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -178,6 +178,7 @@
 	pieces    map[string]*pieces   // of one that comes
 	allowed   float64              // bytes of pieces, as of broughtAt
 	broughtAt time.Duration
+	neededAt  time.Duration // a neighbour was asked for the record, or brought a piece of it, last
 	passed    map[string]sight
 	ways      map[string]way
 	holds     map[string]*hold
@@ -690,7 +691,9 @@
 		return n.wholeOf(now, m)
 	case Need:
 		p.index = m.Index
-		n.catchUp(from)
+		if n.catchUp(from); m.Number != 0 && p.index < n.record.Index {
+			n.inPieces(from, n.record.encode())
+		}
 	case Up:
 		for i := range m.There {
 			n.upward(now, from, m.There[i])
@@ -756,12 +759,11 @@
 		return // keepers have it by consensus
 	}
 	if len(n.lines) == 0 || n.lines[0].Index > p.index+1 || p.index == 0 {
-		if data := n.record.encode(); len(data) > pieceSize {
-			n.inPieces(name, data)
-			return
-		} else {
-			n.send(name, &Message{Kind: Whole, From: n.o.Name, Index: n.record.Index, Data: data})
+		data := n.record.encode()
+		if len(data) > pieceSize {
+			return // it asks one of its neighbours, which brings it in pieces
 		}
+		n.send(name, &Message{Kind: Whole, From: n.o.Name, Index: n.record.Index, Data: data})
 	} else {
 		part := n.lines[p.index+1-n.lines[0].Index:]
 		n.send(name, &Message{Kind: Changes, From: n.o.Name, Index: n.record.Index, Lines: slices.Clone(part)})
@@ -1246,6 +1248,7 @@
 		clear(n.hints)
 	}
 	n.carry(now)
+	n.lacks(now)
 	n.prune(now)
 	n.spread()
 }
--- a/fleet/pieces.go
+++ b/fleet/pieces.go
@@ -28,8 +28,8 @@
 
 // inPieces begins to bring a peer a record.
 func (n *Node) inPieces(name string, data []byte) {
-	if b := n.bringing[name]; b != nil && b.index == n.record.Index {
-		return
+	if n.bringing[name] != nil {
+		return // what comes behind it follows as changes
 	}
 	n.bringing[name] = &bringing{index: n.record.Index, data: data}
 }
@@ -68,6 +68,24 @@
 	}
 }
 
+// lacks asks one neighbour for the record where others are known to be further and nothing of it comes: the one that is nearest to
+// the giver, or else any.
+func (n *Node) lacks(now time.Duration) {
+	if n.speaks() || now-n.neededAt < n.o.Pace.beat() {
+		return
+	}
+	best := ""
+	for _, name := range slices.Sorted(maps.Keys(n.peers)) {
+		if n.peers[name].index > n.record.Index && (best == "" || name == n.up) {
+			best = name
+		}
+	}
+	if best != "" {
+		n.neededAt = now
+		n.send(best, &Message{Kind: Need, Index: n.record.Index, Number: 1})
+	}
+}
+
 // piece takes one; the last makes the record whole.
 func (n *Node) piece(now time.Duration, from string, p *peer, m *Message) error {
 	if m.Term > Longest*4 || m.Number > m.Term || len(m.Data) > pieceSize {
@@ -77,6 +95,7 @@
 		delete(n.pieces, from)
 		return nil
 	}
+	n.neededAt = now
 	b := n.pieces[from]
 	if m.Number == 0 {
 		b = &pieces{index: m.Index}
