A version is kept over restarts once it has held; what all act on is tried again; a front at its beginning spares nobody

Found by the stories for defences that nothing caught before: a front that went down by a version began with that version again, since it stood on its disk already. Until it has held for two spans a new process begins with the one before and refuses the one that was being tried; where all act on that one it is tried again, once a span. A client that was answered while its front stands by stayed connected.

--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -184,7 +184,14 @@
 	out := []any{"links", t.Links, "sent", t.Sent, "received", t.Received, "sent_bytes", t.SentBytes, "received_bytes", t.GotBytes,
 		"shed", t.Shed, "refused", t.Refused, "dials", t.Dials, "leans", f.directory.Leaning(),
 		"probes_saved", f.Scouts.Saved()}
-	f.mesh.Do(func(n *fleet.Node, _ time.Duration) {
+	if f.audit != nil {
+		out = append(out, "audited", f.audit.written.Load(), "unaudited", f.audit.missed.Load(), "exported", f.audit.exported.Load())
+	}
+	f.mesh.Do(func(n *fleet.Node, now time.Duration) {
+		if f.rolls != nil {
+			v := f.rolls.seat.Agent.Acts()
+			out = append(out, "version", v, "right_left", max(0, n.Right(v)-now))
+		}
 		out = append(out, "fronts", len(n.Record().Fronts), "index", n.Record().Index, "alone", n.Alone(), "gives", n.Giver())
 	})
 	return out
@@ -209,6 +216,9 @@
 }
 
 func (f *Company) Close() {
+	if f.rolls != nil {
+		f.rolls.settle(f.rolls.seat.Agent.Acts())
+	}
 	if f.audit != nil { // what the core has counted, before it ends
 		closed := make(chan struct{})
 		f.Post(front.Closing{Done: func() { close(closed) }})
--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"crypto/rand"
@@ -33,6 +34,8 @@
 	kinds uint32
 	renew chan renewal // the latest wish of the seat
 	last  uint64       // turn of rolls that was noted
+	mu    sync.Mutex
+	held  kept // the version that is acted on
 }
 
 type renewal struct {
@@ -89,6 +92,7 @@
 	if err != nil {
 		return nil, begins, err
 	}
+	r.held = kept{Version: k.Version, Text: k.Text}
 	begins = front.Adopt{Version: k.Version, Rules: f.own}
 	if k.Version != 0 {
 		rules, err := site.ParseRules(r.path(), []byte(k.Text))
@@ -97,7 +101,7 @@
 		}
 		if err != nil { // the site's own settings are others now
 			slog.Warn("fleet: the version that was kept does not fit; this front begins with its own file", "version", k.Version, "why", err)
-			k.Version = 0
+			k.Version, r.held = 0, kept{}
 		} else {
 			begins.Rules = rules
 		}
@@ -201,16 +205,15 @@
 			wall := f.wall(at)
 			f.write(&audit.Line{What: audit.Adopted, At: wall, Version: a.Version, Meaning: rules.Meaning()})
 			f.sync()
-			r.save(kept{Version: a.Version, Text: string(a.Text), Tried: a.Version})
+			r.mu.Lock()
+			r.held = kept{Version: a.Version, Text: string(a.Text)}
+			r.mu.Unlock()
 			f.mesh.Do(func(*fleet.Node, time.Duration) { r.seat.Adopted(a.Version) })
 			f.history.acts(f.mesh, "adopted", a.Version)
 			close(adopted)
 			select { // it has held
 			case <-time.After(2 * f.c.Span):
-				if k := r.kept(); k.Version == a.Version && k.Tried == a.Version {
-					k.Tried = 0
-					r.save(k)
-				}
+				r.settle(a.Version)
 			case <-f.ctx.Done():
 			}
 		}()
@@ -225,6 +228,16 @@
 	}})
 }
 
+// settle keeps a version over restarts: it has held for a while, or the front ends as it should. Until then the one before is
+// what a new process begins with, and the one that was being tried what it does not try.
+func (r *rolling) settle(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held.Version == version && (r.held.Version != 0 || r.kept().Tried != 0 || r.kept().Version != 0) {
+		r.save(r.held)
+	}
+}
+
 // kept is what stands on the disk.
 func (r *rolling) kept() (k kept) {
 	if b, err := os.ReadFile(r.path()); err == nil {
--- a/fleet/giver.go
+++ b/fleet/giver.go
@@ -130,7 +130,7 @@
 		g.joining[p.Name] = now + 2*g.n.o.Pace.elect()
 		g.k.propose(&Command{Do: doJoin, Front: &Front{Name: p.Name, Incarnation: p.Incarnation, Zone: p.Zone, Address: p.Address, Version: p.Version}})
 	}
-	if p.Righted { // confirmed by the next round, which begins behind this word
+	if p.Righted && len(g.rights) < 4*mostKnown { // confirmed by the next round, which begins behind this word
 		c := claimed{name: p.Name, inc: p.Incarnation, seq: p.Seq, round: g.k.reads + 1, at: now, version: p.Acts}
 		g.rights = append(g.rights, c)
 		if c.version = p.Takes; p.Taking {
--- a/fleet/roll/agent.go
+++ b/fleet/roll/agent.go
@@ -25,6 +25,7 @@
 	why     string
 	taking  uint64 // the version that is being taken up, where busy
 	busy    bool
+	again   time.Duration
 	heard   bool // the fleet, once since the start
 	born    time.Duration
 	begun   bool
@@ -64,10 +65,11 @@
 	a.heard = a.heard || !alone && r.Index > 0
 	if ok && a.heard && !alone {
 		want := s.Wants(a.o.Name)
-		if text := Text(r, want); want != a.acts && (want != a.refused || want == 0) && !a.busy && (text != nil || want == 0) {
+		again := want != a.refused || want == s.Base && now >= a.again // what all act on is tried again, now and then
+		if text := Text(r, want); want != a.acts && again && !a.busy && (text != nil || want == 0) {
 			n.Taking(now, want)
 			if until := n.Right(want); until > now {
-				a.taking, a.busy = want, true
+				a.taking, a.busy, a.again = want, true, now+a.o.Pace.Span
 				adopt = &Adoption{want, text, until}
 			}
 		}
--- a/lab/model/chaos.go
+++ b/lab/model/chaos.go
@@ -30,6 +30,10 @@
 	{"mute", func(t *Town, h *sim.Host) { t.apart(h, true, false); t.After(5*time.Second, t.Heal) }},
 	{"deaf", func(t *Town, h *sim.Host) { t.apart(h, false, true); t.After(5*time.Second, t.Heal) }},
 	{"apart", func(t *Town, h *sim.Host) { t.apart(h, true, true); t.After(10*time.Second, t.Heal) }},
+	{"late", func(t *Town, _ *sim.Host) {
+		t.Jitter = 1700 * time.Millisecond
+		t.After(7*time.Second, func() { t.Jitter = 300 * time.Microsecond })
+	}},
 	{"hand", func(t *Town, h *sim.Host) {
 		h.Do(func(n *fleet.Node, now time.Duration) { n.HandOn(now, roll.Duty, "") })
 	}},
--- a/lab/model/rolls.go
+++ b/lab/model/rolls.go
@@ -86,12 +86,11 @@
 	}
 	f.post(front.Adopt{Version: a.Version, Rules: rules, Until: a.Until, Done: func(time.Duration) {
 		f.host.After(0, func(time.Duration) {
-			f.disk.version, f.disk.text = a.Version, a.Text
 			f.version, f.sums = a.Version, make([]roll.Sum, 2)
 			f.Seat.Adopted(a.Version)
 			f.host.After(2*f.t.Pace.Span, func(time.Duration) {
-				if f.version == a.Version {
-					f.disk.tried = 0
+				if f.version == a.Version { // it has held
+					f.disk = saved{version: a.Version, text: a.Text}
 				}
 			})
 		})
--- a/lab/model/rolls_test.go
+++ b/lab/model/rolls_test.go
@@ -125,6 +125,35 @@
 	assert.Empty(t, w.Wrong)
 }
 
+// What was being tried stands on the front's disk: while nobody takes the version back, who went down by it does not try again.
+func TestAFrontThatWentDownByAVersionDoesNotTryItAgain(t *testing.T) {
+	w := rolling(9, 6, true)
+	crashes := map[string]int{}
+	for _, f := range w.Fronts {
+		f.Crashes = func(v uint64) bool {
+			if v == 1 {
+				crashes[f.Name]++
+				if h := w.Holder(roll.Duty); h != nil && h != f.host {
+					h.Stop() // and whoever drives the roll stands still for long
+				}
+			}
+			return v == 1
+		}
+	}
+	require.Empty(t, publish(t, w, wish("(rules (given-up 2))", 1, 1000)))
+	w.Run(2 * time.Second)
+	for _, h := range w.Hosts {
+		w.After(25*time.Second, h.Continue)
+	}
+	w.Run(20 * time.Second)
+	for name, n := range crashes {
+		assert.Equal(t, 1, n, name)
+	}
+	assert.NotEmpty(t, crashes)
+	settled(t, w, 2*time.Minute)
+	assert.Equal(t, make([]uint64, 6), acting(w))
+}
+
 func TestAVersionThatServesWorseIsTakenBackOnItsEvidence(t *testing.T) {
 	w := rolling(5, 8, true)
 	for _, f := range w.Fronts {
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -121,8 +121,10 @@
 // newcomers are taken again, more and more of them over a span, so that a front that comes back is not flooded.
 func (sv *Server) Rest(on bool, pace time.Duration) {
 	if !on {
-		sv.pace.Store(int64(max(pace, 1)))
-		sv.rest.Store(int64(sv.clock.Now()) + 1)
+		if sv.rest.Load() == standsBy { // a front that begins has nobody to spare
+			sv.pace.Store(int64(max(pace, 1)))
+			sv.rest.Store(int64(sv.clock.Now()) + 1)
+		}
 		return
 	}
 	sv.rest.Store(standsBy)
@@ -411,7 +413,7 @@
 	c.conn.SetReadDeadline(until)
 	c.idle.Store(int64(c.sv.clock.Now()))
 	defer c.idle.Store(0)
-	if c.leave.Load() || c.answered && c.sv.stopping.Load() { // looked at after the setting: a wake after it sets it anew
+	if c.leave.Load() || c.answered && c.leaving() { // looked at after the setting: a wake after it sets it anew
 		c.conn.SetReadDeadline(past)
 	}
 	_, err := c.r.Watch()
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -592,3 +592,37 @@
 	assert.True(t, g.server.Wait(10*time.Second))
 	g.served <- nil // for the clean-up
 }
+
+// A front that stands by lets clients go between txns and turns newcomers away; when it is back it takes more and more of them.
+func TestAFrontThatStandsByLetsClientsGoAndComesBackAtAPace(t *testing.T) {
+	g := newRig(t, 40)
+	g.server.Rest(false, time.Hour) // it begins: nobody is spared
+	idle := g.client()
+	idle.say(pgwire.Query(nil, "")...)
+	idle.hear("IZ")
+	g.resting()
+	busy := g.client()
+	busy.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q")
+	g.server.Rest(true, 0)
+	idle.ends()
+	late := g.client()
+	late.say(read("4000")...)
+	assert.Contains(t, string(late.hear("E")), pgwire.TooManyConnections)
+	m.say(whole("v")...)
+	busy.hear("TDCZ")
+	busy.ends()
+	g.server.Rest(false, time.Hour)
+	turned := 0
+	for range 80 {
+		if g.server.rests() {
+			turned++
+		}
+	}
+	assert.InDelta(t, 70, turned, 8, "every eighth at first")
+	g.server.pace.Store(1)
+	assert.False(t, g.server.rests())
+	assert.Zero(t, g.server.rest.Load(), "all again")
+	g.client()
+}
