--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -62,7 +62,7 @@
 		if i == 3 {
 			put(&Line{What: Adopted, Version: 1, Meaning: "m1"}, nil)
 		}
-		put(&Line{What: InSpan, Span: s.Number, From: int64(i) * 10_000, Until: int64(i+1) * 10_000, Version: uint64(i / 3), Txns: 4, IDsHash: hash,
+		put(&Line{What: InSpan, Span: s.Number, From: int64(i) * 10_000, Until: int64(i+1) * 10_000, Version: uint64(min(i/3, 1)), Txns: 4, IDsHash: hash,
 			Right: int64(i+1)*10_000 + 500, List: []int64{3, 3}, Ended: [][]uint32{{3, 1, 0, 0, 0}}}, idx)
 		if i%3 == 2 {
 			seg++
@@ -172,6 +172,13 @@
 				}
 			})
 		}, "span 4 acts on version 1 until 40000, and its right ended at 31500"},
+		"a version never taken up": {func(m memory) {
+			relink(m, "n1", func(l *Line) {
+				if l.Span == 2 {
+					l.Version = 4
+				}
+			})
+		}, "span 2 acts on version 4, and the front tells of no adoption of it"},
 		"txns that never ended": {func(m memory) {
 			relink(m, "n1", func(l *Line) {
 				if l.Span == 2 {
--- a/fleet/audit/verify.go
+++ b/fleet/audit/verify.go
@@ -89,16 +89,15 @@
 	chain string
 	begun bool
 
-	open       *Placed // the incarnation in hand
-	gone       map[uint64]bool
-	wall       int64
-	index      uint64
-	version    uint64
-	versionSet bool
-	span       uint32
-	until      int64
-	lost       bool // a gap was told since the last span
-	headless   bool // the log's beginning is not here, and no process has opened it since
+	open     *Placed // the incarnation in hand
+	gone     map[uint64]bool
+	wall     int64
+	index    uint64
+	took     map[uint64]bool // versions that the process began with or took up
+	span     uint32
+	until    int64
+	lost     bool // a gap was told since the last span
+	headless bool // the log's beginning is not here, and no process has opened it since
 }
 
 func (r *reader) wrong(format string, args ...any) {
@@ -227,8 +226,8 @@
 		if r.gone[l.Incarnation] {
 			r.wrong("the process opens a second time")
 		}
-		r.open, r.wall, r.index, r.versionSet, r.span, r.until, r.lost = p, l.At, l.Index, true, 0, 0, false
-		r.version, r.headless = l.Version, false
+		r.open, r.wall, r.index, r.span, r.until, r.lost, r.headless = p, l.At, l.Index, 0, 0, false, false
+		r.took = map[uint64]bool{l.Version: true}
 		return
 	}
 	switch {
@@ -254,12 +253,14 @@
 	case InSpan:
 		r.spanned(l)
 	case Adopted:
-		r.version = l.Version
+		if r.took != nil {
+			r.took[l.Version] = true
+		}
 	case Closed:
 		r.gone[l.Incarnation] = true
 		r.open = nil
 	case Gap:
-		r.lost = true
+		r.lost, r.took = true, nil // an adoption may be among them
 		r.note("%d lines could not be written: %s", l.Lost, l.Why)
 	case Cut:
 		r.lost = true
@@ -289,6 +290,9 @@
 	if !l.Standby && l.Right > 0 && l.Until > l.Right+rightSlack {
 		r.wrong("span %d acts on version %d until %d, and its right ended at %d", l.Span, l.Version, l.Until, l.Right)
 	}
+	if r.took != nil && !r.took[l.Version] {
+		r.wrong("span %d acts on version %d, and the front tells of no adoption of it", l.Span, l.Version)
+	}
 	if sum := ended(l); sum != l.Txns && l.Txns > 0 {
 		r.wrong("span %d took %d txns, and %d ended", l.Span, l.Txns, sum)
 	}
--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -1,6 +1,8 @@
 package company
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,9 +16,6 @@
 	"sync"
 	"time"
 
-	"crypto/rand"
-	"encoding/binary"
-
 	"dapplerouter/control"
 	"dapplerouter/fleet"
 	"dapplerouter/fleet/audit"
