--- a/fleet/audit/book.go
+++ b/fleet/audit/book.go
@@ -40,15 +40,15 @@
 	sink  func(Span)
 	spans []*Span // the last is the one in hand; the others wait for their txns
 	sums  []sum
-	first bool // what the first span is: a time of standing by
+	first Span // how the first one begins
 }
 
 type sum struct{ ended, served atomic.Uint64 }
 
 // NewBook makes a Book for so many txn types; sink takes spans whose txns have all ended and must not block, nil for none.
-// A front that needs a right stands by until it has one.
-func NewBook(types int, rights bool, sink func(Span)) *Book {
-	return &Book{types: types, sink: sink, sums: make([]sum, types), first: rights}
+// A front that needs a right stands by until it has one; version is what it begins with.
+func NewBook(types int, rights bool, version uint64, sink func(Span)) *Book {
+	return &Book{types: types, sink: sink, sums: make([]sum, types), first: Span{Standby: rights, Version: version}}
 }
 
 // Hash is how a txn's id is kept: FNV-1a of 64 bits, of which the index holds 40.
@@ -69,7 +69,7 @@
 
 // turn closes the span in hand and opens the next.
 func (b *Book) turn(at time.Duration) *Span {
-	next := &Span{From: at, Number: 1, Standby: b.first, Ended: make([][front.Words]uint32, b.types)}
+	next := &Span{From: at, Number: 1, Standby: b.first.Standby, Version: b.first.Version, Ended: make([][front.Words]uint32, b.types)}
 	if n := len(b.spans); n > 0 {
 		old := b.spans[n-1]
 		old.Until, old.closed = at, true
--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -149,14 +149,16 @@
 		}
 		sink = func(s audit.Span) { f.audit.put(entry{span: &s}) }
 	}
-	f.book = audit.NewBook(len(f.site.Types), forms.Roll != nil, sink)
 	if forms.Roll != nil {
 		if o.Right, err = forms.Roll.Fit(f.c.Span); err != nil {
 			return err
 		}
-		f.rolls, f.begins, err = newRolling(f, forms.Roll, o.Right)
+		if f.rolls, f.begins, err = newRolling(f, forms.Roll, o.Right); err != nil {
+			return err
+		}
 	}
-	return err
+	f.book = audit.NewBook(len(f.site.Types), forms.Roll != nil, f.begins.Version, sink)
+	return nil
 }
 
 // Name and those below are a part's of a front: started, asked for totals, drained and closed like all others.
--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -200,9 +200,8 @@
 	until, _ := r.core(a.Until)
 	adopted := make(chan struct{})
 	f.Post(front.Adopt{Version: a.Version, Rules: rules, Until: until, Done: func(at time.Duration) {
-		go func() { // the core must not wait
-			wall := f.wall(at)
-			f.write(&audit.Line{What: audit.Adopted, At: wall, Version: a.Version, Meaning: rules.Meaning()})
+		f.write(&audit.Line{What: audit.Adopted, At: f.wall(at), Version: a.Version, Meaning: rules.Meaning()})
+		go func() { // the core must not wait; the line above comes before any span of the version
 			f.sync()
 			r.mu.Lock()
 			r.held = kept{Version: a.Version, Text: string(a.Text)}
--- /dev/null
+++ b/lab/report/audit_test.go
@@ -0,0 +1,39 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/fleet/audit"
+	"dapplerouter/fleet/disk"
+)
+
+func TestThePageShowsWhoWasOnWhatAndOrdersByCause(t *testing.T) {
+	dir := t.TempDir()
+	const second = 1_000_000
+	for i, n := range []string{"n1", "n2"} {
+		s, err := disk.OpenSegments(dir, n, 1<<20, 1<<24)
+		require.NoError(t, err)
+		base := int64(1_800_000_000)*second - int64(i)*3600*second // the second one's clock stands an hour behind
+		for _, l := range []*audit.Line{{What: audit.Opened, At: 1, Index: 1, Clock: 3600 * second}, {What: audit.Held, At: 2, Index: 4 + uint64(i), Duty: "roll", Term: 1 + uint64(i)},
+			{What: audit.Adopted, At: 3, Index: 9, Version: 1, Meaning: "m<1>"}, {What: audit.Lapsed, At: 4, Index: 12}, {What: audit.Closed, At: 9, Index: 12}} {
+			l.Front, l.Incarnation, l.At = n, 7, base+l.At*second
+			require.NoError(t, s.Write(l, nil))
+		}
+		require.NoError(t, s.Close())
+	}
+	l, err := disk.OpenLogs(dir)
+	require.NoError(t, err)
+	all, found := audit.Read(l)
+	var out strings.Builder
+	require.NoError(t, Audit(&out, all, found))
+	page := out.String()
+	for _, want := range []string{"<svg", "2 fronts, 10 lines", "Nothing is wrong.", "m&lt;1&gt;", "stood by from", "holds roll in term 2"} {
+		assert.Contains(t, page, want)
+	}
+	assert.Less(t, strings.Index(page, "holds roll in term 1"), strings.Index(page, "holds roll in term 2"), "by the record, though its clock says otherwise")
+	assert.Error(t, Audit(&out, nil, nil))
+}
