--- a/fleet/company/company.go
+++ b/fleet/company/company.go
@@ -219,7 +219,9 @@
 
 func (f *Company) Close() {
 	if f.rolls != nil {
-		f.rolls.settle(f.rolls.seat.Agent.Acts())
+		var acts uint64
+		f.mesh.Do(func(*fleet.Node, time.Duration) { acts = f.rolls.seat.Agent.Acts() })
+		f.rolls.settle(acts)
 	}
 	if f.audit != nil { // what the core has counted, before it ends
 		closed := make(chan struct{})
--- a/fleet/company/rolling.go
+++ b/fleet/company/rolling.go
@@ -27,14 +27,15 @@
 
 // rolling is a front's part in versions: its seat, and the carrying between it, the front's core and the disk.
 type rolling struct {
-	f     *Company
-	c     *roll.Config
-	seat  *roll.Seat
-	kinds uint32
-	renew chan renewal // the latest wish of the seat
-	last  uint64       // turn of rolls that was noted
-	mu    sync.Mutex
-	held  kept // the version that is acted on
+	f      *Company
+	c      *roll.Config
+	seat   *roll.Seat
+	kinds  uint32
+	renew  chan renewal // the latest wish of the seat
+	last   uint64       // turn of rolls that was noted
+	mu     sync.Mutex
+	held   kept   // the version that is acted on
+	trying uint64 // one that is being taken up, or was and has not held for long
 }
 
 type renewal struct {
@@ -182,7 +183,7 @@
 // it again when it comes back.
 func (r *rolling) adopt(a roll.Adoption) {
 	f := r.f
-	rules, was := f.own, r.kept()
+	rules := f.own
 	if a.Text != nil {
 		var err error
 		if rules, err = site.ParseRules("published", a.Text); err == nil {
@@ -195,8 +196,10 @@
 			return
 		}
 	}
-	was.Tried = a.Version
-	r.save(was)
+	r.mu.Lock()
+	r.trying = a.Version
+	r.save(kept{Version: r.held.Version, Text: r.held.Text, Tried: r.trying})
+	r.mu.Unlock()
 	until, _ := r.core(a.Until)
 	adopted := make(chan struct{})
 	f.Post(front.Adopt{Version: a.Version, Rules: rules, Until: until, Done: func(at time.Duration) {
@@ -231,17 +234,13 @@
 func (r *rolling) settle(version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.held.Version == version && (r.held.Version != 0 || r.kept().Tried != 0 || r.kept().Version != 0) {
-		r.save(r.held)
+	if r.held.Version != version {
+		return
 	}
-}
-
-// kept is what stands on the disk.
-func (r *rolling) kept() (k kept) {
-	if b, err := os.ReadFile(r.path()); err == nil {
-		json.Unmarshal(b, &k)
+	if r.trying == version {
+		r.trying = 0
 	}
-	return k
+	r.save(kept{Version: version, Text: r.held.Text, Tried: r.trying})
 }
 
 // stands hears of the core that the front stands by, or no more.
--- a/lab/model/member.go
+++ b/lab/model/member.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"strconv"
 	"time"
 
 	"dapplerouter/discovery"
@@ -48,7 +47,7 @@
 
 func (m *Member) address() string { return m.Name }
 
-func (m *Member) entry(state int) discovery.Entry {
+func (m *Member) entry() discovery.Entry {
 	return discovery.Entry{Name: m.Name, Address: m.address(), Zone: m.Zone, Kind: "std", Group: m.Group, Weight: 1, Primary: m.Primary, Since: m.Since}
 }
 
@@ -165,5 +164,3 @@
 		})
 	})
 }
-
-func decimal(n int) string { return strconv.Itoa(n) }
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -165,7 +165,7 @@
 func (t *Town) whole() discovery.List {
 	l := discovery.List{Index: t.Lists.Index, Whole: true}
 	for _, m := range t.Members {
-		l.Entries = append(l.Entries, m.entry(0))
+		l.Entries = append(l.Entries, m.entry())
 	}
 	return l
 }
@@ -407,7 +407,7 @@
 func (f *Front) Ask(group int64, write bool) *Txn {
 	t := f.t
 	t.ids++
-	x := &Txn{ID: "t" + decimal(t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
+	x := &Txn{ID: fmt.Sprint("t", t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
 	wait := t.O.Expiry.Milliseconds()
 	if f.Spoils != nil && t.Rnd.Float64() < f.Spoils(f.Core.Version()) {
 		wait = 1
