--- a/fleet/audit/line.go
+++ b/fleet/audit/line.go
@@ -53,6 +53,7 @@
 	IDsHash     string     `json:"ids_hash,omitempty"`
 	Duty        string     `json:"duty,omitempty"`
 	Term        uint64     `json:"term,omitempty"`
+	Acts        uint64     `json:"acts,omitempty"` // of the duty, in that term
 	Lost        uint64     `json:"lost,omitempty"`
 	Name        string     `json:"name,omitempty"`
 	Why         string     `json:"why,omitempty"`
--- a/fleet/company/auditing.go
+++ b/fleet/company/auditing.go
@@ -270,6 +270,6 @@
 	case fleet.Held:
 		f.write(&audit.Line{What: audit.Held, Duty: e.Duty, Term: e.Term})
 	case fleet.Ended:
-		f.write(&audit.Line{What: audit.Let, Duty: e.Duty, Term: e.Term, Why: e.Why})
+		f.write(&audit.Line{What: audit.Let, Duty: e.Duty, Term: e.Term, Acts: e.Number, Why: e.Why})
 	}
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -188,6 +188,7 @@
 	asks      map[uint64]*asked
 	nextAsk   uint64
 	leaving   bool
+	idle      bool // it takes no duty for now, whatever it was made for
 	out       []Send
 	told      []Event
 	dropped   []string
@@ -880,7 +881,7 @@
 	n.saidAt = now
 	n.askedAt[n.seq%askedKept] = now
 	p := Presence{Name: n.o.Name, Incarnation: n.o.Incarnation, Seq: n.seq, Zone: n.o.Zone, Address: n.o.Address, Version: n.o.Version,
-		Index: n.record.Index, Willing: n.o.Willing && !n.leaving, Leaving: n.leaving, Acts: n.acts, Righted: n.o.Right > 0, Takes: n.takes, Taking: n.taking, Digests: n.digests}
+		Index: n.record.Index, Willing: n.o.Willing && !n.leaving && !n.idle, Leaving: n.leaving, Acts: n.acts, Righted: n.o.Right > 0, Takes: n.takes, Taking: n.taking, Digests: n.digests}
 	for _, d := range slices.Sorted(maps.Keys(n.holds)) {
 		if h := n.holds[d]; !h.stopping {
 			p.Claims = append(p.Claims, Claim{Duty: d, Term: h.term, Done: h.done})
@@ -972,6 +973,20 @@
 	n.digests = append(all, Digest{Part: part, Data: data})
 }
 
+// Idle lets all duties go, and takes none until it is called off: for a front that may not act.
+func (n *Node) Idle(now time.Duration, on bool) {
+	if n.idle == on {
+		return
+	}
+	n.idle = on
+	for _, d := range slices.Sorted(maps.Keys(n.holds)) {
+		if on {
+			n.release(now, d, "", "this front has no right to act")
+		}
+	}
+	n.present(now)
+}
+
 // Acting sets the version that this front acts on, and no other, from now on, and says so at once.
 func (n *Node) Acting(now time.Duration, version uint64) {
 	if n.acts != version || n.taking && n.takes == version {
@@ -1068,8 +1083,8 @@
 	}
 	h = &hold{term: d.Term}
 	n.holds[d.Name] = h
-	if n.leaving {
-		n.release(now, d.Name, "", "this front ends")
+	if n.leaving || n.idle {
+		n.release(now, d.Name, "", "this front takes no duty")
 		return
 	}
 	n.keep(now, d.Name, h, d.Beat)
@@ -1099,7 +1114,7 @@
 	h := n.holds[duty]
 	delete(n.holds, duty)
 	if h != nil && h.open {
-		n.tell(Event{What: Ended, Duty: duty, Term: h.term, Until: h.until, Why: why})
+		n.tell(Event{What: Ended, Duty: duty, Term: h.term, Until: h.until, Number: h.acts, Why: why})
 	}
 }
 
@@ -1112,7 +1127,7 @@
 	h.stopping = true
 	if h.open {
 		h.open = false
-		n.tell(Event{What: Ended, Duty: duty, Term: h.term, Until: h.until, Why: why})
+		n.tell(Event{What: Ended, Duty: duty, Term: h.term, Until: h.until, Number: h.acts, Why: why})
 	}
 	n.Ask(now, Question{What: Release, Duty: duty, Term: h.term, To: to})
 }
@@ -1216,7 +1231,7 @@
 	for _, d := range slices.Sorted(maps.Keys(n.holds)) {
 		if h := n.holds[d]; h.open && now >= h.until {
 			h.open = false
-			n.tell(Event{What: Ended, Duty: d, Term: h.term, Until: h.until, Why: "it ran out"})
+			n.tell(Event{What: Ended, Duty: d, Term: h.term, Until: h.until, Number: h.acts, Why: "it ran out"})
 		}
 	}
 	if n.speaks() {
--- a/fleet/roll/seat.go
+++ b/fleet/roll/seat.go
@@ -51,6 +51,7 @@
 	if adopt != nil {
 		s.h.Adopt(*adopt)
 	}
+	n.Idle(now, until <= now && !n.Alone()) // who may not act does no duty either
 	acts := s.Agent.Acts()
 	if acts != s.acts || until > s.until+s.o.Right/32 || until < s.until && until <= now {
 		s.acts, s.until = acts, until
--- a/lab/model/rolls_test.go
+++ b/lab/model/rolls_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dapplerouter/fleet"
 	"dapplerouter/fleet/roll"
 	"dapplerouter/front"
 )
@@ -363,3 +364,23 @@
 	}
 	require.Empty(t, wrong)
 }
+
+// Who has no right to act does no duty either: it lets go of what it holds and is given none until it has one.
+func TestAFrontWithoutARightHoldsNoDuty(t *testing.T) {
+	w := rolling(41, 5, true)
+	h := w.Holder("list")
+	require.NotNil(t, h)
+	h.Do(func(n *fleet.Node, now time.Duration) { n.Idle(now, true) })
+	w.Run(500 * time.Millisecond)
+	next := w.Holder("list")
+	require.NotNil(t, next, "handed on, without waiting out a span")
+	assert.NotEqual(t, h.Name, next.Name)
+	w.Run(200 * time.Millisecond) // the seat sees that it has its right, and calls it off
+	for _, h := range w.Hosts {
+		h.Do(func(n *fleet.Node, now time.Duration) {
+			d := n.Record().Duties["list"]
+			assert.Equal(t, next.Name, d.Holder)
+		})
+	}
+	assert.Empty(t, w.Wrong)
+}
