--- a/fleet/compat_test.go
+++ b/fleet/compat_test.go
@@ -60,6 +60,8 @@
 	assert.True(t, r.rightTo(0) && r.rightTo(9), "all, where nothing is said")
 	r.Entries[RightKey] = &Entry{Index: 3, Value: Range{Least: 2, Most: 3}.Encode()}
 	assert.Equal(t, []bool{false, true, true, false}, []bool{r.rightTo(1), r.rightTo(2), r.rightTo(3), r.rightTo(4)})
+	r.Entries[RightKey].Value = Range{Least: 0, Most: 2}.Encode()
+	assert.False(t, r.rightTo(1), "a version between them was taken back")
 }
 
 // A word that was long on its way gives no more than one that came at once; a word for another start, or for a version that
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -217,7 +217,8 @@
 // RightKey is the entry that says which versions may be acted on; where it is absent, all may.
 const RightKey = "right"
 
-// Range is what that entry holds: versions from Least to Most.
+// Range is what that entry holds: the two versions Least and Most, or the one where they are the same. What lies between was
+// taken back, and must not be acted on again.
 type Range struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -233,18 +234,21 @@
 	return b
 }
 
-// Right is the range that is in force, and the entry's index: 0 where there is none.
+// Has tells whether a version may be acted on.
+func (x Range) Has(version uint64) bool { return version == x.Least || version == x.Most }
+
+// Right is the range that is in force, and the entry's index: 0 where there is none, and all versions may be acted on.
 func (r *Record) Right() (x Range, index uint64) {
 	e := r.Entries[RightKey]
 	if e == nil || msgpack.Unmarshal(e.Value, &x) != nil {
-		return Range{Most: ^uint64(0)}, 0
+		return Range{}, 0
 	}
 	return x, e.Index
 }
 
 func (r *Record) rightTo(version uint64) bool {
-	x, _ := r.Right()
-	return x.Least <= version && version <= x.Most
+	x, index := r.Right()
+	return index == 0 || x.Has(version)
 }
 
 // whole is a record in one piece, sorted, so that the same record is the same bytes.
--- a/fleet/roll/agent.go
+++ b/fleet/roll/agent.go
@@ -80,7 +80,7 @@
 		a.alone = now + a.o.Pace.Span
 	}
 	until = max(until, a.alone)
-	if x, index := r.Right(); index != 0 && (a.acts < x.Least || a.acts > x.Most) {
+	if x, index := r.Right(); index != 0 && !x.Has(a.acts) {
 		until = min(until, now) // by the fleet's own word: no need to wait for the right's end
 	}
 	return adopt, until
