Reread of versions and the audit: one lookup of outcomes, one way to put a file in place, dead state out

Seen in the change: outcome stood twice in State; Keep and Replace wrote the same file aside; sorted keys were gathered by hand; a count in the open wave was never read; a segment that was dropped was looked up where the newest dropped one says as much; a branch of a wave was nested around a comment. No behaviour changed: vet, tests of roll, audit, disk, company and the stories of lab/model held.

--- a/fleet/audit/verify.go
+++ b/fleet/audit/verify.go
@@ -313,10 +313,7 @@
 
 func (r *reader) end() {
 	for _, m := range r.missing {
-		if r.dropped[m.Segment] {
-			continue
-		}
-		if !r.anyDropped() || m.Segment > r.lastDropped() {
+		if m.Segment > r.lastDropped() {
 			r.found = append(r.found, m)
 		}
 	}
@@ -326,9 +323,7 @@
 	}
 }
 
-func (r *reader) anyDropped() bool { return len(r.dropped) > 0 }
-
-// lastDropped is the newest that a line says was taken away: those before it went the same way.
+// lastDropped is the newest that a line says was taken away, "" for none: those before it went the same way.
 func (r *reader) lastDropped() (last string) {
 	for name := range r.dropped {
 		last = max(last, name)
--- a/fleet/disk/segments.go
+++ b/fleet/disk/segments.go
@@ -284,16 +284,12 @@
 	case !errors.Is(err, os.ErrNotExist):
 		return err
 	}
-	f, err := os.CreateTemp(to, ".coming-*")
+	coming, err := aside(to, b)
 	if err != nil {
 		return err
 	}
-	defer os.Remove(f.Name())
-	_, err = f.Write(b)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	if err := os.Link(f.Name(), path); err != nil { // unlike a rename, it never takes another's place
+	defer os.Remove(coming)
+	if err := os.Link(coming, path); err != nil { // unlike a rename, it never takes another's place
 		return err
 	}
 	d, err := os.Open(to)
@@ -305,14 +301,23 @@
 
 // Replace puts a file in another's place, whole or not at all.
 func Replace(path string, b []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), ".coming-*")
+	coming, err := aside(filepath.Dir(path), b)
 	if err != nil {
 		return err
 	}
-	defer os.Remove(f.Name())
+	defer os.Remove(coming)
+	return os.Rename(coming, path)
+}
+
+// aside writes a file through under a name of its own, to be put in its place whole.
+func aside(dir string, b []byte) (name string, err error) {
+	f, err := os.CreateTemp(dir, ".coming-*")
+	if err != nil {
+		return "", err
+	}
 	_, err = f.Write(b)
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
+		os.Remove(f.Name())
 	}
-	return os.Rename(f.Name(), path)
+	return f.Name(), err
 }
--- a/fleet/roll/driver.go
+++ b/fleet/roll/driver.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -154,7 +155,7 @@
 		}
 		w := d.wishes[0]
 		d.wishes = d.wishes[1:]
-		if _, done := s.outcome(w.ID); !done {
+		if _, done := s.Outcome(w.ID); !done {
 			d.wished(now, r, s, w)
 		}
 		return
@@ -284,13 +285,7 @@
 	return ""
 }
 
-func (d *Driver) fronts(r *fleet.Record) (all []string) {
-	for name := range r.Fronts {
-		all = append(all, name)
-	}
-	slices.Sort(all)
-	return all
-}
+func (d *Driver) fronts(r *fleet.Record) []string { return slices.Sorted(maps.Keys(r.Fronts)) }
 
 func (d *Driver) back(s State, why string) {
 	s.Phase, s.Held = Back, false
@@ -318,7 +313,7 @@
 	}
 	last := s.Wave == len(s.Waves)-1
 	silent := d.o.Pace.Span
-	on, wanted, behind := 0, 0, []string{}
+	on, behind := 0, []string{}
 	zones, lacks := map[string]int{}, map[string]int{}
 	for _, name := range d.fronts(r) {
 		zone := r.Fronts[name].Zone
@@ -326,18 +321,13 @@
 		if s.Wants(name) != s.Next {
 			continue
 		}
-		wanted++
 		t, ok := d.told[name]
 		if ok && t.Acts == s.Next && t.Incarnation == r.Fronts[name].Incarnation && t.Ago <= silent {
 			on++
 			continue
 		}
-		if !ok || t.Ago > silent {
-			if last {
-				behind = append(behind, name)
-				lacks[zone]++
-			} // one that is silent is waited for at the last wave only
-			continue
+		if !last && (!ok || t.Ago > silent) {
+			continue // one that is silent is waited for at the last wave only
 		}
 		behind = append(behind, name)
 		lacks[zone]++
--- a/fleet/roll/state.go
+++ b/fleet/roll/state.go
@@ -178,20 +178,14 @@
 	return all[min(max(n, 1), len(all))-1]
 }
 
-// outcome is that of a wish, where the record has it.
-func (s *State) outcome(id uint64) (o Outcome, ok bool) {
+// Outcome is what became of a wish, where the record tells.
+func (s *State) Outcome(id uint64) (fault string, ok bool) {
 	for _, o := range s.Outcomes {
 		if o.ID == id {
-			return o, true
+			return o.Fault, true
 		}
 	}
-	return o, false
-}
-
-// Outcome is what became of a wish, where the record tells.
-func (s *State) Outcome(id uint64) (fault string, ok bool) {
-	o, ok := s.outcome(id)
-	return o.Fault, ok
+	return "", false
 }
 
 // Word is a front's digest for the duty's holder.
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -90,13 +91,7 @@
 	return cut
 }
 
-func versions(m map[uint64]int64) (all []uint64) {
-	for v := range m {
-		all = append(all, v)
-	}
-	slices.Sort(all)
-	return all
-}
+func versions(m map[uint64]int64) []uint64 { return slices.Sorted(maps.Keys(m)) }
 
 // Rolled is how a version came to the fleet, reckoned from the moment at which the first front heard of it.
 type Rolled struct {
