A stop ends connections by stages, each by half-close; departures and slow newcomers are seen

Ruled out: a slow module (the requests were young), the wait for newcomers (0.55 s).

Now stages: draining (what has come in at a boundary is served, else the front's half is closed), refusing once newcomers are over (57P03, at once; the reader takes no byte beyond the message in hand, as what is read is owed), closing at 0.6 s + min(longest, 3 s), before which front.Shutdown gives what is still out its final answer. A failed listener drains too. One end for all ways out: CloseWrite, bounded reading of what is thrown away, Close; before, rest closed over unread bytes (reset) and leave set linger 0 at the first byte. Begin refuses what waits for a connection once its client has left, and Gone ends it unsent also where nothing may be revoked. A repeat does not begin behind its window, counted from the first submission that may have run: it waited for connections that came up late. turnAway held the accept loop for up to two seconds an eight slow newcomers; the oldest makes way after 100 ms.

Tests fail without their mend (taken out one at a time): no Exact, reading on while refusing, no refusing, close at once, full waits, newcomers wait, Gone spares nothing, eviction does not look, no Shutdown.

--- /dev/null
+++ b/cmd/dapplerouter/endings_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/standin/store"
+)
+
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "dapplerouter")
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(dir, "dapplerouter")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return program, nil
+})
+
+// process is the built program, as the platform starts it.
+type process struct {
+	t       *testing.T
+	address string
+	config  string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// startProcess starts it before a group; discovery is where the list's service is.
+func startProcess(t *testing.T, g *store.Group, discovery, expiry string) *process {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &process{t: t, address: l.Addr().String(), config: filepath.Join(t.TempDir(), "config.json")}
+	l.Close()
+	text := fmt.Appendf(nil, strings.NewReplacer(`"Deadline": 8000000000`, `"Deadline": `+expiry, "127.0.0.1:0", p.address).Replace(told), discovery, g.Listed())
+	require.NoError(t, os.WriteFile(p.config, text, 0o600))
+	p.start()
+	return p
+}
+
+func (p *process) start() {
+	program, err := built()
+	require.NoError(p.t, err)
+	p.cmd = exec.Command(program)
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.config)
+	require.NoError(p.t, p.cmd.Start())
+	ended := make(chan struct{})
+	p.ended = ended
+	cmd := p.cmd
+	go func() { cmd.Wait(); close(ended) }()
+	p.t.Cleanup(func() { cmd.Process.Kill(); <-ended })
+	require.Eventually(p.t, func() bool {
+		c, err := store.Dial(p.address)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+// term asks the process to end and says how long it took.
+func (p *process) term() time.Duration {
+	from := time.Now()
+	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.ended:
+	case <-time.After(20 * time.Second):
+		require.Fail(p.t, "it does not end")
+	}
+	assert.Zero(p.t, p.cmd.ProcessState.ExitCode())
+	return time.Since(from)
+}
+
+// unanswered are the ids of txns whose connection ended without an answer.
+type unanswered struct {
+	mu  sync.Mutex
+	ids map[string]bool
+	all int
+}
+
+// again is a client that sends its next txn as soon as it has an answer, on new connections too, until nobody listens.
+func (u *unanswered) again(address, name string) {
+	for n := 0; ; {
+		c, err := store.Dial(address)
+		if err != nil {
+			return
+		}
+		for ; ; n++ {
+			id := fmt.Sprintf("%s-%d", name, n)
+			_, err := c.Query(fmt.Sprintf("SELECT 'x' /* id=%s,c=browse,d=900,cluster=0 */", id))
+			u.mu.Lock()
+			u.all++
+			if err != nil {
+				u.ids[id] = true
+			}
+			u.mu.Unlock()
+			if err != nil {
+				n++
+				break
+			}
+		}
+		c.Close()
+	}
+}
+
+// Of the operators' days with restarts nearly every one lost a txn: the front waited for its clients to pause, which these
+// never do, until it was ended by force.
+func TestATermLosesNoTxnOfClientsThatComeAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 2)
+	g.Each = 5 * time.Millisecond
+	list := g.List()
+	t.Cleanup(list.Close)
+	p := startProcess(t, g, list.Listener.Addr().String(), "1000000000")
+	u := &unanswered{ids: map[string]bool{}}
+	var clients sync.WaitGroup
+	for i := range 20 {
+		clients.Go(func() { u.again(p.address, fmt.Sprint("c", i)) })
+	}
+	require.Eventually(t, func() bool { u.mu.Lock(); defer u.mu.Unlock(); return u.all > 200 }, 10*time.Second, time.Millisecond)
+	took := p.term()
+	clients.Wait()
+	assert.Less(t, took, 1700*time.Millisecond, "the moment from which it may be ended by force")
+	for _, m := range g.Members {
+		for _, s := range m.Seen() {
+			assert.False(t, u.ids[s.ID], "txn %s was sent on and never answered", s.ID)
+		}
+	}
+}
+
+// A member that says nothing keeps a txn out for its whole time, which may be longer than whoever stops the front waits.
+func TestATermAnswersWhatIsOutAtASilentMember(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 1)
+	list := g.List()
+	t.Cleanup(list.Close)
+	p := startProcess(t, g, list.Listener.Addr().String(), "8000000000")
+	g.Members[0].Hang(true)
+	reader, writer := dial(t, p.address), dial(t, p.address)
+	codes := make(chan string, 2)
+	for _, x := range []struct {
+		c   *store.Client
+		sql string
+	}{{reader, "SELECT 'x' /* id=r,c=browse,d=8000,cluster=0 */"}, {writer, pay("w", 0)}} {
+		go func() {
+			a, err := x.c.Query(strings.Replace(x.sql, "d=3000", "d=8000", 1))
+			if err != nil {
+				a.Code = err.Error()
+			}
+			codes <- a.Code
+		}()
+	}
+	require.Eventually(t, func() bool { return g.Swallowed.Load() == 2 }, 10*time.Second, time.Millisecond, "both are out")
+	took := p.term()
+	assert.ElementsMatch(t, []string{"53300", "40000"}, []string{<-codes, <-codes}, "what can't have harmed may come again")
+	assert.Less(t, took, 4300*time.Millisecond)
+}
+
+// What stands before listening waits for nobody: a front is ready at once though its list's service says nothing.
+func TestAKilledFrontIsReadyAgainWhileDiscoveryIsSilent(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 2)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	p := startProcess(t, g, silent.Addr().String(), "8000000000")
+	c := dial(t, p.address)
+	a, err := c.Query("SELECT 'x' /* id=1,c=browse,d=3000,cluster=0 */")
+	require.NoError(t, err)
+	assert.Empty(t, a.Code)
+	require.NoError(t, p.cmd.Process.Kill())
+	<-p.ended
+	from := time.Now()
+	p.start()
+	assert.Less(t, time.Since(from), 5*time.Second)
+	a, err = dial(t, p.address).Query("SELECT 'x' /* id=1,c=browse,d=3000,cluster=0 */")
+	require.NoError(t, err)
+	assert.Empty(t, a.Code, "%+v", a)
+}
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -31,6 +31,10 @@
 	database = "crm"
 )
 
+// drainMost is how long a txn that is in hand at a stop may take at most. The platform ends a front by force no sooner than
+// its longest expiry, counted as so much, and 0.7 s after it asked for the end.
+const drainMost = 3 * time.Second
+
 // serveCall is the front: what deploy/balancer.toml runs, with what EDGE_CONFIG tells.
 type serveCall struct {
 	File string `env:"DAPPLEROUTER_FILE" type:"path" placeholder:"FILE" help:"The operator's own file; what is new is off without it."`
@@ -169,21 +173,29 @@
 	go reread(ctx, rereadAsked, told, func(address string) { directory.Move(address); all.moved(address) })
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
+	var failed error
 	select {
-	case err := <-served:
-		return err
+	case failed = <-served: // what was taken is owed its answer all the same
+		served <- nil
+		slog.Error("no more clients can be accepted", "why", failed)
 	case <-stopAsked:
 	}
+	until := time.Now().Add(sockets.Newcomers + min(longest, drainMost))
 	slog.Info("draining")
 	server.Stop(listener)
 	all.drain(time.Second)
-	if err := <-served; err != nil {
-		return err
+	if err := <-served; err != nil && failed == nil {
+		failed = err
+	}
+	whole := server.Wait(time.Until(until))
+	if !whole { // what is still out gets its answer now: whoever asked for the stop will not wait for ever
+		core.Post(front.Shutdown{})
+		server.Close()
+		whole = server.Wait(2 * time.Second)
 	}
-	whole := server.Wait(longest + time.Second)
 	core.Post(front.Report{Extra: usage(room)})
-	slog.Info("drained", "all", whole)
-	return nil
+	slog.Info("drained", "all", whole, "refused", server.Refused())
+	return failed
 }
 
 // reread takes the file in again each time that it is asked for. What cannot be used is logged and changes
--- a/front/book.go
+++ b/front/book.go
@@ -55,7 +55,9 @@
 	d := c.doors.Must(s.ref) // a place with something out is never given back
 	d.Out--
 	a := d.What
-	a.mayRun = a.mayRun || !o.Ending.NeverRan()
+	if !a.mayRun && !o.Ending.NeverRan() {
+		a.mayRun, a.ranSince = true, s.sent
+	}
 	a.out = slices.DeleteFunc(a.out, func(o *Submission) bool { return o == s })
 	o.Ref, o.Hop, o.Member, o.Closed, o.Latency = s.ref, s.hop, s.member, d.Closed, c.now-s.sent
 	c.decider.Ended(c.now, o)
@@ -117,6 +119,9 @@
 		slog.Debug("left", "type", string(a.Statement.Type), "after", now-a.At, "of", a.Statement.Wait,
 			"submissions", d.Hops)
 		c.decider.Left(now, a.ref)
+		for _, s := range slices.Clone(a.out) { // where the site lets nothing be taken back, what was not sent is left unsent
+			c.spare(s)
+		}
 		c.doors.Release(a.ref)
 	}
 }
--- a/front/core.go
+++ b/front/core.go
@@ -56,8 +56,9 @@
 	links   Links
 	ask     Directory
 	events  chan Event
-	now     time.Duration // of the batch in hand
-	born    time.Time     // on the wall, for positions and starts
+	now     time.Duration        // of the batch in hand
+	born    time.Time            // on the wall, for positions and starts
+	clock   func() time.Duration // nil where a host steps the core
 
 	types     []port.TxnType
 	most      int           // submissions a txn
@@ -83,6 +84,7 @@
 	older     int      // of these, on another version than the newest
 	alone     func()   // hears when there are none
 	lapsed    bool     // the right has run out, and what was in hand is ended
+	shut      bool     // no txn is taken any more
 	comeBack  time.Duration
 	entries   []port.Entry
 }
@@ -125,6 +127,7 @@
 
 // Run serves until stop is closed.
 func (c *Core) Run(clock Clock, stop <-chan struct{}) {
+	c.clock = clock.Now
 	for {
 		if at, ok := c.next(); ok {
 			clock.Set(at)
@@ -178,6 +181,8 @@
 			c.lapse(now)
 		case a.s == nil:
 			c.decider.Woken(now)
+		case a.unbegun:
+			c.spare(a.s)
 		default:
 			c.expire(a.s)
 		}
@@ -187,9 +192,10 @@
 
 // alarm falls due for a submission, or without one for the module.
 type alarm struct {
-	at    time.Duration
-	s     *Submission
-	right bool // the core's own right may have run out
+	at      time.Duration
+	s       *Submission
+	right   bool // the core's own right may have run out
+	unbegun bool // it matters only where nothing of the submission went out
 }
 
 type alarms []alarm
--- /dev/null
+++ b/front/endings_test.go
@@ -0,0 +1,92 @@
+package front
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+)
+
+const order = "INSERT INTO facts (code, data) VALUES ('k', '') /* id=1,c=order,k=5c,d=900,cluster=9 */"
+
+// repeated brings a referenced txn to where its repeat waits for a connection: the first was out from 10 ms on and may have run.
+func repeated(t *testing.T) (*Core, *module, *wires) {
+	c, m, w := newFront(t)
+	c.types[1].Effect, c.types[1].Window = port.Referenced, 300*ms
+	arrive(t, c, w, order)
+	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+	c.batch(10 * ms)
+	w.begin(t, 0)
+	c.Post(&Ended{S: w.sent[0], Failure: &Failure{Reach: Written}})
+	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+	c.batch(290 * ms)
+	require.Len(t, w.sent, 2)
+	return c, m, w
+}
+
+// The window was looked at when the repeat was decided on; then it waited for a connection that came up late, and went out
+// behind the window's end, where its group has forgotten the first.
+func TestARepeatDoesNotBeginBehindItsWindow(t *testing.T) {
+	c, m, w := repeated(t)
+	c.batch(309 * ms)
+	require.Len(t, m.ended, 1)
+	c.batch(310 * ms)
+	assert.False(t, w.sent[1].Begin(func() {}))
+	assert.Equal(t, port.Void, m.ended[1].Ending, "nothing of it went out")
+	c, m, w = repeated(t)
+	c.batch(309 * ms)
+	w.begin(t, 1)
+	c.batch(310 * ms)
+	assert.Len(t, m.ended, 1, "one that began in time is waited for")
+	c, _, w = repeated(t)
+	w.sent[1].clock = func() time.Duration { return 310 * ms } // the core is at something else
+	assert.False(t, w.sent[1].Begin(func() {}))
+	c.batch(311 * ms)
+	assert.Zero(t, w.cuts)
+}
+
+// The module takes nothing back here, as where the site forbids it.
+func TestWhatNeverBeganGoesNowhereOnceItsClientHasLeft(t *testing.T) {
+	c, m, w := newFront(t)
+	a := out(t, c, m, w)
+	gone := a.Leave()
+	assert.False(t, w.sent[0].Begin(func() {}), "before the core has heard of it")
+	c.Post(gone)
+	c.batch(20 * ms)
+	assert.Equal(t, port.Void, m.ended[0].Ending)
+	assert.True(t, m.ended[0].Closed)
+	assert.Zero(t, c.doors.Held())
+	assert.Empty(t, w.final)
+}
+
+func TestAShutdownGivesEachTxnWhatIsTrueOfIt(t *testing.T) {
+	c, m, w := newFront(t)
+	c.types[1].Effect = port.OnceOnly
+	for i, text := range []string{browse, strings.Replace(order, "id=1", "id=2", 1), strings.Replace(order, "id=1", "id=3", 1)} {
+		arrive(t, c, w, text)
+		m.wish = func(m *module) { m.Submit(m.begun[i].Ref, 0, 0) }
+		c.batch(10 * ms)
+	}
+	w.begin(t, 0)
+	w.begin(t, 1)
+	c.Post(Shutdown{})
+	arrive(t, c, w, strings.Replace(browse, "id=1", "id=4", 1))
+	c.batch(20 * ms)
+	words := []Word{}
+	for _, f := range w.final {
+		words = append(words, f.Word)
+	}
+	assert.Equal(t, []Word{Declined, Undone, Declined, Declined}, words,
+		"a read; a write that may have run; one that cannot have; one that came behind")
+	assert.Equal(t, 2, w.cuts)
+	assert.Len(t, m.begun, 3)
+	assert.Zero(t, c.doors.Held())
+	c.Post(&Ended{S: w.sent[1], Answer: pgwire.Answer{Whole: true}})
+	c.batch(30 * ms)
+	assert.Len(t, w.final, 4, "and only once")
+}
--- a/front/send.go
+++ b/front/send.go
@@ -20,9 +20,12 @@
 	sent   time.Duration
 	probe  bool
 	way    Way
-	right  *Right // to what its txn was taken on; nil where none is needed
-	done   bool   // the core's: its ending is told, or about to be
-	cut    func() // set by who sends it, before stage says so
+	right  *Right               // to what its txn was taken on; nil where none is needed
+	left   *atomic.Bool         // of its txn: the client has left, and nothing of it has gone out yet; else nil
+	begin  time.Duration        // from then on nothing of it may go out; 0 for no limit
+	clock  func() time.Duration // by which that is; nil where the core is stepped
+	done   bool                 // the core's: its ending is told, or about to be
+	cut    func()               // set by who sends it, before stage says so
 	stage  atomic.Int32
 }
 
@@ -53,6 +56,9 @@
 	if s.right != nil && !s.right.Lasts() { // the core ends it as soon as it looks
 		return false
 	}
+	if s.left != nil && s.left.Load() || s.begin > 0 && s.clock != nil && s.clock() >= s.begin { // so does it here
+		return false
+	}
 	s.cut = cut
 	return s.stage.CompareAndSwap(waiting, going)
 }
@@ -62,8 +68,17 @@
 // send hands a submission to the links and sets the time at which it is given up.
 func (c *Core) send(s *Submission, until time.Duration) {
 	if d := c.doors.At(s.ref); d != nil {
-		d.What.out = append(d.What.out, s)
-		s.right = d.What.terms.right
+		a := d.What
+		a.out = append(a.out, s)
+		s.right, s.clock = a.terms.right, c.clock
+		if !a.mayRun {
+			s.left = &a.gone
+		} else if ty := &a.terms.types[a.typ]; ty.Effect == port.Referenced {
+			s.begin = a.ranSince + ty.Window
+			if s.begin < until {
+				heap.Push(&c.alarms, alarm{at: s.begin, s: s, unbegun: true})
+			}
+		}
 	}
 	heap.Push(&c.alarms, alarm{at: until, s: s})
 	c.book.submissions++
@@ -81,6 +96,15 @@
 	return true
 }
 
+// spare ends what has not begun to go out. A connection may come up late: what waits for it must not go out behind the end
+// of the window in which the member's group drops a repeat, nor for a client that has left.
+func (c *Core) spare(s *Submission) {
+	if !s.done && s.stage.CompareAndSwap(waiting, dropped) {
+		s.done = true
+		c.ended(s, port.Outcome{Ending: port.Void, Load: site.NoReport}, nil)
+	}
+}
+
 // expire ends what nobody answered in time.
 func (c *Core) expire(s *Submission) {
 	if !s.done {
--- a/front/takein.go
+++ b/front/takein.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"sync/atomic"
 	"time"
 
 	"dapplerouter/pgwire"
@@ -47,7 +48,9 @@
 	expiry    time.Duration
 	out       []*Submission // without an ending
 	spent     int           // submissions made and granted to another site
-	mayRun    bool          // something of it may have run
+	mayRun    bool          // something of it may have run:
+	ranSince  time.Duration // what went out then
+	gone      atomic.Bool   // the client has left
 	typ       int
 	terms     *terms // that were in force when it was taken
 	span      uint32 // the audit's
@@ -56,9 +59,15 @@
 // Gone tells that the client of an arrival went away.
 type Gone struct{ Arrival *Arrival }
 
+// Leave is what tells it: from here on nothing of the txn begins to go out, however busy the core is.
+func (a *Arrival) Leave() Gone {
+	a.gone.Store(true)
+	return Gone{a}
+}
+
 // take turns names into indices; what names nothing known is answered at once.
 func (a *Arrival) take(c *Core, now time.Duration) {
-	if c.lapsed {
+	if c.lapsed || c.shut {
 		c.book.declined++
 		a.Client.Answer(Final{Word: Declined, Come: c.comeBack})
 		return
--- a/front/terms.go
+++ b/front/terms.go
@@ -253,8 +253,21 @@
 	if !gone {
 		return
 	}
+	c.endAll(now, func(t *terms) bool { return t.right.over(now) })
+}
+
+// Shutdown is an event that ends all that is in hand: whoever waits for it will be gone soon. No txn is taken behind it.
+type Shutdown struct{}
+
+func (Shutdown) take(c *Core, now time.Duration) {
+	c.shut = true
+	c.endAll(now, func(*terms) bool { return true })
+}
+
+// endAll gives each txn in hand on some terms its final answer, and takes back what is out for it.
+func (c *Core) endAll(now time.Duration, on func(*terms) bool) {
 	c.doors.Each(func(ref port.Ref, d *Door[*Arrival]) {
-		if d.Closed || !d.What.terms.right.over(now) {
+		if d.Closed || !on(d.What.terms) {
 			return
 		}
 		a := d.What
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -489,7 +489,7 @@
 		a := l.runs(s.Run, nil)
 		l.mu.Unlock()
 		if a != nil {
-			l.o.Post(front.Gone{Arrival: a})
+			l.o.Post(a.Leave())
 		}
 		return
 	}
--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -23,6 +23,7 @@
 	RolledBack         = "40000"
 	TooLarge           = "54000"
 	IdleTooLong        = "57P05"
+	CannotConnectNow   = "57P03"
 )
 
 // Version is the protocol's, as startup messages carry it.
@@ -50,6 +51,7 @@
 // Reader reads messages. A read that ends by its deadline can be taken up again where it stood.
 type Reader struct {
 	r    *bufio.Reader
+	from *source
 	most int // longest body
 	head bool
 	typ  byte
@@ -63,12 +65,42 @@
 
 // NewReader returns a Reader of r with a buffer of so many bytes, for bodies of at most so many.
 func NewReader(r io.Reader, buffer, most int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, buffer), most: most}
+	from := &source{r: r, left: -1}
+	return &Reader{r: bufio.NewReaderSize(from, buffer), from: from, most: most}
+}
+
+// source is what a Reader reads from; left is what it may still take, or -1 for any number of bytes.
+type source struct {
+	r    io.Reader
+	left int
+}
+
+func (s *source) Read(b []byte) (int, error) {
+	if s.left >= 0 && len(b) > s.left {
+		b = b[:s.left]
+	}
+	n, err := s.r.Read(b)
+	if s.left >= 0 {
+		s.left -= n
+	}
+	return n, err
+}
+
+// Exact has the Reader take no byte beyond the message in hand from now on. What was read is owed an answer, so a
+// connection that is to end must not read ahead: a client that always sends more would never be done with.
+func (r *Reader) Exact() { r.from.left = max(r.from.left, 0) }
+
+// may lets the source give so many bytes more than are buffered, where it is bounded.
+func (r *Reader) may(n int) {
+	if r.from.left >= 0 {
+		r.from.left = max(0, n-r.r.Buffered())
+	}
 }
 
 // Next reads a message; its body is valid until the next call.
 func (r *Reader) Next() (typ byte, body []byte, err error) {
 	if !r.head {
+		r.may(5)
 		h, err := r.r.Peek(5)
 		if err != nil {
 			return 0, nil, cut(err, len(h))
@@ -91,6 +123,7 @@
 // Startup reads a first message, which has no type.
 func (r *Reader) Startup() (s Startup, err error) {
 	if !r.head {
+		r.may(4)
 		h, err := r.r.Peek(4)
 		if err != nil {
 			return s, cut(err, len(h))
@@ -146,6 +179,7 @@
 			copy(grown, r.body)
 			r.body = grown
 		}
+		r.may(r.size - len(r.body))
 		n, err := r.r.Read(r.body[len(r.body):min(cap(r.body), r.size)])
 		r.body = r.body[:len(r.body)+n]
 		if err != nil {
@@ -174,6 +208,7 @@
 	if r.r.Buffered() == r.r.Size() {
 		return true, nil
 	}
+	r.may(r.r.Buffered() + 1)
 	_, err = r.r.Peek(r.r.Buffered() + 1)
 	return false, err
 }
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,36 +19,59 @@
 const (
 	clientBuffer = 4 << 10
 	longestQuery = 256 << 10              // a value of 64 KiB in hex, and its statement
-	goodbye      = time.Second            // for the other side to read the last of what it was sent
-	newcomers    = 500 * time.Millisecond // for how long after a stop is asked for new connections may still come
-	lastLook     = 5 * time.Millisecond   // at what has come in, before an idle connection is closed
+	discarded    = 64 << 10               // bytes that are read behind a goodbye, to be thrown away
 	turnedAtOnce = 8                      // newcomers for whom there is no room and who are being told
+	turnedFor    = 100 * time.Millisecond // after which one of these makes way for the next
 	resting      = 2 * time.Second        // idle: clients that ask once and stay would keep others out of their own limit
 	silence      = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
 )
 
+// Newcomers is how long after a stop was asked for new connections may still come; a little later all have been taken.
+const (
+	newcomers = 500 * time.Millisecond
+	Newcomers = newcomers + newcomers/5
+)
+
 // Server serves clients.
 type Server struct {
 	post     func(front.Event)
 	room     *Room
 	clock    *Clock
 	patience time.Duration // with a client that does not read
+	goodbye  time.Duration // for the other side to read the last of what it was sent
 	idle     time.Duration // after which a connection with nothing to do is closed
 	parse    func(body []byte) (pgwire.Statement, error)
 
-	stopping atomic.Bool
-	rest     atomic.Int64 // newcomers are turned away: resting, or the moment since when they are taken again
-	pace     atomic.Int64 // over which they are, once the front is back
-	came     atomic.Int64
-	turning  chan struct{}
-	mu       sync.Mutex
-	clients  map[*client]struct{}
-	open     sync.WaitGroup
+	stage   atomic.Int32
+	refused atomic.Int64 // requests since the server refuses
+	rest    atomic.Int64 // newcomers are turned away: resting, or the moment since when they are taken again
+	pace    atomic.Int64 // over which they are, once the front is back
+	came    atomic.Int64
+	turning chan struct{}
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	turned  []turned // those being told, the oldest first
+	open    sync.WaitGroup
+}
+
+// Stages of a server's life. Each request that was read is owed an answer, so before a connection may end the server
+// must stop reading, not wait for a pause of its client: some send their next request with the answer to the last.
+const (
+	serving  int32 = iota
+	draining       // connections end between requests; what has come in by then, and a newcomer's first, is served
+	refusing       // what still comes in is told to go elsewhere; an answered connection ends whatever its client sends
+	closing        // connections end where nothing is owed
+)
+
+// turned is a newcomer that is being turned away since a moment.
+type turned struct {
+	conn *net.TCPConn
+	at   time.Time
 }
 
 // NewServer makes a Server; patience is the longest that a txn may take.
 func NewServer(post func(front.Event), room *Room, clock *Clock, patience time.Duration) *Server {
-	sv := &Server{post: post, room: room, clock: clock, patience: patience, idle: resting, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
+	sv := &Server{post: post, room: room, clock: clock, patience: patience, goodbye: time.Second, idle: resting, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
 		turning: make(chan struct{}, turnedAtOnce)}
 	room.spare(sv.makeWay)
 	return sv
@@ -59,13 +83,14 @@
 // Serve accepts until a stop was asked for and nobody comes any more: what the machine has accepted is taken,
 // so once newcomers are over, what still stands in line is served too.
 func (sv *Server) Serve(l *net.TCPListener) error {
+	defer sv.enter(refusing)
 	defer l.Close()
 	for over := false; ; {
 		conn, err := l.AcceptTCP()
 		switch {
 		case err == nil:
 			sv.begin(conn)
-		case timedOut(err) && sv.stopping.Load():
+		case timedOut(err) && sv.stage.Load() >= draining:
 			if over {
 				return nil
 			}
@@ -80,15 +105,29 @@
 	}
 }
 
-// Stop asks every client to leave once it is answered, and Serve to return when nobody comes any more.
+// Stop asks every client to leave once it is answered, and Serve to return when nobody comes any more. From then on the
+// server refuses.
 func (sv *Server) Stop(l *net.TCPListener) {
-	sv.stopping.Store(true)
+	sv.enter(draining)
 	l.SetDeadline(time.Now().Add(newcomers))
+}
+
+// Close ends every connection that is owed nothing. Refused tells how many requests were refused until now.
+func (sv *Server) Close() { sv.enter(closing) }
+
+func (sv *Server) Refused() int64 { return sv.refused.Load() }
+
+// enter goes on to a stage, never back, and wakes those who wait for something to come.
+func (sv *Server) enter(stage int32) {
 	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if stage <= sv.stage.Load() {
+		return
+	}
+	sv.stage.Store(stage)
 	for c := range sv.clients {
 		c.conn.SetReadDeadline(past)
 	}
-	sv.mu.Unlock()
 }
 
 // Wait returns when all clients have left, true, or at the end of a span.
@@ -196,51 +235,97 @@
 }
 
 // turnAway serves a client for which there is no room: its first txn, which may have come with it, is told
-// that trying again is harmless, by an error after which nobody writes. While too many are being told so, the
-// rest stand in line.
+// that trying again is harmless, by an error after which nobody writes. Only so many are being told so at a time; the
+// one that takes longest is cut off for the next, so that slow newcomers keep nobody waiting.
 func (sv *Server) turnAway(conn *net.TCPConn) {
-	sv.turning <- struct{}{}
+	sv.turn()
+	sv.mu.Lock()
+	sv.turned = append(sv.turned, turned{conn, time.Now()})
+	sv.mu.Unlock()
+	sv.open.Add(1)
 	go func() {
+		defer sv.open.Done()
 		defer func() { <-sv.turning }()
-		defer conn.Close()
+		defer func() {
+			conn.Close()
+			sv.mu.Lock()
+			sv.turned = slices.DeleteFunc(sv.turned, func(t turned) bool { return t.conn == conn })
+			sv.mu.Unlock()
+		}()
 		defer guard()
 		c := &client{sv: sv, conn: conn, r: pgwire.NewReader(conn, clientBuffer/4, longestQuery),
-			until: time.Now().Add(goodbye)}
+			until: time.Now().Add(sv.goodbye)}
 		conn.SetReadDeadline(c.until)
 		if c.start() != nil {
 			return
 		}
-		conn.SetReadDeadline(time.Now().Add(goodbye))
+		conn.SetReadDeadline(time.Now().Add(sv.goodbye))
 		if typ, _, err := c.r.Next(); err == nil && typ == 'Q' {
 			c.write(pgwire.Error(nil, "FATAL", pgwire.TooManyConnections, "too many clients", ""))
 		}
-		leave(conn)
+		sv.hangUp(conn)
 	}()
 }
 
-// leave ends a connection so that what was sent last arrives: no reset may overtake it. What the client has
-// written meanwhile is not taken any more; the reset tells it so, and it has read its answer by then.
-func leave(conn *net.TCPConn) {
-	conn.CloseWrite()
-	conn.SetReadDeadline(time.Now().Add(goodbye))
-	var first [1]byte
-	if n, _ := conn.Read(first[:]); n > 0 && first[0] != pgwire.Terminate {
-		slog.Debug("a client wrote while its connection was closed")
-		conn.SetLinger(0)
-	}
-	conn.Close()
+// turn waits for a place among those being turned away.
+func (sv *Server) turn() {
+	select {
+	case sv.turning <- struct{}{}:
+		return
+	default:
+	}
+	sv.mu.Lock()
+	wait := time.Duration(0)
+	if len(sv.turned) > 0 {
+		wait = turnedFor - time.Since(sv.turned[0].at)
+	}
+	sv.mu.Unlock()
+	select {
+	case sv.turning <- struct{}{}:
+		return
+	case <-time.After(wait):
+	}
+	sv.mu.Lock()
+	if len(sv.turned) > 0 {
+		sv.turned[0].conn.Close()
+	}
+	sv.mu.Unlock()
+	sv.turning <- struct{}{}
+}
+
+// hangUp ends a connection, for whatever reason: the front's half first, so that what was sent last arrives. A close over
+// unread bytes would be a reset, which overtakes it: so what the client writes meanwhile is read, within bounds, and thrown
+// away. It was not taken; the client finds its connection closed.
+func (sv *Server) hangUp(conn *net.TCPConn) {
+	defer conn.Close()
+	if conn.CloseWrite() != nil {
+		return // it is gone
+	}
+	wait := sv.goodbye
+	if sv.stage.Load() == closing {
+		wait /= 10
+	}
+	conn.SetReadDeadline(time.Now().Add(wait))
+	var waste [1 << 10]byte
+	for most := discarded; most > 0; {
+		n, err := conn.Read(waste[:])
+		if err != nil {
+			return
+		}
+		most -= n
+	}
 }
 
 func (c *client) serve() {
 	defer c.sv.open.Done()
 	defer func() {
 		if c.out != nil {
-			c.sv.post(front.Gone{Arrival: c.out})
+			c.sv.post(c.out.Leave())
 		}
+		c.sv.hangUp(c.conn)
 		c.sv.mu.Lock()
 		delete(c.sv.clients, c)
 		c.sv.mu.Unlock()
-		c.conn.Close()
 		c.sv.room.clientLeft()
 	}()
 	defer guard()
@@ -277,11 +362,8 @@
 	default:
 		return
 	}
+	slog.Debug("a client is let go", "from", c.conn.RemoteAddr(), "why", err)
 	c.write(pgwire.Error(nil, "FATAL", code, err.Error(), ""))
-	// Only what is unread could make a reset of the closing; who stays silent holds its descriptor no longer.
-	if come(c.conn) > 0 || code == pgwire.ProtocolViolation {
-		leave(c.conn)
-	}
 }
 
 // Answer passes the final answer to the connection's goroutine and wakes it.
@@ -298,6 +380,9 @@
 		s, err := c.r.Startup()
 		switch {
 		case err != nil && timedOut(err):
+			if c.sv.stage.Load() == closing {
+				return errLeaving
+			}
 			if c.leave.Load() {
 				return errCrowded
 			}
@@ -349,7 +434,7 @@
 
 // leaving says whether the connection is to end between txns.
 func (c *client) leaving() bool {
-	return c.sv.stopping.Load() || c.leave.Load() || c.sv.rest.Load() == standsBy
+	return c.sv.stage.Load() >= draining || c.leave.Load() || c.sv.rest.Load() == standsBy
 }
 
 // Why a connection ends.
@@ -365,24 +450,32 @@
 	if err := c.rest(); err != nil {
 		return 0, nil, err
 	}
+	if c.sv.stage.Load() >= refusing {
+		c.r.Exact()
+	}
 	until := c.until
 	if c.answered {
 		until = time.Now().Add(silence)
 	}
 	for {
 		c.conn.SetReadDeadline(until)
+		if c.sv.stage.Load() == closing { // looked at after the setting
+			c.conn.SetReadDeadline(past)
+		}
 		typ, body, err := c.r.Next()
 		switch {
 		case err == nil || !timedOut(err):
 			return typ, body, err
+		case c.sv.stage.Load() == closing:
+			return 0, nil, errLeaving
 		case !time.Now().Before(until):
 			return 0, nil, errSilent
 		}
 	}
 }
 
-// rest waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but
-// one who has just been answered may be writing already, and one who came after the stop still sends its first.
+// rest waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but what has
+// come in by then is taken, and one who came after the stop still sends its first.
 func (c *client) rest() error {
 	for !c.r.Waiting() {
 		until := c.until
@@ -390,19 +483,25 @@
 			until = time.Now().Add(c.sv.idle)
 		}
 		err := c.watch(until)
-		switch {
-		case err == nil:
-		case !timedOut(err):
+		if err == nil {
+			continue
+		}
+		if !timedOut(err) {
 			return err
-		case !c.answered && c.leave.Load():
+		}
+		stage := c.sv.stage.Load()
+		silent := !time.Now().Before(until)
+		switch {
+		case !silent && !c.leave.Load() && stage < closing && !(c.answered && c.leaving()): // the wake was meant for another wait
+		case (stage < refusing || stage < closing && !c.answered) && come(c.conn) > 0:
+			c.conn.SetReadDeadline(time.Now().Add(silence)) // a read past its deadline does not look at all
+			c.r.Watch()
+		case c.answered || stage == closing:
+			return errLeaving
+		case c.leave.Load():
 			return errCrowded
-		case !c.answered && !time.Now().Before(until):
+		default:
 			return errSilent
-		case c.answered && (c.leaving() || !time.Now().Before(until)):
-			c.conn.SetReadDeadline(time.Now().Add(lastLook)) // a read past its deadline does not look at all
-			if _, err := c.r.Watch(); err != nil && !(timedOut(err) && come(c.conn) > 0) {
-				return errLeaving // closed at once: nothing is on its way to the client that it has not read
-			}
 		}
 	}
 	return nil
@@ -413,7 +512,7 @@
 	c.conn.SetReadDeadline(until)
 	c.idle.Store(int64(c.sv.clock.Now()))
 	defer c.idle.Store(0)
-	if c.leave.Load() || c.answered && c.leaving() { // looked at after the setting: a wake after it sets it anew
+	if c.leave.Load() || c.answered && c.leaving() || c.sv.stage.Load() == closing { // looked at after the setting: a wake after it sets it anew
 		c.conn.SetReadDeadline(past)
 	}
 	_, err := c.r.Watch()
@@ -450,6 +549,9 @@
 		return false
 	case s.Empty:
 		return c.last(pgwire.Empty(nil))
+	case c.sv.stage.Load() >= refusing: // its answer could come too late for whoever stops this front
+		c.sv.refused.Add(1)
+		return c.refuse(pgwire.CannotConnectNow, "shutting down: try again elsewhere", "")
 	}
 	c.out = &front.Arrival{Client: c, Statement: s, At: at}
 	c.sv.post(c.out)
@@ -474,7 +576,8 @@
 	return c.refuse(f.Code, f.Reason, "")
 }
 
-// await waits for the final answer; false when the client went away before.
+// await waits for the final answer; false when the client went away before. Of one that has sent more than is read ahead
+// only the state of its connection tells.
 func (c *client) await() (front.Final, bool) {
 	for {
 		select {
@@ -483,9 +586,12 @@
 		default:
 		}
 		full, err := c.r.Watch()
+		if full {
+			err = departed(c.conn)
+		}
 		switch {
-		case full:
-			return <-c.final, true
+		case err == nil && full:
+			return front.Final{}, false
 		case err == nil:
 		case timedOut(err):
 			c.conn.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/sockets/endings_test.go
@@ -0,0 +1,331 @@
+package sockets
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/front"
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+)
+
+// answering has the member answer whatever it is asked, and counts it.
+func (g *rig) answering() *atomic.Int64 {
+	var asked atomic.Int64
+	go func() {
+		for {
+			c, err := g.member.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := pgwire.NewReader(c, 4096, 1<<20)
+				if _, err := r.Startup(); err != nil {
+					return
+				}
+				c.Write(pgwire.Welcome(nil))
+				for {
+					if _, _, err := r.Next(); err != nil {
+						return
+					}
+					asked.Add(1)
+					if _, err := c.Write(whole("v")); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return &asked
+}
+
+// events takes what the direct module tells, so that nothing waits for the test.
+func (g *rig) events() {
+	go func() {
+		for {
+			select {
+			case <-g.d.begun:
+			case <-g.d.ended:
+			case <-g.d.left:
+			case <-g.t.Context().Done():
+				return
+			}
+		}
+	}()
+}
+
+func within(t *testing.T, what string, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(15 * time.Second):
+		require.Fail(t, what)
+	}
+}
+
+// hungUpAt waits until the front's half of a connection has ended, without reading what came before.
+func hungUpAt(t *testing.T, p *peer) {
+	done := make(chan struct{})
+	go func() { defer close(done); departed(p.Conn.(*net.TCPConn)) }()
+	within(t, "the front's half does not end", done)
+}
+
+// Short days, ten seeds of twelve: clients send their next request with the answer to the last, so none was ever let go after
+// a stop, and what was out when the front was ended by force was lost.
+func TestAClientThatAlwaysHasMoreIsLetGoAfterAStop(t *testing.T) {
+	g := newRig(t, 40)
+	g.events()
+	asked := g.answering()
+	c := g.client()
+	c.SetDeadline(time.Now().Add(time.Minute))
+	gone := make(chan struct{})
+	go func() { // sends without end, and never pauses
+		defer close(gone)
+		for {
+			if _, err := c.Write(read("4000")); err != nil {
+				return
+			}
+		}
+	}()
+	served, refused := int64(0), int64(0)
+	hear := func() bool {
+		typ, body, err := c.r.Next()
+		if err != nil {
+			assert.ErrorIs(t, err, io.EOF, "no reset takes an answer with it")
+			return false
+		}
+		switch typ {
+		case 'D':
+			served++
+		case 'E':
+			assert.Contains(t, string(body), pgwire.CannotConnectNow)
+			refused++
+		}
+		return true
+	}
+	for served < 50 {
+		require.True(t, hear())
+	}
+	g.server.Stop(g.listen)
+	for hear() {
+	}
+	assert.Equal(t, asked.Load(), served, "whatever a member was asked is answered")
+	assert.Equal(t, g.server.Refused(), refused, "and so is what was read and not sent on")
+	c.Close()
+	within(t, "the client writes on", gone)
+	require.NoError(t, <-g.served)
+	assert.True(t, g.server.Wait(10*time.Second))
+	g.served <- nil
+}
+
+// What crosses the front's goodbye is neither taken nor answered with a reset, which could overtake the last answer.
+func TestWhatCrossesTheGoodbyeIsNotTaken(t *testing.T) {
+	for name, end := range map[string]func(g *rig){
+		"stop":     func(g *rig) { g.server.Stop(g.listen) },
+		"eviction": func(g *rig) { g.server.makeWay() },
+		"rest":     func(g *rig) { g.server.Rest(true, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 40)
+			c, _ := g.serve()
+			<-g.d.begun
+			g.resting()
+			end(g)
+			hungUpAt(t, c)
+			c.say(read("4000")...)
+			c.ends() // again and again: no reset
+			c.say(read("4000")...)
+			c.ends()
+			c.Close()
+			require.True(t, g.server.Wait(10*time.Second))
+			assert.Empty(t, g.d.begun, "nothing of it is sent on")
+		})
+	}
+}
+
+func TestTheLastAnswerArrivesThoughItsClientWritesOn(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q")
+	g.server.Stop(g.listen)
+	m.say(whole("the last")...)
+	hungUpAt(t, c)
+	c.say(read("4000")...)
+	c.hear("T")
+	assert.Equal(t, "the last", string(c.hear("D")[6:]))
+	c.hear("CZ")
+	c.ends()
+}
+
+// What was taken just before is owed its answer at an eviction too.
+func TestAnEvictedClientThatWasSendingIsServed(t *testing.T) {
+	g := newRig(t, 40)
+	c, m := g.serve()
+	g.resting()
+	g.server.mu.Lock() // the choice is made, and not told yet
+	var chosen *client
+	for chosen = range g.server.clients {
+	}
+	chosen.leave.Store(true)
+	g.server.mu.Unlock()
+	c.say(read("4000")...)
+	m.hear("Q")
+	m.say(whole("v")...)
+	c.hear("TDCZ")
+	c.ends()
+}
+
+// Of a client that had sent more than is read ahead nobody saw that it was gone, and its txns went on.
+func TestAClientThatSendsMuchAndLeavesIsNoticed(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(bytes.Repeat(read("4000"), 3*clientBuffer/len(read("4000")))...)
+	g.memberUp().hear("Q")
+	c.Close()
+	select {
+	case left := <-g.d.left:
+		assert.Equal(t, (<-g.d.begun).Ref, left)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "its departure is not noticed")
+	}
+	require.True(t, g.eventuallyGone())
+	assert.Empty(t, g.d.begun, "what it sent behind is not taken")
+}
+
+func (g *rig) eventuallyGone() bool {
+	g.eventually(func() bool { clients, _, _ := g.room.Held(); return clients == 0 })
+	return true
+}
+
+// A member's connection that comes up late must not carry a txn whose client has left meanwhile, also where the site lets
+// nothing be taken back; nor while the core is at something else.
+func TestNothingIsSentForAClientThatLeftWhileAConnectionCameUp(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(read("4000")...)
+	m := g.accept() // no welcome yet
+	<-g.d.begun
+	c.Close()
+	<-g.d.left // which takes nothing back
+	m.say(pgwire.Welcome(nil)...)
+	assert.Equal(t, port.Void, (<-g.d.ended).Ending)
+	g.settled(1) // the connection is kept for others
+	c = g.client()
+	c.say(read("4000")...)
+	second := <-g.d.begun
+	m.hear("Q")
+	m.say(whole("v")...)
+	c.hear("TDCZ")
+	assert.Equal(t, second.Ref, (<-g.d.ended).Ref, "the first word that the member got is another client's")
+}
+
+// Eight newcomers that said nothing held up all others for as long as they were waited for.
+func TestSlowNewcomersKeepNobodyWaiting(t *testing.T) {
+	g := newRig(t, 40)
+	g.server.goodbye = time.Hour
+	g.room.mu.Lock()
+	g.room.mostClients, g.room.share, g.room.closing = 1, 1, 0
+	g.room.mu.Unlock()
+	g.client().say(read("4000")...)
+	<-g.d.begun
+	var slow []*peer
+	for range 3 * turnedAtOnce {
+		slow = append(slow, g.dial())
+	}
+	c := g.dial()
+	c.say(append(pgwire.Hello(nil, "portal", "crm"), read("4000")...)...)
+	assert.Contains(t, string(c.hear("RSSSSZE")), pgwire.TooManyConnections)
+	slow[0].Read(make([]byte, 1)) // cut off
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	assert.LessOrEqual(t, len(g.server.turned), turnedAtOnce+1, "they hold a bounded number of descriptors")
+}
+
+// The process must not end over a newcomer's first request, nor over its final answer.
+func TestANewcomerOfAfterTheStopIsToldToGoElsewhere(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	g.server.Stop(g.listen)
+	require.NoError(t, <-g.served) // newcomers are over, and the server refuses
+	g.served <- nil
+	c.say(read("4000")...)
+	assert.Contains(t, string(c.hear("EZ")), pgwire.CannotConnectNow)
+	c.ends()
+	c.Close()
+	assert.True(t, g.server.Wait(10*time.Second))
+	assert.Empty(t, g.d.begun)
+}
+
+func TestAClosedServerEndsWhatIsOwedNothing(t *testing.T) {
+	for name, sent := range map[string]string{"nothing": "", "half a request": string(read("4000")[:20])} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 40)
+			g.server.goodbye = 0
+			c := g.client()
+			c.say([]byte(sent)...)
+			g.server.Stop(g.listen)
+			require.NoError(t, <-g.served)
+			g.served <- nil
+			g.server.Close()
+			c.ends()
+			assert.True(t, g.server.Wait(10*time.Second))
+		})
+	}
+}
+
+// A shutdown gives what is still out its answer at once, and takes back what a member has of it.
+func TestAShutdownAnswersWhatIsOut(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q")
+	g.core.Post(front.Shutdown{})
+	assert.Contains(t, string(c.hear("EZ")), pgwire.TooManyConnections)
+	m.ends()
+	c.say(read("4000")...)
+	assert.Contains(t, string(c.hear("EZ")), pgwire.TooManyConnections, "nothing is taken any more")
+}
+
+// A fault at one client ends that one connection, whatever it is.
+func TestBadInputEndsOneConnectionOnly(t *testing.T) {
+	g := newRig(t, 60)
+	g.events()
+	g.answering()
+	good := g.client()
+	for i, bad := range [][]byte{
+		append(pgwire.Hello(nil, "portal", "crm"), 'Q', 127, 255, 255, 255),
+		append(pgwire.Hello(nil, "portal", "crm"), pgwire.Query(nil, "SELECT \x00 1")...),
+		append(pgwire.Hello(nil, "portal", "crm"), message('Z', "I")...),
+		{0, 0, 40, 0}, {0, 0, 0, 4}, bytes.Repeat([]byte{'x'}, 9000),
+	} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			b := g.dial()
+			b.say(bad...)
+			for {
+				typ, body, err := b.r.Next()
+				if err != nil {
+					require.Fail(t, "it ends untold", err)
+				}
+				if typ == 'E' {
+					assert.Contains(t, string(body), pgwire.ProtocolViolation)
+					break
+				}
+			}
+			b.ends()
+			good.say(read("4000")...)
+			good.hear("TDCZ")
+		})
+	}
+}
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // come looks whether something has come in, whatever the deadline: 1 for bytes, 0 for the end of the
@@ -29,3 +31,24 @@
 // quiet says whether a connection that nobody has asked anything is as it was left. What a member says there
 // unasked would be taken for the answer of the next submission.
 func quiet(conn *net.TCPConn) bool { return come(conn) < 0 }
+
+// departed blocks until the other side has closed a connection, whatever it sent before and nobody has read; then it
+// returns nil. It wakes for each change of the connection and returns an error at the read deadline.
+func departed(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(hungUp)
+}
+
+// hungUp looks whether the other side has closed.
+func hungUp(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		n, err := unix.Poll(p, 0)
+		if err != unix.EINTR {
+			return err == nil && n > 0
+		}
+	}
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -26,7 +26,8 @@
 	Primary atomic.Int64 // index of the primary
 	Lag     atomic.Int64 // nanoseconds by which replicas are behind
 
-	Probes atomic.Int64 // questions after a member's load
+	Probes    atomic.Int64 // questions after a member's load
+	Swallowed atomic.Int64 // statements that a member which hangs took
 
 	mu        sync.Mutex
 	committed map[string]int       // by id: changes that took effect
@@ -191,6 +192,8 @@
 		if m.hung() {
 			if q := string(body[:len(body)-1]); q == "SELECT 1" || q == "SHOW load" {
 				m.g.Probes.Add(1)
+			} else {
+				m.g.Swallowed.Add(1)
 			}
 			continue
 		}
