The list is in force in time after silence, a hang or a fault; the whole list follows a gap

Lines: discovery/client.go Watch, Follow, Whole; sockets/directory.go Move, fetch. Now silence is 2.25 beats, a call that does not begin its answer in half a beat is given up, pauses are a twentieth to a quarter of a beat; after a bad line, a bad entry or an index that goes back the whole list comes first. No call is sent while a watch is well.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -15,16 +15,22 @@
 	"time"
 )
 
-// The service's own beat, and how many of them may be missed before it counts as silent.
+// beat is the service's own. What a silent watch misses counts as told three beats after it fell silent, and drains bind soon
+// after that; what an agent on this machine has counts at once. So silence is an end after a beat that was missed and a
+// quarter, an agent that does not begin its answer within half a beat is asked again, and between two attempts lies at most
+// another quarter: of those that wait for a service to return, one begins and is heard within a beat.
 const (
-	beat   = 2 * time.Second
-	missed = 3
+	beat     = 2 * time.Second
+	silentBy = 9 // quarters of a beat
 )
 
 // longest is the longest object that is read.
 const longest = 4 << 20
 
-var errSilent = errors.New("discovery is silent")
+var (
+	errSilent     = errors.New("discovery is silent")
+	errUnanswered = errors.New("discovery does not answer")
+)
 
 // Client speaks to the list's service. It holds two connections at most.
 type Client struct {
@@ -32,6 +38,7 @@
 	http  *http.Client
 	beat  time.Duration
 	index atomic.Int64 // version last heard
+	gap   atomic.Bool  // something may have been missed that the next change would pass over: the whole list comes first
 	Heard func()       // called for each word of the service, be it that nothing changed; nil for nobody
 }
 
@@ -40,18 +47,18 @@
 	c := &Client{base: "http://" + address + "/v1/endpoints", beat: beat}
 	c.index.Store(index)
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: beat, KeepAlive: -1}).DialContext,
-		ResponseHeaderTimeout: missed * beat,
-		MaxIdleConnsPerHost:   1, MaxConnsPerHost: 2, DisableCompression: true,
+		DialContext:         (&net.Dialer{Timeout: beat, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
 		ReadBufferSize: 4096, WriteBufferSize: 1024,
 	}}
 	return c
 }
 
-// Moved makes a client of the service at another address, which knows what this one does.
+// Moved makes a client of the service at another address, which knows what this one does, and asks for the whole list first.
 func (c *Client) Moved(address string) *Client {
 	m := New(address, c.index.Load())
 	m.beat, m.Heard = c.beat, c.Heard
+	m.gap.Store(true)
 	return m
 }
 
@@ -70,86 +77,120 @@
 // Rest closes the connections that nobody uses.
 func (c *Client) Rest() { c.http.CloseIdleConnections() }
 
-// Whole asks for the whole list.
+// Whole asks for the whole list. One that a watch overtook while it came would take back what that told: it is asked for again.
 func (c *Client) Whole(ctx context.Context) (List, error) {
-	ctx, cancel := context.WithTimeout(ctx, missed*c.beat)
-	defer cancel()
+	for {
+		before := c.index.Load()
+		l, err := c.whole(ctx)
+		if err != nil {
+			return List{}, err
+		}
+		if now := c.index.Load(); now != before && l.Index < now {
+			continue
+		}
+		c.index.Store(l.Index)
+		c.gap.Store(false)
+		c.heard()
+		return l, nil
+	}
+}
+
+func (c *Client) whole(ctx context.Context) (l List, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := c.patience(cancel)
+	defer silence.Stop()
 	body, err := c.get(ctx, "")
 	if err != nil {
-		return List{}, err
+		return l, why(ctx, err)
 	}
 	defer body.Close()
+	silence.Reset(c.beat * 2)
 	data, err := io.ReadAll(io.LimitReader(body, longest))
 	if err != nil {
-		return List{}, err
+		return l, why(ctx, err)
 	}
 	l, faults, err := Decode(data)
 	c.complain(faults)
-	if err == nil {
-		c.index.Store(l.Index)
-		c.heard()
-	}
 	return l, err
 }
 
-// Watch hands on what changes after the version last heard, until the watch ends; it always ends in an error.
+// Watch hands on what changes after the version last heard, until the watch ends; it always ends in an error. Behind a line
+// that cannot be used, in whole or in part, and behind an index that goes back, nothing more is taken: the next change would
+// pass over what was lost. The whole list comes first then when the watch is opened again.
 func (c *Client) Watch(ctx context.Context, each func(List)) error {
+	if c.gap.Load() {
+		l, err := c.Whole(ctx)
+		if err != nil {
+			return fmt.Errorf("the whole list did not come: %w", err)
+		}
+		each(l)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(missed*c.beat, func() { cancel(errSilent) })
+	silence := c.patience(cancel)
 	defer silence.Stop()
 	body, err := c.get(ctx, "?watch=1&after="+strconv.FormatInt(c.index.Load(), 10))
 	if err != nil {
 		return why(ctx, err)
 	}
 	defer body.Close()
+	silence.Stop()
+	silence = time.AfterFunc(c.beat*silentBy/4, func() { cancel(errSilent) })
+	defer silence.Stop()
 	lines := bufio.NewReader(body)
 	for {
 		line, err := readLine(lines)
 		if err != nil {
 			return why(ctx, err)
 		}
-		silence.Reset(missed * c.beat)
+		silence.Reset(c.beat * silentBy / 4)
 		c.heard()
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			continue
 		}
 		l, faults, err := Decode(line)
 		c.complain(faults)
+		if err == nil && !l.Whole && l.Index < c.index.Load() {
+			err = fmt.Errorf("index %d comes after %d", l.Index, c.index.Load())
+		}
 		if err != nil {
-			slog.Warn("discovery: a line is passed over", "why", err)
-			continue
+			c.gap.Store(true)
+			return fmt.Errorf("a line that cannot be used: %w", err)
 		}
 		c.index.Store(l.Index)
 		each(l)
+		if len(faults) > 0 && !l.Whole {
+			c.gap.Store(true)
+			return fmt.Errorf("a change with %d entries that cannot be used", len(faults))
+		}
 	}
 }
 
-// Follow keeps a watch open until ctx ends, after the whole list where that is wanted first. Each end is
-// told by failed; the watch is opened again a beat after it was opened last, spread by what spread gives
-// between 0 and 1.
+// patience ends a call that the service does not begin to answer.
+func (c *Client) patience(cancel context.CancelCauseFunc) *time.Timer {
+	return time.AfterFunc(c.beat/2, func() { cancel(errUnanswered) })
+}
+
+// Follow keeps a watch open until ctx ends, after the whole list. Each end is told by failed; the watch is opened again
+// after a pause, the longer the more ended young, spread by what spread gives between 0 and 1.
 func (c *Client) Follow(ctx context.Context, each func(List), failed func(), spread func() float64) {
-	whole := true
-	for ctx.Err() == nil {
+	c.gap.Store(true)
+	for young := 0; ctx.Err() == nil; young++ {
 		opened := time.Now()
-		if whole {
-			l, err := c.Whole(ctx)
-			if err == nil {
-				whole = false
-				each(l)
-			} else if ctx.Err() == nil {
-				slog.Warn("discovery: the whole list did not come", "why", err)
-			}
-		}
 		err := c.Watch(ctx, each)
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("discovery: the watch ended", "why", err, "after", time.Since(opened).Round(time.Millisecond))
+		lived := time.Since(opened)
+		if lived > c.beat {
+			young = 0
+		}
+		slog.Warn("discovery: the watch ended", "why", err, "after", lived.Round(time.Millisecond))
 		failed()
-		pause := time.Duration(float64(c.beat)*(1+spread())/2) - time.Since(opened)
+		pause := min(c.beat/4, c.beat/10<<min(young, 8))
 		select {
-		case <-time.After(max(pause, c.beat/10)):
+		case <-time.After(time.Duration(float64(pause) * (1 + spread()) / 2)):
 		case <-ctx.Done():
 		}
 	}
--- a/sockets/directory.go
+++ b/sockets/directory.go
@@ -58,9 +58,6 @@
 	defer d.mu.Unlock()
 	d.client = d.client.Moved(address)
 	d.begin()
-	if d.watches {
-		d.fetch(d.client)
-	}
 }
 
 // begin ends what runs and starts what is wanted; it does not wait for either.
@@ -168,6 +165,12 @@
 func (d *Directory) fetch(client *discovery.Client) {
 	go func() {
 		l, err := client.Whole(d.ctx)
+		d.mu.Lock()
+		moved := d.client != client
+		d.mu.Unlock()
+		if moved { // the list at the new address says all
+			return
+		}
 		if err != nil {
 			slog.Warn("discovery: the whole list did not come", "why", err)
 			d.failed()
