A type, customer or zone that the settings name twice is refused

Cause: names become indices (site/site.go Read); a name that stands twice gave one of its two all that belongs to the other, and what stands behind it the settings of a neighbour. Found by reading for settings that one customer gets from another. Three cases beside the others in TestAFaultNamesItsKey fail without it.

--- a/site/site.go
+++ b/site/site.go
@@ -132,12 +132,26 @@
 		Probe: r.decimal("Deductions.Probe", 0), LateEnd: r.decimal("Deductions.LateFail", 0),
 		Peer: r.decimal("Deductions.Peer", 0), OverShare: r.decimal("OverShareWorth", 1),
 	}
+	r.once("Classes", s.Types)
+	r.once("Tenants", s.Customers)
+	r.once("Zones", s.Zones)
 	if r.err != nil {
 		return nil, r.err
 	}
 	return s, nil
 }
 
+// once refuses a name that stands twice: names become indices, and all behind it would have the settings of its neighbour.
+func (r *reading) once(key string, names []string) {
+	seen := map[string]struct{}{}
+	for _, n := range names {
+		if _, twice := seen[n]; twice {
+			r.fail(key, fmt.Sprintf("names %q twice", n))
+		}
+		seen[n] = struct{}{}
+	}
+}
+
 // reading keeps the first fault met.
 type reading struct {
 	get Source
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -81,6 +81,9 @@
 		`"ConnIdle":30000000000=>"x":1`:                   "settings.Limits.ConnIdle",
 		`"Key":[[1]]}}}=>"Key":1}}} {}`:                   FileVariable,
 		`"name":"n3"=>"name":}`:                           FileVariable,
+		`"Name":"order"=>"Name":"browse"`:                 "settings.Classes",
+		`"Zones":["a","b c"]=>"Zones":["a","b c","a"]`:    "settings.Zones",
+		`{"Name":"t1",=>{"Name":"t1"},{"Name":"t1",`:      "settings.Tenants",
 	} {
 		from, to, _ := strings.Cut(change, "=>")
 		require.Contains(t, told, from)
