A story: in whatever order the settings name types and customers, the same is done for a txn

The core with the module, 12 random orders of five types and three customers, members that refuse, fail and stay silent, clients that leave: every send, cut and answer is the same, with its time. No fault was found: types and customers are looked up by name.

--- /dev/null
+++ b/cmd/dapplerouter/permute_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/discovery"
+	"dapplerouter/front"
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+	"dapplerouter/router"
+	"dapplerouter/site"
+)
+
+// stage is a front in steps of a millisecond, before members that answer by a checksum over what they are asked.
+type stage struct {
+	core *front.Core
+	now  time.Duration
+	due  map[time.Duration][]front.Event
+	said []string
+}
+
+func (s *stage) Place(int, string, int64) {}
+func (s *stage) Forget(int)               {}
+func (s *stage) Watch(bool)               {}
+func (s *stage) Fetch()                   {}
+func (s *stage) Answer(f front.Final) {
+	s.said = append(s.said, fmt.Sprintf("%v answer %v %q %v", s.now, f.Word, f.Code, f.Come))
+}
+
+func (s *stage) Send(member int, sub *front.Submission) {
+	if !sub.Begin(func() { s.said = append(s.said, fmt.Sprintf("%v cut at %d", s.now, member)) }) {
+		return
+	}
+	s.said = append(s.said, fmt.Sprintf("%v to %d %q", s.now, member, sub.Message))
+	sum := crc32.ChecksumIEEE(append([]byte{byte(member)}, sub.Message...))
+	e := &front.Ended{S: sub, Answer: pgwire.Answer{Whole: true, Role: "replica", Applied: 1_000_000 + s.now.Milliseconds(), HasApplied: true}}
+	if member == 0 {
+		e.Answer.Role = "primary"
+	}
+	switch sum % 16 {
+	case 0:
+		return // nothing ever comes
+	case 1:
+		e.Answer = pgwire.Answer{Code: pgwire.TooManyConnections}
+	case 2:
+		e.Answer = pgwire.Answer{Code: "XX000"}
+	case 3:
+		e.Failure = &front.Failure{Reach: front.Written, Err: os.ErrClosed}
+	}
+	at := s.now + time.Duration(5+sum%40)*time.Millisecond
+	s.due[at] = append(s.due[at], e)
+}
+
+// play takes the same txns through a front whose settings name types and customers in an order, and writes down what it did.
+func play(t *testing.T, types, customers []int) []string {
+	var file map[string]any
+	require.NoError(t, json.Unmarshal(fmt.Appendf(nil, told, "127.0.0.1:1", `{"index":1,"snapshot":true,"endpoints":[]}`), &file))
+	settings := file["settings"].(map[string]any)
+	reorder := func(list []any, order []int) (out []any) {
+		for _, i := range order {
+			out = append(out, list[i])
+		}
+		return out
+	}
+	classes := settings["Classes"].([]any)
+	for i, c := range classes { // each of its own kind
+		c := c.(map[string]any)
+		c["Aim"], c["Deadline"], c["Worth"] = (2+i)*100_000_000, (7+2*i)*100_000_000, float64(1+i)/2
+	}
+	settings["Classes"] = reorder(classes, types)
+	family := settings["FamilyInfo"].(map[string]any)
+	for _, key := range []string{"ReadLevel", "StalenessBound"} {
+		family[key] = reorder(family[key].([]any), types)
+	}
+	settings["Tenants"] = reorder([]any{map[string]any{"Name": "a", "QuotaPerS": 3.0}, map[string]any{"Name": "b", "QuotaPerS": 50.0},
+		map[string]any{"Name": "c", "Share": 0.5}}, customers)
+	data, err := json.Marshal(file)
+	require.NoError(t, err)
+	start, err := site.Load(func(name string) string { return map[string]string{site.FileVariable: "x"}[name] }, func(string) ([]byte, error) { return data, nil })
+	require.NoError(t, err)
+	s := &stage{due: map[time.Duration][]front.Event{}}
+	s.core = front.NewCore(time.UnixMilli(1_000_000), 5, start.Site, router.New, s, s, nil)
+	var members []discovery.Entry
+	for i := range 3 {
+		members = append(members, discovery.Entry{Name: fmt.Sprint("s", i), Address: "x", Zone: "a", Weight: 1, Primary: i == 0})
+	}
+	s.core.Post(front.Listed{Kind: port.Whole, List: discovery.List{Index: 1, Whole: true, Entries: members}})
+	r := rand.New(rand.NewPCG(3, 4))
+	names, gone := []string{"browse", "mine", "book", "slots", "pay"}, 0
+	for n := 0; s.now < 4*time.Second; s.now += time.Millisecond {
+		for _, e := range s.due[s.now] {
+			s.core.Post(e)
+		}
+		if r.IntN(3) == 0 {
+			typ := r.IntN(len(names))
+			sql := "SELECT data FROM facts WHERE code = '%d' /* id=%d,c=%s,t=%s,d=%d,cluster=0 */\x00"
+			if names[typ] == "book" || names[typ] == "pay" {
+				sql = "INSERT INTO facts (code, data) VALUES ('%d', '') /* id=%d,c=%s,t=%s,d=%d,cluster=0 */\x00"
+			}
+			st, err := pgwire.ParseStatement(fmt.Appendf(nil, sql, r.IntN(9), n, names[typ], string("abc"[r.IntN(3)]), 100+r.IntN(900)))
+			require.NoError(t, err)
+			a := &front.Arrival{Client: s, Statement: st, At: s.now}
+			s.core.Post(a)
+			if n++; r.IntN(20) == 0 {
+				gone++
+				s.core.Post(a.Leave())
+			}
+		}
+		s.core.Step(s.now)
+	}
+	require.NotZero(t, gone)
+	return s.said
+}
+
+// Types and customers are found by name: in whatever order the settings have them, the same is done for the same txn.
+func TestTheOrderOfTypesAndCustomersDecidesNothing(t *testing.T) {
+	want := play(t, []int{0, 1, 2, 3, 4}, []int{0, 1, 2})
+	require.Greater(t, len(want), 1000)
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 12 {
+		types, customers := r.Perm(5), r.Perm(3)
+		if slices.IsSorted(types) && slices.IsSorted(customers) {
+			continue
+		}
+		assert.Equal(t, want, play(t, types, customers), "types %v, customers %v", types, customers)
+	}
+}
