The test of an eviction that meets bytes forces its order, in place of a mark on whoever is found

It marked the connection while its goroutine was in any state, so the bytes could be read before the mark was looked at and the test passed with its mend taken out. Now the bytes are seen to have come, unread, before the end of the connection is decided: served first, then gone.

--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -168,22 +168,23 @@
 	c.ends()
 }
 
-// What was taken just before is owed its answer at an eviction too.
+// The client chosen to make way may be sending just then: what has come in when its connection would end is served first.
 func TestAnEvictedClientThatWasSendingIsServed(t *testing.T) {
 	g := newRig(t, 40)
-	c, m := g.serve()
-	g.resting()
-	g.server.mu.Lock() // the choice is made, and not told yet
-	var chosen *client
-	for chosen = range g.server.clients {
-	}
-	chosen.leave.Store(true)
-	g.server.mu.Unlock()
-	c.say(read("4000")...)
-	m.hear("Q")
-	m.say(whole("v")...)
-	c.hear("TDCZ")
-	c.ends()
+	l := listen(t)
+	out, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	p := newPeer(t, out)
+	in, err := l.AcceptTCP()
+	require.NoError(t, err)
+	p.say(read("4000")...)
+	g.eventually(func() bool { return come(in) > 0 }) // and nobody has read it
+	c := &client{sv: g.server, conn: in, answered: true, r: pgwire.NewReader(in, clientBuffer, longestQuery)}
+	c.leave.Store(true)
+	require.NoError(t, c.rest(), "it is served")
+	typ, _, err := c.next()
+	assert.True(t, err == nil && typ == 'Q')
+	assert.ErrorIs(t, c.rest(), errLeaving, "and then it goes")
 }
 
 // Of a client that had sent more than is read ahead nobody saw that it was gone, and its txns went on.
