A new connection on which its member said more than the welcome, or left, is asked nothing

Found by reading (sockets/links.go connect): a link used again is looked at before its next submission, a new one was not. An answer that came with the welcome was served as that of the first submission; half a line was waited on to the txn's end; a goodbye that came with the welcome counted as broken after the writing, so that a once-only txn was rolled back that no member had seen. All three are 'unreachable' now: nothing was written.

--- a/sockets/links.go
+++ b/sockets/links.go
@@ -198,10 +198,17 @@
 			return err
 		}
 	}
+	if l.disturbed() {
+		return errors.New("it ended, or said more than a welcome, before it was asked anything")
+	}
 	l.conn.SetDeadline(time.Time{})
 	return nil
 }
 
+// disturbed says whether something came in on a connection that nobody has asked anything: what a member says there would be
+// taken for the answer of the next submission, and of one written behind its goodbye nobody knows whether it ran.
+func (l *link) disturbed() bool { return l.r.Waiting() || come(l.conn) >= 0 }
+
 // hear adds the next message to an answer; done means that it has ended.
 func (l *link) hear(a *pgwire.Answer) (done bool, err error) {
 	typ, body, err := l.r.Next()
@@ -306,7 +313,7 @@
 		return nil
 	}
 	s := <-l.job
-	if s != nil && (l.r.Waiting() || !quiet(l.conn)) {
+	if s != nil && l.disturbed() {
 		l.conn.Close()
 		l.ls.mu.Lock()
 		defer l.ls.mu.Unlock()
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -28,10 +28,6 @@
 	return n
 }
 
-// quiet says whether a connection that nobody has asked anything is as it was left. What a member says there
-// unasked would be taken for the answer of the next submission.
-func quiet(conn *net.TCPConn) bool { return come(conn) < 0 }
-
 // departed blocks until the other side has closed a connection, whatever it sent before and nobody has read; then it
 // returns nil. It wakes for each change of the connection and returns an error at the read deadline.
 func departed(conn *net.TCPConn) error {
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"dapplerouter/discovery"
 	"dapplerouter/front"
@@ -276,9 +277,20 @@
 		act  func(g *rig)
 		want port.Ending
 	}{
-		"refused":                {func(g *rig) { g.member.Close() }, port.Unreachable},
-		"closed before welcome":  {func(g *rig) { g.accept().Close() }, port.Unreachable},
-		"no sense as welcome":    {func(g *rig) { g.accept().say(message('?', "")...) }, port.Unreachable},
+		"refused":                      {func(g *rig) { g.member.Close() }, port.Unreachable},
+		"closed before welcome":        {func(g *rig) { g.accept().Close() }, port.Unreachable},
+		"no sense as welcome":          {func(g *rig) { g.accept().say(message('?', "")...) }, port.Unreachable},
+		"an answer with the welcome":   {func(g *rig) { g.accept().say(append(pgwire.Welcome(nil), whole("v")...)...) }, port.Unreachable},
+		"half a line with the welcome": {func(g *rig) { g.accept().say(append(pgwire.Welcome(nil), row("v")[:20]...)...) }, port.Unreachable},
+		"the end with the welcome": {func(g *rig) { // in one piece, however busy the machine is
+			m := g.accept()
+			raw, err := m.Conn.(*net.TCPConn).SyscallConn()
+			require.NoError(g.t, err)
+			raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1) })
+			require.NoError(g.t, err)
+			m.say(pgwire.Welcome(nil)...)
+			m.Close()
+		}, port.Unreachable},
 		"turned away at welcome": {func(g *rig) { g.accept().say(pgwire.Error(nil, "FATAL", "53300", "full", "")...) }, port.Full},
 		"closed after the query": {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.Close() }, port.Broken},
 		"closed within the row":  {func(g *rig) { m := g.memberUp(); m.hear("Q"); m.say(row("v")[:40]...); m.Close() }, port.Broken},
@@ -416,7 +428,7 @@
 			c, err := g.member.Accept()
 			require.NoError(t, err)
 			spoil(newPeer(t, c))
-			g.eventually(func() bool { return !quiet(l.conn) })
+			g.eventually(func() bool { return come(l.conn) >= 0 })
 			s := &front.Submission{Message: pgwire.Query(nil, "SELECT 2")}
 			l.job <- s
 			assert.Nil(t, l.rest())
