Words of the list reach the core in one order; none of an old address comes after the new one's

Found by reading (sockets/directory.go fetch): whether the address had changed was looked at, the lock was given back, and only then was the list told; and each watch and fetch told the core by itself, so that one held up on its way (a full queue) came behind a newer one and took its drains back. Now all pass one queue under the lock in which the address is looked at.

--- a/sockets/directory.go
+++ b/sockets/directory.go
@@ -24,7 +24,7 @@
 	end     func()                // ends what runs, and returns when it has
 	lean    func() discovery.List // what others who follow the list know; nil where this front follows by itself
 	turn    int
-	passing []discovery.List // to the core, in order
+	passing []front.Listed // to the core, in order
 }
 
 // NewDirectory makes a Directory that lasts as long as ctx; spread keeps fronts from asking all at once.
@@ -46,7 +46,7 @@
 	defer d.mu.Unlock()
 	d.watches = on
 	if on && d.lean != nil {
-		d.pass(d.lean())
+		d.pass(listed(d.lean()))
 	}
 	d.begin()
 }
@@ -70,12 +70,14 @@
 		go end()
 		return
 	case d.follows:
-		run = func(ctx context.Context) { client.Follow(ctx, d.tell, d.failed, d.spread) }
+		run = func(ctx context.Context) {
+			client.Follow(ctx, d.from(client), func() { d.passFrom(client, failed) }, d.spread)
+		}
 	case d.watches:
 		run = func(ctx context.Context) {
-			if err := client.Watch(ctx, d.tell); ctx.Err() == nil {
+			if err := client.Watch(ctx, d.from(client)); ctx.Err() == nil {
 				slog.Warn("discovery: the watch ended", "why", err)
-				d.failed()
+				d.passFrom(client, failed)
 			}
 		}
 	default:
@@ -98,7 +100,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lean != nil {
-		d.pass(d.lean())
+		d.pass(listed(d.lean()))
 		return
 	}
 	d.fetch(d.client)
@@ -120,7 +122,7 @@
 	d.lean = from
 	d.begin()
 	if d.follows || d.watches {
-		d.pass(whole)
+		d.pass(listed(whole))
 	}
 	return true
 }
@@ -137,7 +139,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lean != nil && (d.follows || d.watches) {
-		d.pass(l)
+		d.pass(listed(l))
 	}
 }
 
@@ -165,34 +167,42 @@
 func (d *Directory) fetch(client *discovery.Client) {
 	go func() {
 		l, err := client.Whole(d.ctx)
-		d.mu.Lock()
-		moved := d.client != client
-		d.mu.Unlock()
-		if moved { // the list at the new address says all
-			return
-		}
 		if err != nil {
 			slog.Warn("discovery: the whole list did not come", "why", err)
-			d.failed()
+			d.passFrom(client, failed)
 			return
 		}
-		d.tell(l)
+		d.passFrom(client, listed(l))
 	}()
 }
 
-func (d *Directory) tell(l discovery.List) {
-	kind := port.Changes
+// failed is what the core hears where the list did not come.
+var failed = front.Listed{Kind: port.Failed}
+
+func listed(l discovery.List) front.Listed {
 	if l.Whole {
-		kind = port.Whole
+		return front.Listed{Kind: port.Whole, List: l}
 	}
-	d.post(front.Listed{Kind: kind, List: l})
+	return front.Listed{Kind: port.Changes, List: l}
 }
 
-func (d *Directory) failed() { d.post(front.Listed{Kind: port.Failed}) }
+func (d *Directory) from(client *discovery.Client) func(discovery.List) {
+	return func(l discovery.List) { d.passFrom(client, listed(l)) }
+}
+
+// passFrom passes on what came from an address, unless the list is at another by now: that one's whole list says all.
+func (d *Directory) passFrom(client *discovery.Client, e front.Listed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.client == client {
+		d.pass(e)
+	}
+}
 
-// pass tells the core without waiting for it, in order: who calls may be the core itself, or hold the lock that it wants.
-func (d *Directory) pass(l discovery.List) {
-	d.passing = append(d.passing, l)
+// pass tells the core in the order of the calls, without waiting for it: who calls may be the core itself, or hold the lock
+// that it wants.
+func (d *Directory) pass(e front.Listed) {
+	d.passing = append(d.passing, e)
 	if len(d.passing) > 1 {
 		return // somebody is at it
 	}
@@ -202,7 +212,7 @@
 		for len(d.passing) > 0 {
 			next := d.passing[0]
 			d.mu.Unlock()
-			d.tell(next)
+			d.post(next)
 			d.mu.Lock()
 			d.passing = d.passing[1:]
 		}
--- a/sockets/directory_test.go
+++ b/sockets/directory_test.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -60,6 +63,47 @@
 	}
 }
 
+// The front was told of another address while a list from the old one was on its way to the core, and another still to come: the
+// old list came after the new one and took back what that told.
+func TestNoListOfTheOldAddressComesAfterTheNewOnes(t *testing.T) {
+	asked, left, late := make(chan string, 9), make(chan string, 9), make(chan struct{})
+	hung, seen, told := make(chan struct{}), make(chan front.Listed, 9), make(chan front.Listed, 9)
+	var calls atomic.Int32
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 2 {
+			close(hung)
+			<-late
+		}
+		w.Write([]byte(`{"index":4,"snapshot":true,"endpoints":[]}`))
+	}))
+	t.Cleanup(old.Close)
+	free := sync.OnceFunc(func() { close(late) })
+	t.Cleanup(free)
+	release := make(chan struct{})
+	d := NewDirectory(t.Context(), discovery.New(strings.TrimPrefix(old.URL, "http://"), 4), func(e front.Event) {
+		seen <- e.(front.Listed)
+		<-release
+		told <- e.(front.Listed)
+	}, func() float64 { return 0 })
+	d.Fetch()
+	assert.Equal(t, int64(4), (<-seen).List.Index) // not in force yet
+	d.Fetch()
+	<-hung
+	d.Move(listing(t, `{"index":9,"snapshot":true,"endpoints":[]}`, asked, left))
+	d.Fetch()
+	require.Eventually(t, func() bool { // the new one has come, and stands behind the old one or beside it
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.passing) == 2 || len(seen) > 0
+	}, 10*time.Second, time.Millisecond)
+	require.Empty(t, seen, "told while the old one still was")
+	free()
+	close(release)
+	assert.Equal(t, []int64{4, 9}, []int64{(<-told).List.Index, (<-told).List.Index})
+	d.Fetch()
+	assert.Equal(t, int64(9), (<-told).List.Index, "nothing of the old address")
+}
+
 // A front leans on the list that another follows, and goes back to its own watch; what is older never comes after what is newer.
 func TestAFrontLeansOnTheListThatAnotherFollowsAndGoesBackToItsOwn(t *testing.T) {
 	ctx, end := context.WithCancel(context.Background())
