A probe of a forgotten member, sent on the fleet's word, says nothing of the next in its place

Found by reading for what one member gets of another: the module gives a place back once nothing of its own is out there, but a probe that another front asked for (front/route.go Look) it does not know of; its ending was told of whoever had the place by then, and took that one down. A count of each place's turns goes with a probe. The test fails without it.

--- a/front/book.go
+++ b/front/book.go
@@ -46,6 +46,9 @@
 
 // ended tells the module an ending and gives the place back if it was the last.
 func (c *Core) ended(s *Submission, o port.Outcome, why error) {
+	if s.probe && s.turn != c.turns[s.member] { // sent on the fleet's word: the module did not wait for it with the place
+		return
+	}
 	c.heard(s.member, o.Ending, why)
 	if s.probe {
 		c.decider.Probed(c.now, s.member, o.Ending, c.now-s.sent, o.Load)
--- a/front/core.go
+++ b/front/core.go
@@ -75,6 +75,7 @@
 	later     []Event // came of the batch in hand; they open the next one
 	book      Book
 	far       map[int]bool      // members that stand for another site
+	turns     map[int]uint32    // by member: how often its place was given back
 	standing  []discovery.Entry // members that no list tells of
 	classes   *classes          // nil where statements are not classed
 	bound     Bound
@@ -95,7 +96,7 @@
 	c := &Core{links: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
 		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
-		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}}
+		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
 	if classing != nil {
 		c.classes = &classes{by: classing.Classing}
 		for _, r := range classing.Rules() {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -302,6 +302,26 @@
 	assert.Empty(t, w.final[1:])
 }
 
+// A probe sent on the fleet's word is none that the module waits for, so it may give the member's place back meanwhile.
+func TestAProbeOfAMemberThatIsForgottenSaysNothingOfTheNext(t *testing.T) {
+	c, m, w := newFront(t)
+	c.Post(Look{Member: "s-1"})
+	c.batch(ms)
+	w.begin(t, 0)
+	m.wish = func(m *module) { m.Forget(0) }
+	c.batch(2 * ms)
+	c.Post(Listed{Kind: port.Changes, List: discovery.List{Entries: []discovery.Entry{{Name: "s-3", Address: "y", Zone: "a", Group: 9}}}})
+	c.batch(3 * ms)
+	c.Post(&Ended{S: w.sent[0], Failure: &Failure{Reach: Unconnected}})
+	c.batch(4 * ms)
+	assert.Empty(t, m.probed)
+	c.Post(Look{Member: "s-3"})
+	c.batch(5 * ms)
+	w.begin(t, 1)
+	c.batch(time.Second)
+	assert.Len(t, m.probed, 1, "its own counts")
+}
+
 func TestAForgottenMembersPlaceIsAnothers(t *testing.T) {
 	c, m, w := newFront(t)
 	change := func(name string) {
--- a/front/route.go
+++ b/front/route.go
@@ -66,7 +66,7 @@
 
 // Probe asks a member for its report.
 func (c *Core) Probe(member int) {
-	s := &Submission{member: member, sent: c.now, probe: true, Message: probeMessage}
+	s := &Submission{member: member, sent: c.now, turn: c.turns[member], probe: true, Message: probeMessage}
 	c.book.probes++
 	c.send(s, c.now+c.patience)
 }
@@ -84,6 +84,7 @@
 func (c *Core) Forget(member int) {
 	slog.Info("forgotten", "member", c.members.Key(member))
 	c.members.Free(member)
+	c.turns[member]++
 	c.links.Forget(member)
 	if member < len(c.book.failing) {
 		c.book.failing[member] = false
--- a/front/send.go
+++ b/front/send.go
@@ -19,6 +19,7 @@
 	hop    int
 	sent   time.Duration
 	probe  bool
+	turn   uint32 // of a probe: of its member's place
 	way    Way
 	right  *Right               // to what its txn was taken on; nil where none is needed
 	left   *atomic.Bool         // of its txn: the client has left, and nothing of it has gone out yet; else nil
