Of a request read in half when its connection would end, the rest is waited for, a tenth of the goodbye

Found by reading (sockets/clients.go next): in the last stage of a stop a connection was ended by a deadline that had passed, and a read past its deadline takes nothing, though the rest of the request lay in the system already. Its first half had been read, so its client could not know that it was not taken. A request of which nothing was read is left unread as before: its client sends it elsewhere.

--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -457,18 +457,23 @@
 	if c.answered {
 		until = time.Now().Add(silence)
 	}
-	for {
+	for closed := false; ; {
 		c.conn.SetReadDeadline(until)
-		if c.sv.stage.Load() == closing { // looked at after the setting
-			c.conn.SetReadDeadline(past)
+		if !closed && c.sv.stage.Load() == closing { // looked at after the setting
+			closed = true // of what has begun to come in, the rest may be on its way
+			if soon := time.Now().Add(c.sv.goodbye / 10); soon.Before(until) {
+				until = soon
+			}
+			c.conn.SetReadDeadline(until)
 		}
 		typ, body, err := c.r.Next()
 		switch {
 		case err == nil || !timedOut(err):
 			return typ, body, err
-		case c.sv.stage.Load() == closing:
+		case time.Now().Before(until): // the wake was meant for another wait
+		case closed:
 			return 0, nil, errLeaving
-		case !time.Now().Before(until):
+		default:
 			return 0, nil, errSilent
 		}
 	}
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -168,19 +168,36 @@
 	c.ends()
 }
 
-// The client chosen to make way may be sending just then: what has come in when its connection would end is served first.
-func TestAnEvictedClientThatWasSendingIsServed(t *testing.T) {
-	g := newRig(t, 40)
-	l := listen(t)
+// The client chosen to make way may be sending just then: what has come in when its connection would end is served first. So
+// it is where the client has rested for too long.
+func TestAClientThatWasSendingWhenItWouldBeLetGoIsServed(t *testing.T) {
+	for name, end := range map[string]func(*client){
+		"eviction": func(c *client) { c.leave.Store(true) },
+		"idle":     func(c *client) { c.sv.idle = 0 },
+		"stop":     func(c *client) { c.sv.stage.Store(draining) },
+	} {
+		t.Run(name, func(t *testing.T) { sending(t, end) })
+	}
+}
+
+// pair is a client and the front's side of its connection, which no goroutine serves.
+func (g *rig) pair() (*peer, *client) {
+	l := listen(g.t)
 	out, err := net.Dial("tcp", l.Addr().String())
-	require.NoError(t, err)
-	p := newPeer(t, out)
+	require.NoError(g.t, err)
 	in, err := l.AcceptTCP()
-	require.NoError(t, err)
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { in.Close() })
+	return newPeer(g.t, out), &client{sv: g.server, conn: in, until: time.Now().Add(time.Minute), r: pgwire.NewReader(in, clientBuffer, longestQuery)}
+}
+
+func sending(t *testing.T, end func(*client)) {
+	g := newRig(t, 40)
+	p, c := g.pair()
+	c.answered = true
 	p.say(read("4000")...)
-	g.eventually(func() bool { return come(in) > 0 }) // and nobody has read it
-	c := &client{sv: g.server, conn: in, answered: true, r: pgwire.NewReader(in, clientBuffer, longestQuery)}
-	c.leave.Store(true)
+	g.eventually(func() bool { return come(c.conn) > 0 }) // and nobody has read it
+	end(c)
 	require.NoError(t, c.rest(), "it is served")
 	typ, _, err := c.next()
 	assert.True(t, err == nil && typ == 'Q')
@@ -285,6 +302,67 @@
 	}
 }
 
+// Of a request that was read in half when its connection would end, the rest is in the system or on its way: it is owed an answer.
+func TestARequestThatCameInHalfBeforeTheCloseIsTaken(t *testing.T) {
+	g := newRig(t, 40)
+	p, c := g.pair()
+	q := read("4000")
+	p.say(q[:20]...)
+	_, err := c.r.Watch()
+	require.NoError(t, err)
+	p.say(q[20:]...)
+	g.eventually(func() bool { return come(c.conn) > 0 })
+	g.server.stage.Store(closing)
+	typ, _, err := c.next()
+	assert.True(t, err == nil && typ == 'Q', "%v", err)
+	c.answered = true
+	p.say(q[:20]...)
+	g.eventually(func() bool { return come(c.conn) > 0 })
+	_, _, err = c.next()
+	assert.ErrorIs(t, err, errLeaving, "of one that was not read the client knows that it was not taken")
+	c = &client{sv: g.server, conn: c.conn, answered: true, r: pgwire.NewReader(c.conn, clientBuffer, longestQuery)}
+	c.conn.SetReadDeadline(time.Time{})
+	_, err = c.r.Watch()
+	require.NoError(t, err)
+	g.server.goodbye = 0
+	_, _, err = c.next()
+	assert.ErrorIs(t, err, errLeaving, "the rest is waited for, but not long")
+}
+
+// A front that can no longer accept clients answers those that it has.
+func TestAListenerThatFailsLeavesNoTxnWithoutItsAnswer(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q")
+	g.listen.Close()
+	require.ErrorIs(t, <-g.served, net.ErrClosed)
+	g.served <- nil
+	g.server.Stop(g.listen)
+	m.say(whole("v")...)
+	c.hear("TDCZ")
+	c.ends()
+	c.Close()
+	assert.True(t, g.server.Wait(10*time.Second))
+}
+
+// A member's connection that comes up behind its txn's end carries nothing of it, and is kept for others.
+func TestAConnectionThatComesUpTooLateCarriesNothing(t *testing.T) {
+	g := newRig(t, 40)
+	c := g.client()
+	c.say(read("60")...)
+	m := g.accept()
+	assert.Contains(t, string(c.hear("EZ")), pgwire.RolledBack)
+	m.say(pgwire.Welcome(nil)...)
+	g.settled(1)
+	c.say(read("4000")...)
+	m.hear("Q")
+	m.say(whole("v")...)
+	c.hear("TDCZ")
+	assert.Equal(t, 1, g.idle(), "one connection, used by the second alone")
+}
+
 // A shutdown gives what is still out its answer at once, and takes back what a member has of it.
 func TestAShutdownAnswersWhatIsOut(t *testing.T) {
 	g := newRig(t, 40)
