--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -86,7 +86,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	clock := sockets.NewClock()
-	room := sockets.NewRoom(told.Sockets, site.Aside)
+	room := sockets.NewConnLimiter(told.Sockets, site.Aside)
 	allowed := told.Site.Allowance
 	var core *front.Core
 	post := func(e front.Event) { core.Post(e) }
@@ -95,7 +95,7 @@
 	if operator.fleet != nil {
 		seen = func(e front.Event) { fellows.Scouts.Event(e) }
 	}
-	links := sockets.NewLinks(seen, room, user, database, allowed.DialTimeout, allowed.LinkIdle,
+	links := sockets.NewPools(seen, room, user, database, allowed.DialTimeout, allowed.LinkIdle,
 		told.Memory)
 	directory := sockets.NewDirectory(ctx, discovery.New(told.Discovery, told.Known.Index), seen,
 		sockets.Spread(told.Seed))
@@ -142,7 +142,7 @@
 	}
 	server := sockets.NewServer(post, room, clock, longest)
 	if fellows != nil {
-		fellows.Rest = func(on bool) { server.Rest(on, operator.fleet.Span) }
+		fellows.Rest = func(on bool) { server.Standby(on, operator.fleet.Span) }
 	}
 	go core.Run(clock, ctx.Done())
 	if err := all.start(); err != nil {
@@ -180,7 +180,7 @@
 		slog.Error("no more clients can be accepted", "why", failed)
 	case <-stopAsked:
 	}
-	until := time.Now().Add(sockets.Newcomers + min(longest, drainMost))
+	until := time.Now().Add(sockets.AcceptGrace + min(longest, drainMost))
 	slog.Info("draining")
 	server.Stop(listener)
 	all.drain(time.Second)
@@ -221,7 +221,7 @@
 }
 
 // totals writes what passed and what is held to the log at intervals.
-func totals(ctx context.Context, core *front.Core, room *sockets.Room) {
+func totals(ctx context.Context, core *front.Core, room *sockets.ConnLimiter) {
 	reports(ctx, func() { core.Post(front.Report{Extra: usage(room)}) })
 }
 
@@ -239,10 +239,10 @@
 	}
 }
 
-func usage(room *sockets.Room) []any {
+func usage(room *sockets.ConnLimiter) []any {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	clients, links, peak := room.Held()
+	clients, links, peak := room.InUse()
 	return []any{"clients", clients, "links", links, "peak", peak, "goroutines", runtime.NumGoroutine(),
 		"memory", m.Sys - m.HeapReleased, "collections", m.NumGC}
 }
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -17,41 +17,41 @@
 )
 
 const (
-	clientBuffer = 4 << 10
-	longestQuery = 256 << 10              // a value of 64 KiB in hex, and its statement
-	discarded    = 64 << 10               // bytes that are read behind a goodbye, to be thrown away
-	turnedAtOnce = 8                      // newcomers for whom there is no room and who are being told
-	turnedFor    = 100 * time.Millisecond // after which one of these makes way for the next
-	resting      = 2 * time.Second        // idle: clients that ask once and stay would keep others out of their own limit
-	silence      = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
+	clientBuffer   = 4 << 10
+	longestQuery   = 256 << 10              // a value of 64 KiB in hex, and its statement
+	maxDiscarded   = 64 << 10               // bytes that are read behind the front's half-close, to be thrown away
+	maxRejecting   = 8                      // newcomers for whom there is no room and who are being told
+	minRejectTime  = 100 * time.Millisecond // after which one of these makes way for the next
+	idleTimeout    = 2 * time.Second        // idle: clients that ask once and stay would keep others out of their own limit
+	messageTimeout = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
 )
 
-// Newcomers is how long after a stop was asked for new connections may still come; a little later all have been taken.
+// AcceptGrace is how long after a stop was asked for new connections may still come; a little later all have been taken.
 const (
-	newcomers = 500 * time.Millisecond
-	Newcomers = newcomers + newcomers/5
+	acceptGrace = 500 * time.Millisecond
+	AcceptGrace = acceptGrace + acceptGrace/5
 )
 
 // Server serves clients.
 type Server struct {
-	post     func(front.Event)
-	room     *Room
-	clock    *Clock
-	patience time.Duration // with a client that does not read
-	goodbye  time.Duration // for the other side to read the last of what it was sent
-	idle     time.Duration // after which a connection with nothing to do is closed
-	parse    func(body []byte) (pgwire.Statement, error)
-
-	stage   atomic.Int32
-	refused atomic.Int64 // requests since the server refuses
-	rest    atomic.Int64 // newcomers are turned away: resting, or the moment since when they are taken again
-	pace    atomic.Int64 // over which they are, once the front is back
-	came    atomic.Int64
-	turning chan struct{}
-	mu      sync.Mutex
-	clients map[*client]struct{}
-	turned  []turned // those being told, the oldest first
-	open    sync.WaitGroup
+	post         func(front.Event)
+	limiter      *ConnLimiter
+	clock        *Clock
+	writeTimeout time.Duration // with a client that does not read
+	linger       time.Duration // for the other side to read the last of what it was sent
+	idle         time.Duration // after which a connection with nothing to do is closed
+	parse        func(body []byte) (pgwire.Statement, error)
+
+	stage     atomic.Int32
+	refused   atomic.Int64 // requests since the server refuses
+	standby   atomic.Int64 // newcomers are rejected: standsBy, or the moment since when they are taken again
+	pace      atomic.Int64 // over which they are, once the front is back
+	came      atomic.Int64
+	rejecting chan struct{}
+	mu        sync.Mutex
+	clients   map[*client]struct{}
+	rejected  []rejection // those being told, the oldest first
+	running   sync.WaitGroup
 }
 
 // Stages of a server's life. Each request that was read is owed an answer, so before a connection may end the server
@@ -63,17 +63,17 @@
 	closing        // connections end where nothing is owed
 )
 
-// turned is a newcomer that is being turned away since a moment.
-type turned struct {
+// rejection is a newcomer that is being rejected since a moment.
+type rejection struct {
 	conn *net.TCPConn
 	at   time.Time
 }
 
-// NewServer makes a Server; patience is the longest that a txn may take.
-func NewServer(post func(front.Event), room *Room, clock *Clock, patience time.Duration) *Server {
-	sv := &Server{post: post, room: room, clock: clock, patience: patience, goodbye: time.Second, idle: resting, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
-		turning: make(chan struct{}, turnedAtOnce)}
-	room.spare(sv.makeWay)
+// NewServer makes a Server; writeTimeout is the longest that a txn may take.
+func NewServer(post func(front.Event), room *ConnLimiter, clock *Clock, patience time.Duration) *Server {
+	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: patience, linger: time.Second, idle: idleTimeout, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
+		rejecting: make(chan struct{}, maxRejecting)}
+	room.onEvict(sv.evictIdle)
 	return sv
 }
 
@@ -95,7 +95,7 @@
 				return nil
 			}
 			over = true
-			l.SetDeadline(time.Now().Add(newcomers / 10))
+			l.SetDeadline(time.Now().Add(acceptGrace / 10))
 		case timedOut(err) || errors.Is(err, net.ErrClosed):
 			return err
 		default: // out of descriptors, or gone before it was accepted
@@ -109,7 +109,7 @@
 // server refuses.
 func (sv *Server) Stop(l *net.TCPListener) {
 	sv.enter(draining)
-	l.SetDeadline(time.Now().Add(newcomers))
+	l.SetDeadline(time.Now().Add(acceptGrace))
 }
 
 // Close ends every connection that is owed nothing. Refused tells how many requests were refused until now.
@@ -133,7 +133,7 @@
 // Wait returns when all clients have left, true, or at the end of a span.
 func (sv *Server) Wait(most time.Duration) bool {
 	done := make(chan struct{})
-	go func() { sv.open.Wait(); close(done) }()
+	go func() { sv.running.Wait(); close(done) }()
 	select {
 	case <-done:
 		return true
@@ -144,34 +144,34 @@
 
 // client is a client's connection, served by one goroutine.
 type client struct {
-	sv    *Server
-	conn  *net.TCPConn
-	r     *pgwire.Reader
-	final chan front.Final // holds one: a connection has one txn at a time
-	idle  atomic.Int64     // since when it has nothing to do, as the clock says, 0 while it has
-	leave atomic.Bool      // makes way for another
+	sv      *Server
+	conn    *net.TCPConn
+	r       *pgwire.Reader
+	final   chan front.Final // holds one: a connection has one txn at a time
+	idle    atomic.Int64     // since when it has nothing to do, as the clock says, 0 while it has
+	evicted atomic.Bool      // makes way for another
 
 	until    time.Time // by which it must have asked something
 	answered bool      // once at least
 	out      *front.Arrival
 }
 
-// Rest lets clients go once they are answered and turns newcomers away, as a front that stands by does; it ends with false:
+// Standby lets clients go once they are answered and rejects newcomers, as a front that stands by does; it ends with false:
 // newcomers are taken again, more and more of them over a span, so that a front that comes back is not flooded.
-func (sv *Server) Rest(on bool, pace time.Duration) {
+func (sv *Server) Standby(on bool, pace time.Duration) {
 	if !on {
-		if sv.rest.Load() == standsBy { // a front that begins has nobody to spare
+		if sv.standby.Load() == standsBy { // a front that begins has nobody to spare
 			sv.pace.Store(int64(max(pace, 1)))
-			sv.rest.Store(int64(sv.clock.Now()) + 1)
+			sv.standby.Store(int64(sv.clock.Now()) + 1)
 		}
 		return
 	}
-	sv.rest.Store(standsBy)
+	sv.standby.Store(standsBy)
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	for c := range sv.clients {
 		if c.idle.Load() > 0 {
-			c.leave.Store(true)
+			c.evicted.Store(true)
 			c.conn.SetReadDeadline(past)
 		}
 	}
@@ -179,9 +179,9 @@
 
 const standsBy = -1
 
-// rests tells whether a newcomer is turned away since the front stands by, or came back a moment ago.
-func (sv *Server) rests() bool {
-	since := sv.rest.Load()
+// rejects tells whether a newcomer is rejected since the front stands by, or came back a moment ago.
+func (sv *Server) rejects() bool {
+	since := sv.standby.Load()
 	if since == 0 {
 		return false
 	}
@@ -190,7 +190,7 @@
 	}
 	gone, pace := float64(int64(sv.clock.Now())-since), float64(sv.pace.Load())
 	if gone >= pace {
-		sv.rest.CompareAndSwap(since, 0)
+		sv.standby.CompareAndSwap(since, 0)
 		return false
 	}
 	n := sv.came.Add(1) // every eighth at first, all at the end
@@ -198,116 +198,116 @@
 }
 
 func (sv *Server) begin(conn *net.TCPConn) {
-	if sv.rests() {
-		sv.turnAway(conn)
+	if sv.rejects() {
+		sv.reject(conn)
 		return
 	}
-	if !sv.room.client(sv.makeWay) {
-		sv.turnAway(conn)
+	if !sv.limiter.admitClient(sv.evictIdle) {
+		sv.reject(conn)
 		return
 	}
-	c := &client{sv: sv, conn: conn, final: make(chan front.Final, 1), until: time.Now().Add(silence),
+	c := &client{sv: sv, conn: conn, final: make(chan front.Final, 1), until: time.Now().Add(messageTimeout),
 		r: pgwire.NewReader(conn, clientBuffer, longestQuery)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
 	sv.mu.Unlock()
-	sv.open.Add(1)
+	sv.running.Add(1)
 	go c.serve()
 }
 
-// makeWay ends the connection that has had nothing to do for longest: its client is the least likely to be
+// evictIdle ends the connection that has had nothing to do for longest: its client is the least likely to be
 // sending just now.
-func (sv *Server) makeWay() bool {
+func (sv *Server) evictIdle() bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	var oldest *client
 	for c := range sv.clients {
-		if at := c.idle.Load(); at > 0 && !c.leave.Load() && (oldest == nil || at < oldest.idle.Load()) {
+		if at := c.idle.Load(); at > 0 && !c.evicted.Load() && (oldest == nil || at < oldest.idle.Load()) {
 			oldest = c
 		}
 	}
 	if oldest == nil {
 		return false
 	}
-	oldest.leave.Store(true)
+	oldest.evicted.Store(true)
 	oldest.conn.SetReadDeadline(past)
 	return true
 }
 
-// turnAway serves a client for which there is no room: its first txn, which may have come with it, is told
+// reject serves a client for which there is no room: its first txn, which may have come with it, is told
 // that trying again is harmless, by an error after which nobody writes. Only so many are being told so at a time; the
 // one that takes longest is cut off for the next, so that slow newcomers keep nobody waiting.
-func (sv *Server) turnAway(conn *net.TCPConn) {
-	sv.turn()
+func (sv *Server) reject(conn *net.TCPConn) {
+	sv.waitToReject()
 	sv.mu.Lock()
-	sv.turned = append(sv.turned, turned{conn, time.Now()})
+	sv.rejected = append(sv.rejected, rejection{conn, time.Now()})
 	sv.mu.Unlock()
-	sv.open.Add(1)
+	sv.running.Add(1)
 	go func() {
-		defer sv.open.Done()
-		defer func() { <-sv.turning }()
+		defer sv.running.Done()
+		defer func() { <-sv.rejecting }()
 		defer func() {
 			conn.Close()
 			sv.mu.Lock()
-			sv.turned = slices.DeleteFunc(sv.turned, func(t turned) bool { return t.conn == conn })
+			sv.rejected = slices.DeleteFunc(sv.rejected, func(t rejection) bool { return t.conn == conn })
 			sv.mu.Unlock()
 		}()
 		defer guard()
 		c := &client{sv: sv, conn: conn, r: pgwire.NewReader(conn, clientBuffer/4, longestQuery),
-			until: time.Now().Add(sv.goodbye)}
+			until: time.Now().Add(sv.linger)}
 		conn.SetReadDeadline(c.until)
 		if c.start() != nil {
 			return
 		}
-		conn.SetReadDeadline(time.Now().Add(sv.goodbye))
+		conn.SetReadDeadline(time.Now().Add(sv.linger))
 		if typ, _, err := c.r.Next(); err == nil && typ == 'Q' {
 			c.write(pgwire.Error(nil, "FATAL", pgwire.TooManyConnections, "too many clients", ""))
 		}
-		sv.hangUp(conn)
+		sv.closeGracefully(conn)
 	}()
 }
 
-// turn waits for a place among those being turned away.
-func (sv *Server) turn() {
+// waitToReject waits for a place among those being rejected.
+func (sv *Server) waitToReject() {
 	select {
-	case sv.turning <- struct{}{}:
+	case sv.rejecting <- struct{}{}:
 		return
 	default:
 	}
 	sv.mu.Lock()
 	wait := time.Duration(0)
-	if len(sv.turned) > 0 {
-		wait = turnedFor - time.Since(sv.turned[0].at)
+	if len(sv.rejected) > 0 {
+		wait = minRejectTime - time.Since(sv.rejected[0].at)
 	}
 	sv.mu.Unlock()
 	select {
-	case sv.turning <- struct{}{}:
+	case sv.rejecting <- struct{}{}:
 		return
 	case <-time.After(wait):
 	}
 	sv.mu.Lock()
-	if len(sv.turned) > 0 {
-		sv.turned[0].conn.Close()
+	if len(sv.rejected) > 0 {
+		sv.rejected[0].conn.Close()
 	}
 	sv.mu.Unlock()
-	sv.turning <- struct{}{}
+	sv.rejecting <- struct{}{}
 }
 
-// hangUp ends a connection, for whatever reason: the front's half first, so that what was sent last arrives. A close over
+// closeGracefully ends a connection, for whatever reason: the front's half first, so that what was sent last arrives. A close over
 // unread bytes would be a reset, which overtakes it: so what the client writes meanwhile is read, within bounds, and thrown
 // away. It was not taken; the client finds its connection closed.
-func (sv *Server) hangUp(conn *net.TCPConn) {
+func (sv *Server) closeGracefully(conn *net.TCPConn) {
 	defer conn.Close()
 	if conn.CloseWrite() != nil {
 		return // it is gone
 	}
-	wait := sv.goodbye
+	wait := sv.linger
 	if sv.stage.Load() == closing {
 		wait /= 10
 	}
 	conn.SetReadDeadline(time.Now().Add(wait))
 	var waste [1 << 10]byte
-	for most := discarded; most > 0; {
+	for most := maxDiscarded; most > 0; {
 		n, err := conn.Read(waste[:])
 		if err != nil {
 			return
@@ -317,16 +317,16 @@
 }
 
 func (c *client) serve() {
-	defer c.sv.open.Done()
+	defer c.sv.running.Done()
 	defer func() {
 		if c.out != nil {
 			c.sv.post(c.out.Leave())
 		}
-		c.sv.hangUp(c.conn)
+		c.sv.closeGracefully(c.conn)
 		c.sv.mu.Lock()
 		delete(c.sv.clients, c)
 		c.sv.mu.Unlock()
-		c.sv.room.clientLeft()
+		c.sv.limiter.releaseClient()
 	}()
 	defer guard()
 	err := c.watch(c.until)
@@ -335,7 +335,7 @@
 		err = c.start()
 	}
 	if err != nil {
-		c.protest(err)
+		c.writeFatal(err)
 		return
 	}
 	for c.one() {
@@ -349,8 +349,8 @@
 	}
 }
 
-// protest tells why the connection ends, where that is the client's doing or its bad luck.
-func (c *client) protest(err error) {
+// writeFatal tells why the connection ends, where that is the client's doing or its bad luck.
+func (c *client) writeFatal(err error) {
 	code := ""
 	switch {
 	case pgwire.IsViolation(err):
@@ -383,7 +383,7 @@
 			if c.sv.stage.Load() == closing {
 				return errLeaving
 			}
-			if c.leave.Load() {
+			if c.evicted.Load() {
 				return errCrowded
 			}
 			if !time.Now().Before(c.until) {
@@ -413,7 +413,7 @@
 func (c *client) one() bool {
 	typ, body, err := c.next()
 	if err != nil {
-		c.protest(err)
+		c.writeFatal(err)
 		return false
 	}
 	switch typ {
@@ -428,13 +428,13 @@
 	case 'S':
 		return c.write(pgwire.Ready(nil))
 	}
-	c.protest(pgwire.Unexpected(typ))
+	c.writeFatal(pgwire.Unexpected(typ))
 	return false
 }
 
 // leaving says whether the connection is to end between txns.
 func (c *client) leaving() bool {
-	return c.sv.stage.Load() >= draining || c.leave.Load() || c.sv.rest.Load() == standsBy
+	return c.sv.stage.Load() >= draining || c.evicted.Load() || c.sv.standby.Load() == standsBy
 }
 
 // Why a connection ends.
@@ -447,7 +447,7 @@
 // next waits for a message. Once it has begun it must come whole within a span: half a message holds a
 // descriptor that is never idle.
 func (c *client) next() (byte, []byte, error) {
-	if err := c.rest(); err != nil {
+	if err := c.awaitMessage(); err != nil {
 		return 0, nil, err
 	}
 	if c.sv.stage.Load() >= refusing {
@@ -455,13 +455,13 @@
 	}
 	until := c.until
 	if c.answered {
-		until = time.Now().Add(silence)
+		until = time.Now().Add(messageTimeout)
 	}
 	for closed := false; ; {
 		c.conn.SetReadDeadline(until)
 		if !closed && c.sv.stage.Load() == closing { // looked at after the setting
 			closed = true // of what has begun to come in, the rest may be on its way
-			if soon := time.Now().Add(c.sv.goodbye / 10); soon.Before(until) {
+			if soon := time.Now().Add(c.sv.linger / 10); soon.Before(until) {
 				until = soon
 			}
 			c.conn.SetReadDeadline(until)
@@ -479,9 +479,9 @@
 	}
 }
 
-// rest waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but what has
+// awaitMessage waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but what has
 // come in by then is taken, and one who came after the stop still sends its first.
-func (c *client) rest() error {
+func (c *client) awaitMessage() error {
 	for !c.r.Waiting() {
 		until := c.until
 		if c.answered {
@@ -497,13 +497,13 @@
 		stage := c.sv.stage.Load()
 		silent := !time.Now().Before(until)
 		switch {
-		case !silent && !c.leave.Load() && stage < closing && !(c.answered && c.leaving()): // the wake was meant for another wait
-		case (stage < refusing || stage < closing && !c.answered) && come(c.conn) > 0:
-			c.conn.SetReadDeadline(time.Now().Add(silence)) // a read past its deadline does not look at all
+		case !silent && !c.evicted.Load() && stage < closing && !(c.answered && c.leaving()): // the wake was meant for another wait
+		case (stage < refusing || stage < closing && !c.answered) && peek(c.conn) > 0:
+			c.conn.SetReadDeadline(time.Now().Add(messageTimeout)) // a read past its deadline does not look at all
 			c.r.Watch()
 		case c.answered || stage == closing:
 			return errLeaving
-		case c.leave.Load():
+		case c.evicted.Load():
 			return errCrowded
 		default:
 			return errSilent
@@ -517,7 +517,7 @@
 	c.conn.SetReadDeadline(until)
 	c.idle.Store(int64(c.sv.clock.Now()))
 	defer c.idle.Store(0)
-	if c.leave.Load() || c.answered && c.leaving() || c.sv.stage.Load() == closing { // looked at after the setting: a wake after it sets it anew
+	if c.evicted.Load() || c.answered && c.leaving() || c.sv.stage.Load() == closing { // looked at after the setting: a wake after it sets it anew
 		c.conn.SetReadDeadline(past)
 	}
 	_, err := c.r.Watch()
@@ -532,7 +532,7 @@
 	for {
 		switch typ, _, err := c.next(); {
 		case err != nil:
-			c.protest(err)
+			c.writeFatal(err)
 			return false
 		case typ == 'S':
 			return c.write(pgwire.Ready(nil))
@@ -550,7 +550,7 @@
 	case errors.As(err, &m):
 		return c.refuse(m.Code, m.What, "")
 	case err != nil:
-		c.protest(err)
+		c.writeFatal(err)
 		return false
 	case s.Empty:
 		return c.last(pgwire.Empty(nil))
@@ -592,7 +592,7 @@
 		}
 		full, err := c.r.Watch()
 		if full {
-			err = departed(c.conn)
+			err = awaitHangup(c.conn)
 		}
 		switch {
 		case err == nil && full:
@@ -622,7 +622,7 @@
 
 // write sends in one piece. A client that does not read is left behind.
 func (c *client) write(b []byte) bool {
-	c.conn.SetWriteDeadline(time.Now().Add(c.sv.patience))
+	c.conn.SetWriteDeadline(time.Now().Add(c.sv.writeTimeout))
 	_, err := c.conn.Write(b)
 	return err == nil
 }
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -75,7 +75,7 @@
 // hungUpAt waits until the front's half of a connection has ended, without reading what came before.
 func hungUpAt(t *testing.T, p *peer) {
 	done := make(chan struct{})
-	go func() { defer close(done); departed(p.Conn.(*net.TCPConn)) }()
+	go func() { defer close(done); awaitHangup(p.Conn.(*net.TCPConn)) }()
 	within(t, "the front's half does not end", done)
 }
 
@@ -131,8 +131,8 @@
 func TestWhatCrossesTheGoodbyeIsNotTaken(t *testing.T) {
 	for name, end := range map[string]func(g *rig){
 		"stop":     func(g *rig) { g.server.Stop(g.listen) },
-		"eviction": func(g *rig) { g.server.makeWay() },
-		"rest":     func(g *rig) { g.server.Rest(true, 0) },
+		"eviction": func(g *rig) { g.server.evictIdle() },
+		"rest":     func(g *rig) { g.server.Standby(true, 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newRig(t, 40)
@@ -172,7 +172,7 @@
 // it is where the client has rested for too long.
 func TestAClientThatWasSendingWhenItWouldBeLetGoIsServed(t *testing.T) {
 	for name, end := range map[string]func(*client){
-		"eviction": func(c *client) { c.leave.Store(true) },
+		"eviction": func(c *client) { c.evicted.Store(true) },
 		"idle":     func(c *client) { c.sv.idle = 0 },
 		"stop":     func(c *client) { c.sv.stage.Store(draining) },
 	} {
@@ -196,12 +196,12 @@
 	p, c := g.pair()
 	c.answered = true
 	p.say(read("4000")...)
-	g.eventually(func() bool { return come(c.conn) > 0 }) // and nobody has read it
+	g.eventually(func() bool { return peek(c.conn) > 0 }) // and nobody has read it
 	end(c)
-	require.NoError(t, c.rest(), "it is served")
+	require.NoError(t, c.awaitMessage(), "it is served")
 	typ, _, err := c.next()
 	assert.True(t, err == nil && typ == 'Q')
-	assert.ErrorIs(t, c.rest(), errLeaving, "and then it goes")
+	assert.ErrorIs(t, c.awaitMessage(), errLeaving, "and then it goes")
 }
 
 // Of a client that had sent more than is read ahead nobody saw that it was gone, and its txns went on.
@@ -222,7 +222,7 @@
 }
 
 func (g *rig) eventuallyGone() bool {
-	g.eventually(func() bool { clients, _, _ := g.room.Held(); return clients == 0 })
+	g.eventually(func() bool { clients, _, _ := g.room.InUse(); return clients == 0 })
 	return true
 }
 
@@ -251,14 +251,14 @@
 // Eight newcomers that said nothing held up all others for as long as they were waited for.
 func TestSlowNewcomersKeepNobodyWaiting(t *testing.T) {
 	g := newRig(t, 40)
-	g.server.goodbye = time.Hour
+	g.server.linger = time.Hour
 	g.room.mu.Lock()
 	g.room.mostClients, g.room.share, g.room.closing = 1, 1, 0
 	g.room.mu.Unlock()
 	g.client().say(read("4000")...)
 	<-g.d.begun
 	var slow []*peer
-	for range 3 * turnedAtOnce {
+	for range 3 * maxRejecting {
 		slow = append(slow, g.dial())
 	}
 	c := g.dial()
@@ -267,7 +267,7 @@
 	slow[0].Read(make([]byte, 1)) // cut off
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
-	assert.LessOrEqual(t, len(g.server.turned), turnedAtOnce+1, "they hold a bounded number of descriptors")
+	assert.LessOrEqual(t, len(g.server.rejected), maxRejecting+1, "they hold a bounded number of descriptors")
 }
 
 // The process must not end over a newcomer's first request, nor over its final answer.
@@ -289,7 +289,7 @@
 	for name, sent := range map[string]string{"nothing": "", "half a request": string(read("4000")[:20])} {
 		t.Run(name, func(t *testing.T) {
 			g := newRig(t, 40)
-			g.server.goodbye = 0
+			g.server.linger = 0
 			c := g.client()
 			c.say([]byte(sent)...)
 			g.server.Stop(g.listen)
@@ -311,20 +311,20 @@
 	_, err := c.r.Watch()
 	require.NoError(t, err)
 	p.say(q[20:]...)
-	g.eventually(func() bool { return come(c.conn) > 0 })
+	g.eventually(func() bool { return peek(c.conn) > 0 })
 	g.server.stage.Store(closing)
 	typ, _, err := c.next()
 	assert.True(t, err == nil && typ == 'Q', "%v", err)
 	c.answered = true
 	p.say(q[:20]...)
-	g.eventually(func() bool { return come(c.conn) > 0 })
+	g.eventually(func() bool { return peek(c.conn) > 0 })
 	_, _, err = c.next()
 	assert.ErrorIs(t, err, errLeaving, "of one that was not read the client knows that it was not taken")
 	c = &client{sv: g.server, conn: c.conn, answered: true, r: pgwire.NewReader(c.conn, clientBuffer, longestQuery)}
 	c.conn.SetReadDeadline(time.Time{})
 	_, err = c.r.Watch()
 	require.NoError(t, err)
-	g.server.goodbye = 0
+	g.server.linger = 0
 	_, _, err = c.next()
 	assert.ErrorIs(t, err, errLeaving, "the rest is waited for, but not long")
 }
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// come looks whether something has come in, whatever the deadline: 1 for bytes, 0 for the end of the
+// peek looks whether something has peek in, whatever the deadline: 1 for bytes, 0 for the end of the
 // connection, -1 for neither. Between a deadline and what follows it a busy machine lets time pass.
-func come(conn *net.TCPConn) int {
+func peek(conn *net.TCPConn) int {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return 0
@@ -28,9 +28,9 @@
 	return n
 }
 
-// departed blocks until the other side has closed a connection, whatever it sent before and nobody has read; then it
+// awaitHangup blocks until the other side has closed a connection, whatever it sent before and nobody has read; then it
 // returns nil. It wakes for each change of the connection and returns an error at the read deadline.
-func departed(conn *net.TCPConn) error {
+func awaitHangup(conn *net.TCPConn) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
--- a/sockets/links.go
+++ b/sockets/pools.go
@@ -22,10 +22,10 @@
 	bodyKept   = 16 << 10
 )
 
-// Links holds a pool for each member.
-type Links struct {
+// Pools holds a pool for each member.
+type Pools struct {
 	post           func(front.Event)
-	room           *Room
+	limiter        *ConnLimiter
 	user, database string
 	dial, idle     time.Duration
 	longest        int  // message that a member may send
@@ -35,16 +35,16 @@
 	pools []*pool
 }
 
-// NewLinks makes the pools. A connection is not used again after idle, less a margin for what is on its way.
+// NewPools makes the pools. A connection is not used again after idle, less a margin for what is on its way.
 // Members' values are longer on some days than the protocol's page has it: a message may be a part of the
 // memory told that leaves room for all that are out at once.
-func NewLinks(post func(front.Event), room *Room, user, database string, dial, idle time.Duration, memory int64) *Links {
-	return &Links{post: post, room: room, user: user, database: database, dial: dial, idle: idle - idle/20,
+func NewPools(post func(front.Event), room *ConnLimiter, user, database string, dial, idle time.Duration, memory int64) *Pools {
+	return &Pools{post: post, limiter: room, user: user, database: database, dial: dial, idle: idle - idle/20,
 		longest: int(memory / messages)}
 }
 
 // Any lets members answer as any statement is answered: rows of any number and width, up to the longest message in all.
-func (ls *Links) Any() { ls.any = true }
+func (ls *Pools) Any() { ls.any = true }
 
 const messages = 64 // of the longest, fill the memory
 
@@ -52,31 +52,31 @@
 type pool struct {
 	address string // "" once the member is forgotten
 	since   int64  // Unix milliseconds of the member's last start
-	idle    []*link
+	idle    []*memberConn
 }
 
-// link is a connection to a member, served by one goroutine.
-type link struct {
-	ls      *Links
-	pool    *pool
-	address string
-	opened  int64 // Unix milliseconds
-	conn    *net.TCPConn
-	r       *pgwire.Reader
-	job     chan *front.Submission // holds one, given by whoever takes the link from its pool
-	ending  atomic.Bool            // cut
+// memberConn is a connection to a member, served by one goroutine.
+type memberConn struct {
+	ls       *Pools
+	pool     *pool
+	address  string
+	opened   int64 // Unix milliseconds
+	conn     *net.TCPConn
+	r        *pgwire.Reader
+	job      chan *front.Submission // holds one, given by whoever takes the link from its pool
+	canceled atomic.Bool            // cut
 }
 
 // Place says where a member is reached and when it started last. What was opened to where or what it was
 // before leads nowhere: a machine that vanished and came back says nothing of its old connections.
-func (ls *Links) Place(member int, address string, since int64) {
+func (ls *Pools) Place(member int, address string, since int64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.pool(member).place(address, since)
 }
 
-// Forget ends the idle links of a member; its place may be another's from now on.
-func (ls *Links) Forget(member int) {
+// Forget ends the idle connections of a member; its place may be another's from now on.
+func (ls *Pools) Forget(member int) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.pool(member).place("", 0)
@@ -85,55 +85,55 @@
 
 func (p *pool) place(address string, since int64) {
 	p.address, p.since = address, since
-	p.idle = slices.DeleteFunc(p.idle, func(l *link) bool {
+	p.idle = slices.DeleteFunc(p.idle, func(l *memberConn) bool {
 		if p.serves(l) {
 			return false
 		}
-		l.give(nil)
+		l.assign(nil)
 		return true
 	})
 }
 
-func (ls *Links) pool(member int) *pool {
+func (ls *Pools) pool(member int) *pool {
 	for len(ls.pools) <= member {
 		ls.pools = append(ls.pools, &pool{})
 	}
 	return ls.pools[member]
 }
 
-func (p *pool) serves(l *link) bool { return p.address == l.address && l.opened >= p.since }
+func (p *pool) serves(l *memberConn) bool { return p.address == l.address && l.opened >= p.since }
 
-// Send gives a submission to the link that was idle last, or to a new one.
-func (ls *Links) Send(member int, s *front.Submission) {
+// Send gives a submission to the connection that was idle last, or to a new one.
+func (ls *Pools) Send(member int, s *front.Submission) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.send(ls.pool(member), s)
 }
 
 // send is called with the lock held.
-func (ls *Links) send(p *pool, s *front.Submission) {
+func (ls *Pools) send(p *pool, s *front.Submission) {
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		l.give(s)
+		l.assign(s)
 		return
 	}
-	go ls.serve(&link{ls: ls, pool: p, address: p.address, job: make(chan *front.Submission, 1)}, s)
+	go ls.serve(&memberConn{ls: ls, pool: p, address: p.address, job: make(chan *front.Submission, 1)}, s)
 }
 
-// give hands a link that was taken from its pool what it is to do next: nil is to end. It never blocks.
-func (l *link) give(s *front.Submission) {
+// assign hands a connection that was taken from its pool what it is to do next: nil is to end. It never blocks.
+func (l *memberConn) assign(s *front.Submission) {
 	l.job <- s
 	l.conn.SetReadDeadline(past)
 }
 
-// makeRoom ends the connection that has been idle longest in some pool.
-func (ls *Links) makeRoom() bool {
+// evictIdle ends the connection that has been idle longest in some pool.
+func (ls *Pools) evictIdle() bool {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	for _, p := range ls.pools {
 		if len(p.idle) > 0 {
-			p.idle[0].give(nil)
+			p.idle[0].assign(nil)
 			p.idle = p.idle[1:]
 			return true
 		}
@@ -141,13 +141,13 @@
 	return false
 }
 
-// serve is the goroutine of a link, from its first submission to its end.
-func (ls *Links) serve(l *link, s *front.Submission) {
-	if !ls.room.link(ls.makeRoom) {
+// serve is the goroutine of a connection, from its first submission to its end.
+func (ls *Pools) serve(l *memberConn, s *front.Submission) {
+	if !ls.limiter.admitMember(ls.evictIdle) {
 		ls.failed(s, front.Unconnected, fmt.Errorf("no descriptor is free"))
 		return
 	}
-	defer ls.room.linkLeft()
+	defer ls.limiter.releaseMember()
 	defer func() {
 		if p := recover(); p != nil {
 			slog.Error("panic in a member's connection", "member", l.address, "panic", p, "trace", string(debug.Stack()))
@@ -167,12 +167,12 @@
 		if !l.submit(s) {
 			return
 		}
-		s = l.rest()
+		s = l.awaitJob()
 	}
 }
 
 // connect dials and waits for the member's welcome, within the limit for both together.
-func (l *link) connect() error {
+func (l *memberConn) connect() error {
 	until := time.Now().Add(l.ls.dial)
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
@@ -190,9 +190,9 @@
 	var a pgwire.Answer
 	l.r.Check = a.Early
 	for done := false; !done; {
-		done, err = l.hear(&a)
+		done, err = l.readMessage(&a)
 		if a.Code != "" {
-			return &turnedAway{a}
+			return &rejectedConn{a}
 		}
 		if err != nil {
 			return err
@@ -206,11 +206,11 @@
 }
 
 // disturbed says whether something came in on a connection that nobody has asked anything: what a member says there would be
-// taken for the answer of the next submission, and of one written behind its goodbye nobody knows whether it ran.
-func (l *link) disturbed() bool { return l.r.Waiting() || come(l.conn) >= 0 }
+// taken for the answer of the next submission, and of one written behind its close nobody knows whether it ran.
+func (l *memberConn) disturbed() bool { return l.r.Waiting() || peek(l.conn) >= 0 }
 
-// hear adds the next message to an answer; done means that it has ended.
-func (l *link) hear(a *pgwire.Answer) (done bool, err error) {
+// readMessage adds the next message to an answer; done means that it has ended.
+func (l *memberConn) readMessage(a *pgwire.Answer) (done bool, err error) {
 	typ, body, err := l.r.Next()
 	if err != nil {
 		return false, err
@@ -218,35 +218,35 @@
 	return a.Take(typ, body)
 }
 
-// turnedAway is an error answer in place of a welcome.
-type turnedAway struct{ answer pgwire.Answer }
+// rejectedConn is an error answer in place of a welcome.
+type rejectedConn struct{ answer pgwire.Answer }
 
-func (t *turnedAway) Error() string { return "turned away with " + t.answer.Code }
+func (t *rejectedConn) Error() string { return "rejected with " + t.answer.Code }
 
-func (ls *Links) connectFailed(s *front.Submission, err error) {
-	if t, ok := err.(*turnedAway); ok && t.answer.Code == pgwire.TooManyConnections {
+func (ls *Pools) connectFailed(s *front.Submission, err error) {
+	if t, ok := err.(*rejectedConn); ok && t.answer.Code == pgwire.TooManyConnections {
 		ls.post(&front.Ended{S: s, Answer: t.answer})
 		return
 	}
 	ls.failed(s, front.Unconnected, err)
 }
 
-func (ls *Links) failed(s *front.Submission, reach front.Reach, err error) {
+func (ls *Pools) failed(s *front.Submission, reach front.Reach, err error) {
 	ls.post(&front.Ended{S: s, Failure: &front.Failure{Reach: reach, Err: err}})
 }
 
-// cut ends the submission on its way without waiting: the member sees the end at once, the goroutine wakes
+// cancel ends the submission on its way without waiting: the member sees the end at once, the goroutine wakes
 // and closes.
-func (l *link) cut() {
-	l.ending.Store(true)
+func (l *memberConn) cancel() {
+	l.canceled.Store(true)
 	l.conn.CloseWrite()
 	l.conn.SetDeadline(past)
 }
 
 // submit sends one and brings its answer; false when the connection cannot be used again.
-func (l *link) submit(s *front.Submission) bool {
-	if !s.Begin(l.cut) {
-		l.free()
+func (l *memberConn) submit(s *front.Submission) bool {
+	if !s.Begin(l.cancel) {
+		l.release()
 		return true
 	}
 	if n, err := l.conn.Write(s.Message); err != nil {
@@ -262,14 +262,14 @@
 	e.Answer.Any, e.Answer.Most = l.ls.any, l.ls.longest
 	l.r.Check = e.Answer.Early
 	for {
-		done, err := l.hear(&e.Answer)
+		done, err := l.readMessage(&e.Answer)
 		switch {
 		case timedOut(err) && l.goOn():
 			continue
 		case done && err == nil && (l.r.Waiting() || e.Answer.Open): // more than was asked for must not answer the next submission
 		case done && err == nil:
 			l.r.Shed(bodyKept)
-			l.free() // before its answer is told, so that the next submission finds it
+			l.release() // before its answer is told, so that the next submission finds it
 			l.ls.post(e)
 			return true
 		case err == nil:
@@ -287,29 +287,29 @@
 	}
 }
 
-// goOn clears a deadline that was meant for the rest before; false where the submission was cut.
-func (l *link) goOn() bool {
+// goOn clears a deadline that was meant for the wait before; false where the submission was canceled.
+func (l *memberConn) goOn() bool {
 	l.conn.SetReadDeadline(time.Time{})
-	return !l.ending.Load() // looked at after the clearing: a cut after it sets the deadline anew
+	return !l.canceled.Load() // looked at after the clearing: a cut after it sets the deadline anew
 }
 
-// free puts the link on its pool's list, unless its member has moved.
-func (l *link) free() {
+// release puts the connection on its pool's list, unless its member has moved.
+func (l *memberConn) release() {
 	l.conn.SetReadDeadline(time.Now().Add(l.ls.idle))
 	l.ls.mu.Lock()
 	defer l.ls.mu.Unlock()
 	if p := l.pool; p.serves(l) {
 		p.idle = append(p.idle, l)
 	} else {
-		l.give(nil)
+		l.assign(nil)
 	}
 }
 
-// rest waits for the next submission; nil when the connection is to end. Whatever the member says meanwhile
-// ends it, and another link takes a submission that came at the same time: nothing of it was written.
-func (l *link) rest() *front.Submission {
+// awaitJob waits for the next submission; nil when the connection is to end. Whatever the member says meanwhile
+// ends it, and another connection takes a submission that came at the same time: nothing of it was written.
+func (l *memberConn) awaitJob() *front.Submission {
 	l.r.Watch()
-	if l.withdraw() {
+	if l.removeIdle() {
 		return nil
 	}
 	s := <-l.job
@@ -324,8 +324,8 @@
 	return s
 }
 
-// withdraw takes the link off its pool's list; false where it was taken before, and a job is on its way.
-func (l *link) withdraw() bool {
+// removeIdle takes the connection off its pool's list; false where it was taken before, and a job is on its way.
+func (l *memberConn) removeIdle() bool {
 	l.ls.mu.Lock()
 	defer l.ls.mu.Unlock()
 	p := l.pool
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -64,9 +64,9 @@
 	t      *testing.T
 	d      *direct
 	core   *front.Core
-	links  *Links
+	links  *Pools
 	server *Server
-	room   *Room
+	room   *ConnLimiter
 	listen *net.TCPListener
 	member *net.TCPListener
 	served chan error
@@ -74,11 +74,11 @@
 
 func newRig(t *testing.T, descriptors int) *rig {
 	g := &rig{t: t, d: &direct{begun: make(chan port.Txn, 100), ended: make(chan port.Outcome, 100),
-		left: make(chan port.Ref, 100)}, room: NewRoom(descriptors, 0), served: make(chan error, 1)}
+		left: make(chan port.Ref, 100)}, room: NewConnLimiter(descriptors, 0), served: make(chan error, 1)}
 	g.listen, g.member = listen(t), listen(t)
 	clock := NewClock()
 	post := func(e front.Event) { g.core.Post(e) }
-	g.links = NewLinks(post, g.room, "portal", "crm", 5*time.Second, time.Minute, 32<<20)
+	g.links = NewPools(post, g.room, "portal", "crm", 5*time.Second, time.Minute, 32<<20)
 	s := &site.Site{Types: []string{"read"}, Zones: []string{"a"}, TxnTypes: []port.TxnType{{Expiry: time.Minute}},
 		Allowance: port.Allowance{Submissions: 9, DialTimeout: 5 * time.Second}}
 	g.core = front.NewCore(clock.Born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType,
@@ -423,15 +423,15 @@
 			g.eventually(func() bool { return g.address() != "" })
 			conn, err := net.Dial("tcp", g.member.Addr().String())
 			require.NoError(t, err)
-			l := &link{ls: g.links, pool: g.links.pool(0), address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Submission, 1),
+			l := &memberConn{ls: g.links, pool: g.links.pool(0), address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Submission, 1),
 				r: pgwire.NewReader(conn, 4096, 4096)}
 			c, err := g.member.Accept()
 			require.NoError(t, err)
 			spoil(newPeer(t, c))
-			g.eventually(func() bool { return come(l.conn) >= 0 })
+			g.eventually(func() bool { return peek(l.conn) >= 0 })
 			s := &front.Submission{Message: pgwire.Query(nil, "SELECT 2")}
 			l.job <- s
-			assert.Nil(t, l.rest())
+			assert.Nil(t, l.awaitJob())
 			m := g.memberUp()
 			m.hear("Q")
 			m.say(whole("w")...)
@@ -478,7 +478,7 @@
 	g.links.Forget(0)
 	idle.ends()
 	g.links.Place(0, g.member.Addr().String(), 0)
-	l.free() // one that was at work meanwhile
+	l.release() // one that was at work meanwhile
 	assert.Zero(t, g.idle(), "it is the old member's")
 }
 
@@ -491,9 +491,9 @@
 	g.resting()
 	g.client()
 	g.client()
-	assert.True(t, g.room.link(g.links.makeRoom), "a link for another member")
+	assert.True(t, g.room.admitMember(g.links.evictIdle), "a link for another member")
 	m.ends()
-	assert.True(t, g.room.link(g.links.makeRoom), "no link is idle, but a client is")
+	assert.True(t, g.room.admitMember(g.links.evictIdle), "no link is idle, but a client is")
 	c.ends()
 	g = newRig(t, 40)
 	g.room.mu.Lock()
@@ -545,7 +545,7 @@
 			assert.Contains(t, string(c.hear(x.heard)), x.code)
 			c.ends()
 			if x.code == pgwire.ProtocolViolation {
-				assert.Less(t, time.Since(from), silence, "not kept for its silence")
+				assert.Less(t, time.Since(from), messageTimeout, "not kept for its silence")
 			}
 		})
 	}
@@ -608,7 +608,7 @@
 // A front that stands by lets clients go between txns and turns newcomers away; when it is back it takes more and more of them.
 func TestAFrontThatStandsByLetsClientsGoAndComesBackAtAPace(t *testing.T) {
 	g := newRig(t, 40)
-	g.server.Rest(false, time.Hour) // it begins: nobody is spared
+	g.server.Standby(false, time.Hour) // it begins: nobody is spared
 	idle := g.client()
 	idle.say(pgwire.Query(nil, "")...)
 	idle.hear("IZ")
@@ -617,7 +617,7 @@
 	busy.say(read("4000")...)
 	m := g.memberUp()
 	m.hear("Q")
-	g.server.Rest(true, 0)
+	g.server.Standby(true, 0)
 	idle.ends()
 	late := g.client()
 	late.say(read("4000")...)
@@ -625,16 +625,16 @@
 	m.say(whole("v")...)
 	busy.hear("TDCZ")
 	busy.ends()
-	g.server.Rest(false, time.Hour)
+	g.server.Standby(false, time.Hour)
 	turned := 0
 	for range 80 {
-		if g.server.rests() {
+		if g.server.rejects() {
 			turned++
 		}
 	}
 	assert.InDelta(t, 70, turned, 8, "every eighth at first")
 	g.server.pace.Store(1)
-	assert.False(t, g.server.rests())
-	assert.Zero(t, g.server.rest.Load(), "all again")
+	assert.False(t, g.server.rejects())
+	assert.Zero(t, g.server.standby.Load(), "all again")
 	g.client()
 }
