Names of the core and the list's client: responses, slots in a slab, metrics, cancel, heartbeat

A rename, no change of behaviour: front.Final is Response, Word Status, Door and Doors Slot and Slab, Book Metrics (front/metrics.go), Links Pools, drop cancel, spare cancelUnsent; in discovery patience answerTimeout, complain logFaults, beat heartbeat.

--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -134,7 +134,7 @@
 	txnTypes                       []port.TxnType
 	stores, groups                 *front.Index[int64]
 	txns                           map[string]port.Ref
-	doors                          front.Doors[string]
+	doors                          front.Slab[string]
 	entries                        []port.Entry
 }
 
--- a/cmd/dapplerouter/gateway.go
+++ b/cmd/dapplerouter/gateway.go
@@ -31,7 +31,7 @@
 }
 
 // bridgeOf makes the link that a gateway form tells of, nil for none, and gives the site the peer's zone.
-func bridgeOf(c *gateway.Config, told *site.Start, clock *sockets.Clock, post func(front.Event), local front.Links,
+func bridgeOf(c *gateway.Config, told *site.Start, clock *sockets.Clock, post func(front.Event), local front.Pools,
 	parse func([]byte) (pgwire.Statement, error)) (*bridge, error) {
 	if c == nil {
 		return nil, nil
--- a/cmd/dapplerouter/permute_test.go
+++ b/cmd/dapplerouter/permute_test.go
@@ -33,8 +33,8 @@
 func (s *stage) Forget(int)               {}
 func (s *stage) Watch(bool)               {}
 func (s *stage) Fetch()                   {}
-func (s *stage) Answer(f front.Final) {
-	s.said = append(s.said, fmt.Sprintf("%v answer %v %q %v", s.now, f.Word, f.Code, f.Come))
+func (s *stage) Answer(f front.Response) {
+	s.said = append(s.said, fmt.Sprintf("%v answer %v %q %v", s.now, f.Status, f.Code, f.Come))
 }
 
 func (s *stage) Send(member int, sub *front.Submission) {
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -103,7 +103,7 @@
 	if classing != nil {
 		parse = func(body []byte) (pgwire.Statement, error) { return pgwire.ParseClassed(body, classing.Classing) }
 	}
-	var ways front.Links = links
+	var ways front.Pools = links
 	across, err := bridgeOf(operator.gateway, told, clock, post, links, parse)
 	if err != nil {
 		return err
@@ -119,7 +119,7 @@
 			return err
 		}
 		fellows.Clock, fellows.Born, fellows.Post = clock.Now, clock.Born, post
-		fellows.Scouts.Links, fellows.Scouts.Post = ways, post
+		fellows.Scouts.Pools, fellows.Scouts.Post = ways, post
 		ways = fellows.Scouts
 		all = append(all, fellows)
 	}
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -15,13 +15,13 @@
 	"time"
 )
 
-// beat is the service's own. What a silent watch misses counts as told three beats after it fell silent, and drains bind soon
+// heartbeat is the service's own. What a silent watch misses counts as told three beats after it fell silent, and drains bind soon
 // after that; what an agent on this machine has counts at once. So silence is an end after a beat that was missed and a
 // quarter, an agent that does not begin its answer within half a beat is asked again, and between two attempts lies at most
 // another quarter: of those that wait for a service to return, one begins and is heard within a beat.
 const (
-	beat     = 2 * time.Second
-	silentBy = 9 // quarters of a beat
+	heartbeat = 2 * time.Second
+	silentBy  = 9 // quarters of a beat
 )
 
 // longest is the longest object that is read.
@@ -34,20 +34,20 @@
 
 // Client speaks to the list's service. It holds two connections at most.
 type Client struct {
-	base  string
-	http  *http.Client
-	beat  time.Duration
-	index atomic.Int64 // version last heard
-	gap   atomic.Bool  // something may have been missed that the next change would pass over: the whole list comes first
-	Heard func()       // called for each word of the service, be it that nothing changed; nil for nobody
+	base      string
+	http      *http.Client
+	heartbeat time.Duration
+	index     atomic.Int64 // version last heard
+	gap       atomic.Bool  // something may have been missed that the next change would pass over: the whole list comes first
+	Heard     func()       // called for each word of the service, be it that nothing changed; nil for nobody
 }
 
 // New makes a client of the service at an address, which knows the list up to a version.
 func New(address string, index int64) *Client {
-	c := &Client{base: "http://" + address + "/v1/endpoints", beat: beat}
+	c := &Client{base: "http://" + address + "/v1/endpoints", heartbeat: heartbeat}
 	c.index.Store(index)
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: beat, KeepAlive: -1}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: heartbeat, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
 		ReadBufferSize: 4096, WriteBufferSize: 1024,
 	}}
@@ -57,7 +57,7 @@
 // Moved makes a client of the service at another address, which knows what this one does, and asks for the whole list first.
 func (c *Client) Moved(address string) *Client {
 	m := New(address, c.index.Load())
-	m.beat, m.Heard = c.beat, c.Heard
+	m.heartbeat, m.Heard = c.heartbeat, c.Heard
 	m.gap.Store(true)
 	return m
 }
@@ -98,20 +98,20 @@
 func (c *Client) whole(ctx context.Context) (l List, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := c.patience(cancel)
+	silence := c.answerTimeout(cancel)
 	defer silence.Stop()
 	body, err := c.get(ctx, "")
 	if err != nil {
 		return l, why(ctx, err)
 	}
 	defer body.Close()
-	silence.Reset(c.beat * 2)
+	silence.Reset(c.heartbeat * 2)
 	data, err := io.ReadAll(io.LimitReader(body, longest))
 	if err != nil {
 		return l, why(ctx, err)
 	}
 	l, faults, err := Decode(data)
-	c.complain(faults)
+	c.logFaults(faults)
 	return l, err
 }
 
@@ -128,7 +128,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := c.patience(cancel)
+	silence := c.answerTimeout(cancel)
 	defer silence.Stop()
 	body, err := c.get(ctx, "?watch=1&after="+strconv.FormatInt(c.index.Load(), 10))
 	if err != nil {
@@ -136,7 +136,7 @@
 	}
 	defer body.Close()
 	silence.Stop()
-	silence = time.AfterFunc(c.beat*silentBy/4, func() { cancel(errSilent) })
+	silence = time.AfterFunc(c.heartbeat*silentBy/4, func() { cancel(errSilent) })
 	defer silence.Stop()
 	lines := bufio.NewReader(body)
 	for {
@@ -144,13 +144,13 @@
 		if err != nil {
 			return why(ctx, err)
 		}
-		silence.Reset(c.beat * silentBy / 4)
+		silence.Reset(c.heartbeat * silentBy / 4)
 		c.heard()
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			continue
 		}
 		l, faults, err := Decode(line)
-		c.complain(faults)
+		c.logFaults(faults)
 		if err == nil && !l.Whole && l.Index < c.index.Load() {
 			err = fmt.Errorf("index %d comes after %d", l.Index, c.index.Load())
 		}
@@ -167,9 +167,9 @@
 	}
 }
 
-// patience ends a call that the service does not begin to answer.
-func (c *Client) patience(cancel context.CancelCauseFunc) *time.Timer {
-	return time.AfterFunc(c.beat/2, func() { cancel(errUnanswered) })
+// answerTimeout ends a call that the service does not begin to answer.
+func (c *Client) answerTimeout(cancel context.CancelCauseFunc) *time.Timer {
+	return time.AfterFunc(c.heartbeat/2, func() { cancel(errUnanswered) })
 }
 
 // Follow keeps a watch open until ctx ends, after the whole list. Each end is told by failed; the watch is opened again
@@ -183,12 +183,12 @@
 			return
 		}
 		lived := time.Since(opened)
-		if lived > c.beat {
+		if lived > c.heartbeat {
 			young = 0
 		}
 		slog.Warn("discovery: the watch ended", "why", err, "after", lived.Round(time.Millisecond))
 		failed()
-		pause := min(c.beat/4, c.beat/10<<min(young, 8))
+		pause := min(c.heartbeat/4, c.heartbeat/10<<min(young, 8))
 		select {
 		case <-time.After(time.Duration(float64(pause) * (1 + spread()) / 2)):
 		case <-ctx.Done():
@@ -212,7 +212,7 @@
 	return res.Body, nil
 }
 
-func (c *Client) complain(faults []error) {
+func (c *Client) logFaults(faults []error) {
 	for _, f := range faults {
 		slog.Warn("discovery: an entry is passed over", "why", f)
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -67,7 +67,7 @@
 	cut := object(42, false, "draining") + "\n"
 	c, asked := service(t, says(object(41, true, "up")), says(cut[:30], cut[30:], "\n", object(43, false, "removed")+"\n"),
 		says(object(44, true, "up")+"\n"))
-	c.beat = 300 * time.Millisecond
+	c.heartbeat = 300 * time.Millisecond
 	lists, failed := follow(t, c)
 	for _, want := range []struct {
 		index int64
@@ -90,7 +90,7 @@
 		says(object(8, false, "up")+"\n")(w, r)
 		<-r.Context().Done()
 	})
-	c.beat = 20 * time.Millisecond
+	c.heartbeat = 20 * time.Millisecond
 	assert.ErrorIs(t, c.Watch(context.Background(), func(List) {}), errSilent)
 }
 
@@ -117,7 +117,7 @@
 		t.Run(name, func(t *testing.T) {
 			c, asked := service(t, says(object(7, true, "up")), says(append(lines, object(10, false, "up")+"\n")...),
 				says(object(10, true, "draining")), says(object(11, false, "removed")+"\n"))
-			c.beat = 200 * time.Millisecond
+			c.heartbeat = 200 * time.Millisecond
 			lists, failed := follow(t, c)
 			var last List
 			for last.Index != 11 {
@@ -165,14 +165,14 @@
 		says("\n")(w, r)
 		hang(w, r)
 	}, hang, hang, says(object(8, false, "draining")+"\n"))
-	c.beat = 800 * time.Millisecond
+	c.heartbeat = 800 * time.Millisecond
 	lists, _ := follow(t, c)
 	assert.Equal(t, int64(7), (<-lists).Index)
 	from := time.Now()
 	assert.Equal(t, int64(8), (<-lists).Index)
 	took := time.Since(from)
-	assert.Greater(t, took, 2*c.beat, "one beat may be late by as much")
-	assert.Less(t, took, 5*c.beat, "silence, and two attempts that hang")
+	assert.Greater(t, took, 2*c.heartbeat, "one beat may be late by as much")
+	assert.Less(t, took, 5*c.heartbeat, "silence, and two attempts that hang")
 	assert.Len(t, asked, 5, "and no storm of calls")
 }
 
@@ -184,13 +184,13 @@
 		scripts = append(scripts, end)
 	}
 	c, asked := service(t, scripts...)
-	c.beat = 200 * time.Millisecond
+	c.heartbeat = 200 * time.Millisecond
 	_, failed := follow(t, c)
 	from := time.Now()
 	for range 10 {
 		<-failed
 	}
-	assert.Greater(t, time.Since(from), 8*c.beat/8, "an eighth of a beat apart at least, but for the first two")
+	assert.Greater(t, time.Since(from), 8*c.heartbeat/8, "an eighth of a beat apart at least, but for the first two")
 	assert.LessOrEqual(t, len(asked), 12)
 }
 
--- a/fleet/audit/book.go
+++ b/fleet/audit/book.go
@@ -109,7 +109,7 @@
 }
 
 // Ended notes a txn's end.
-func (b *Book) Ended(_ time.Duration, span uint32, typ int, w front.Word) {
+func (b *Book) Ended(_ time.Duration, span uint32, typ int, w front.Status) {
 	if typ < len(b.sums) {
 		b.sums[typ].ended.Add(1)
 		if w == front.Served {
--- a/fleet/company/scouts.go
+++ b/fleet/company/scouts.go
@@ -14,7 +14,7 @@
 // Scouts lets one front of a fleet ask after a group's members for all: it stands before the links to members, and looks at
 // nothing but probes. What is asked, and when, stays the module's; the holder of scout/GROUP hands on how its probes ended.
 type Scouts struct {
-	front.Links
+	front.Pools
 	Post    func(front.Event)                   // to the core
 	Act     func(duty string, data []byte) bool // spreads an act of a duty, where this front holds it
 	Want    func(duty string)                   // declares a duty
@@ -56,13 +56,13 @@
 	}
 	s.at[member] = address
 	s.mu.Unlock()
-	s.Links.Place(member, address, since)
+	s.Pools.Place(member, address, since)
 }
 
 // Send is that of front.Links.
 func (s *Scouts) Send(member int, sub *front.Submission) {
 	if _, probe := sub.Way(); !probe {
-		s.Links.Send(member, sub)
+		s.Pools.Send(member, sub)
 		return
 	}
 	s.mu.Lock() // the core must not wait: what the fleet said last is enough here, and the mesh is not asked
@@ -78,7 +78,7 @@
 	s.mu.Unlock()
 	switch what {
 	case fleet.AskIt:
-		s.Links.Send(member, sub)
+		s.Pools.Send(member, sub)
 		if ours {
 			s.After(s.patient/4, func() { s.looked(sub, fleet.Look{Open: true}) })
 			s.After(s.patient, func() { s.looked(sub, fleet.Look{}) }) // nothing came back
@@ -92,7 +92,7 @@
 			due := s.s.Due(s.Now())
 			s.mu.Unlock()
 			for _, sub := range due {
-				s.Links.Send(member, sub)
+				s.Pools.Send(member, sub)
 			}
 		}
 		s.After(s.s.Hold, due)
--- a/front/admit.go
+++ b/front/admit.go
@@ -6,14 +6,14 @@
 // waited since is off its budget.
 func (c *Core) admit(a *Arrival, t port.Txn) {
 	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Expiry) // nobody holds a place for longer than its type may
-	a.ref = c.doors.Open(a)
+	a.ref = c.slab.Open(a)
 	a.typ = t.Type
 	if c.bound.Audit != nil {
 		a.span = c.bound.Audit.Taken(c.now, a.Statement.ID, a.typ)
 	}
 	c.ids[string(a.Statement.ID)] = struct{}{}
-	c.doorsOpen++
+	c.unanswered++
 	t.Ref, t.Budget = a.ref, a.expiry-c.now
-	c.book.taken++
+	c.metrics.taken++
 	c.decider.Begin(c.now, t)
 }
--- a/front/classing.go
+++ b/front/classing.go
@@ -103,7 +103,7 @@
 
 // learns tells what a statement took at a member.
 func (c *Core) learns(s *Submission) {
-	if d := c.doors.At(s.ref); c.classes != nil && d != nil && d.What.Statement.Shape != nil {
+	if d := c.slab.At(s.ref); c.classes != nil && d != nil && d.What.Statement.Shape != nil {
 		st := &d.What.Statement
 		c.classes.by.Learn(st.Shape, &st.Facts, c.now-s.sent)
 	}
--- a/front/core.go
+++ b/front/core.go
@@ -1,7 +1,7 @@
 // Package front is the core between the sockets and the module. It does no I/O: events come in by a
 // channel, wishes go out by calls that never block. One goroutine owns the module and every table here.
 //
-// A txn passes stages, a file each: take in, admit, route, send, relay, book. None of them decides.
+// A txn passes stages, a file each: take in, admit, route, send, relay, metrics. None of them decides.
 package front
 
 import (
@@ -25,8 +25,8 @@
 	take(c *Core, now time.Duration)
 }
 
-// Links carries submissions to members. No call blocks.
-type Links interface {
+// Pools carries submissions to members. No call blocks.
+type Pools interface {
 	Place(member int, address string, since int64) // Unix milliseconds of its last start
 	Send(member int, s *Submission)
 	Forget(member int)
@@ -53,47 +53,47 @@
 // Core owns the module.
 type Core struct {
 	decider port.Decider
-	links   Links
+	pools   Pools
 	ask     Directory
 	events  chan Event
 	now     time.Duration        // of the batch in hand
 	born    time.Time            // on the wall, for positions and starts
 	clock   func() time.Duration // nil where a host steps the core
 
-	types     []port.TxnType
-	most      int           // submissions a txn
-	patience  time.Duration // for a probe
-	typeIDs   *Index[string]
-	customers *Index[string]
-	zones     *Index[string]
-	kinds     *Index[string]
-	members   *Index[string]
-	groups    *Index[int64]
-	doors     Doors[*Arrival]
-	ids       map[string]struct{} // of the txns in hand
-	alarms    alarms
-	later     []Event // came of the batch in hand; they open the next one
-	book      Book
-	far       map[int]bool      // members that stand for another site
-	turns     map[int]uint32    // by member: how often its place was given back
-	standing  []discovery.Entry // members that no list tells of
-	classes   *classes          // nil where statements are not classed
-	bound     Bound
-	terms     *terms   // in force
-	past      []*terms // of which txns are in hand still
-	doorsOpen int      // txns in hand without their final answer
-	older     int      // of these, on another version than the newest
-	alone     func()   // hears when there are none
-	lapsed    bool     // the right has run out, and what was in hand is ended
-	shut      bool     // no txn is taken any more
-	comeBack  time.Duration
-	entries   []port.Entry
+	types      []port.TxnType
+	most       int           // submissions a txn
+	patience   time.Duration // for a probe
+	typeIDs    *Index[string]
+	customers  *Index[string]
+	zones      *Index[string]
+	kinds      *Index[string]
+	members    *Index[string]
+	groups     *Index[int64]
+	slab       Slab[*Arrival]
+	ids        map[string]struct{} // of the txns in hand
+	alarms     alarms
+	later      []Event // came of the batch in hand; they open the next one
+	metrics    Metrics
+	far        map[int]bool      // members that stand for another site
+	turns      map[int]uint32    // by member: how often its place was given back
+	standing   []discovery.Entry // members that no list tells of
+	classes    *classes          // nil where statements are not classed
+	bound      Bound
+	terms      *terms   // in force
+	past       []*terms // of which txns are in hand still
+	unanswered int      // txns in hand without their final answer
+	older      int      // of these, on another version than the newest
+	alone      func()   // hears when there are none
+	lapsed     bool     // the right has run out, and what was in hand is ended
+	shut       bool     // no txn is taken any more
+	comeBack   time.Duration
+	entries    []port.Entry
 }
 
 // NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
 // the one form that the users' protocol has.
-func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Links, ask Directory, classing *Classing) *Core {
-	c := &Core{links: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
+func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Pools, ask Directory, classing *Classing) *Core {
+	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
 		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
@@ -141,7 +141,7 @@
 			return
 		}
 		c.batch(clock.Now())
-		c.book.took(clock.Now() - c.now)
+		c.metrics.took(clock.Now() - c.now)
 	}
 }
 
@@ -176,14 +176,14 @@
 	}
 	for len(c.alarms) > 0 && c.alarms[0].at <= now {
 		a := heap.Pop(&c.alarms).(alarm)
-		c.book.late(now - a.at)
+		c.metrics.late(now - a.at)
 		switch {
 		case a.right:
 			c.lapse(now)
 		case a.s == nil:
 			c.decider.Woken(now)
 		case a.unbegun:
-			c.spare(a.s)
+			c.cancelUnsent(a.s)
 		default:
 			c.expire(a.s)
 		}
@@ -238,7 +238,7 @@
 			delete(c.far, m) // the place may have been another's
 		}
 		if e.Address != "" {
-			c.links.Place(m, e.Address, e.Since)
+			c.pools.Place(m, e.Address, e.Since)
 		}
 		c.entries = append(c.entries, port.Entry{Member: m, Zone: zone, Kind: c.kinds.Number(e.Kind),
 			Group: c.groups.Number(e.Group), State: e.State, Weight: e.Weight, Primary: e.Primary,
--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -60,7 +60,7 @@
 	c.batch(20 * ms)
 	assert.Equal(t, port.Void, m.ended[0].Ending)
 	assert.True(t, m.ended[0].Closed)
-	assert.Zero(t, c.doors.Held())
+	assert.Zero(t, c.slab.Held())
 	assert.Empty(t, w.final)
 }
 
@@ -77,15 +77,15 @@
 	c.Post(Shutdown{})
 	arrive(t, c, w, strings.Replace(browse, "id=1", "id=4", 1))
 	c.batch(20 * ms)
-	words := []Word{}
+	words := []Status{}
 	for _, f := range w.final {
-		words = append(words, f.Word)
+		words = append(words, f.Status)
 	}
-	assert.Equal(t, []Word{Declined, Undone, Declined, Declined}, words,
+	assert.Equal(t, []Status{Declined, Undone, Declined, Declined}, words,
 		"a read; a write that may have run; one that cannot have; one that came behind")
 	assert.Equal(t, 2, w.cuts)
 	assert.Len(t, m.begun, 3)
-	assert.Zero(t, c.doors.Held())
+	assert.Zero(t, c.slab.Held())
 	c.Post(&Ended{S: w.sent[1], Answer: pgwire.Answer{Whole: true}})
 	c.batch(30 * ms)
 	assert.Len(t, w.final, 4, "and only once")
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -54,13 +54,13 @@
 	sent   []*Submission
 	cuts   int
 	forgot []int
-	final  []Final
+	final  []Response
 }
 
 func (w *wires) Place(int, string, int64)  {}
 func (w *wires) Send(_ int, s *Submission) { w.sent = append(w.sent, s) }
 func (w *wires) Forget(i int)              { w.forgot = append(w.forgot, i) }
-func (w *wires) Answer(f Final)            { w.final = append(w.final, f) }
+func (w *wires) Answer(f Response)         { w.final = append(w.final, f) }
 func (w *wires) Watch(bool)                {}
 func (w *wires) Fetch()                    {}
 func (w *wires) begin(t *testing.T, i int) { require.True(t, w.sent[i].Begin(func() { w.cuts++ })) }
@@ -117,13 +117,13 @@
 	w.begin(t, 0)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
 	c.batch(30 * ms)
-	assert.Equal(t, []Final{{Word: Served, Rows: []byte("rows"), Place: 1_000_030, Age: 20 * ms, Aged: true}}, w.final)
+	assert.Equal(t, []Response{{Status: Served, Rows: []byte("rows"), Place: 1_000_030, Age: 20 * ms, Aged: true}}, w.final)
 	o := m.ended[0]
 	assert.Equal(t, port.Committed, o.Ending)
 	assert.True(t, o.Closed && o.HasPosition && o.Role == port.Replica)
 	assert.Equal(t, 30*ms, o.Position, "Unix milliseconds become a span since the start")
 	assert.Equal(t, 20*ms, o.Latency)
-	assert.Zero(t, c.doors.Held())
+	assert.Zero(t, c.slab.Held())
 }
 
 func TestTheLineBetweenNeverRanAndMayHaveRun(t *testing.T) {
@@ -163,7 +163,7 @@
 	assert.Equal(t, 1, w.cuts)
 	assert.Equal(t, port.TimedOut, m.ended[0].Ending)
 	assert.False(t, m.ended[0].Closed, "the module still owes the answer")
-	assert.Equal(t, []Final{{Word: Undone}}, w.final)
+	assert.Equal(t, []Response{{Status: Undone}}, w.final)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
 	c.batch(101 * ms)
 	assert.Len(t, m.ended, 1, "an answer that crosses the cut is nobody's")
@@ -203,7 +203,7 @@
 	c.batch(20 * ms)
 	assert.True(t, m.ended[0].Closed)
 	assert.Empty(t, w.final)
-	assert.Zero(t, c.doors.Held())
+	assert.Zero(t, c.slab.Held())
 }
 
 func TestAPlaceIsNotReusedWhileSomethingIsOut(t *testing.T) {
@@ -212,7 +212,7 @@
 	w.begin(t, 0)
 	m.wish = func(m *module) { m.Decline(m.begun[0].Ref, 40*ms) }
 	c.batch(20 * ms)
-	assert.Equal(t, []Final{{Word: Declined, Come: 40 * ms}}, w.final)
+	assert.Equal(t, []Response{{Status: Declined, Come: 40 * ms}}, w.final)
 	arrive(t, c, w, strings.Replace(browse, "id=1", "id=2", 1))
 	c.batch(30 * ms)
 	assert.NotEqual(t, m.begun[0].Ref.Place, m.begun[1].Ref.Place)
@@ -234,7 +234,7 @@
 		a := arrive(t, c, w, text)
 		c.Post(Gone{a})
 		c.batch(ms)
-		assert.Equal(t, Senseless, w.final[0].Word, text)
+		assert.Equal(t, Senseless, w.final[0].Status, text)
 		assert.Empty(t, m.begun)
 		assert.Empty(t, m.left)
 	}
@@ -281,7 +281,7 @@
 		w.begin(t, 0)
 		c.Post(&Ended{S: w.sent[0], Answer: pgwire.Answer{Code: code}})
 		c.batch(20 * ms)
-		assert.Equal(t, Senseless, w.final[0].Word)
+		assert.Equal(t, Senseless, w.final[0].Status)
 		assert.Equal(t, code, w.final[0].Code)
 		assert.True(t, m.ended[0].Closed && m.ended[0].Ending == port.Missed, "the member is well")
 	}
@@ -294,7 +294,7 @@
 	thief := &wires{}
 	arrive(t, c, thief, browse)
 	c.batch(20 * ms)
-	assert.Equal(t, Senseless, thief.final[0].Word)
+	assert.Equal(t, Senseless, thief.final[0].Status)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
 	arrive(t, c, w, browse)
 	c.batch(30 * ms)
--- a/front/ids.go
+++ b/front/ids.go
@@ -64,8 +64,8 @@
 	return h.Sum64() | 1
 }
 
-// Door is the host's side of a txn in hand.
-type Door[T any] struct {
+// Slot is the host's side of a txn in hand.
+type Slot[T any] struct {
 	What   T
 	Out    int  // submissions without an ending
 	Hops   int  // submissions so far
@@ -74,50 +74,50 @@
 	turn   uint32
 }
 
-// Doors is a slab of doors whose places are reused.
-type Doors[T any] struct {
-	doors []Door[T]
+// Slab is a slab of slots whose places are reused.
+type Slab[T any] struct {
+	slots []Slot[T]
 	free  []uint32
 	held  int
 }
 
 // Open takes a place for a txn.
-func (d *Doors[T]) Open(what T) port.Ref {
+func (d *Slab[T]) Open(what T) port.Ref {
 	var place uint32
 	if n := len(d.free); n > 0 {
 		place, d.free = d.free[n-1], d.free[:n-1]
 	} else {
-		place = uint32(len(d.doors))
-		d.doors = append(d.doors, Door[T]{})
+		place = uint32(len(d.slots))
+		d.slots = append(d.slots, Slot[T]{})
 	}
-	turn := d.doors[place].turn + 1
-	d.doors[place] = Door[T]{What: what, held: true, turn: turn}
+	turn := d.slots[place].turn + 1
+	d.slots[place] = Slot[T]{What: what, held: true, turn: turn}
 	d.held++
 	return port.Ref{Place: place, Turn: turn}
 }
 
-// At finds the door of a txn in hand, or nil; the zero Ref is never in hand.
-func (d *Doors[T]) At(r port.Ref) *Door[T] {
-	if int(r.Place) >= len(d.doors) {
+// At finds the slot of a txn in hand, or nil; the zero Ref is never in hand.
+func (d *Slab[T]) At(r port.Ref) *Slot[T] {
+	if int(r.Place) >= len(d.slots) {
 		return nil
 	}
-	if o := &d.doors[r.Place]; o.held && o.turn == r.Turn {
+	if o := &d.slots[r.Place]; o.held && o.turn == r.Turn {
 		return o
 	}
 	return nil
 }
 
-// Each calls with every door in hand; the call may release its own.
-func (d *Doors[T]) Each(call func(port.Ref, *Door[T])) {
-	for i := range d.doors {
-		if o := &d.doors[i]; o.held {
+// Each calls with every slot in hand; the call may release its own.
+func (d *Slab[T]) Each(call func(port.Ref, *Slot[T])) {
+	for i := range d.slots {
+		if o := &d.slots[i]; o.held {
 			call(port.Ref{Place: uint32(i), Turn: o.turn}, o)
 		}
 	}
 }
 
-// Must finds the door of a txn that the module names.
-func (d *Doors[T]) Must(r port.Ref) *Door[T] {
+// Must finds the slot of a txn that the module names.
+func (d *Slab[T]) Must(r port.Ref) *Slot[T] {
 	o := d.At(r)
 	if o == nil {
 		panic(fmt.Sprintf("txn %d.%d is not in hand", r.Place, r.Turn))
@@ -126,17 +126,17 @@
 }
 
 // Release gives a place back once its txn is answered and every submission has ended, and says whether it did.
-func (d *Doors[T]) Release(r port.Ref) bool {
+func (d *Slab[T]) Release(r port.Ref) bool {
 	o := d.At(r)
 	if o == nil || !o.Closed || o.Out > 0 {
 		return false
 	}
 	turn := o.turn
-	*o = Door[T]{turn: turn}
+	*o = Slot[T]{turn: turn}
 	d.free = append(d.free, r.Place)
 	d.held--
 	return true
 }
 
 // Held is the number of txns in hand.
-func (d *Doors[T]) Held() int { return d.held }
+func (d *Slab[T]) Held() int { return d.held }
--- a/front/book.go
+++ b/front/metrics.go
@@ -8,8 +8,8 @@
 	"dapplerouter/port"
 )
 
-// Book counts what passed, for the log.
-type Book struct {
+// Metrics counts what passed, for the log.
+type Metrics struct {
 	taken, served, declined, undone, left, senseless int
 	submissions, probes, spoilt                      int
 	endings                                          [port.Missed + 1]int
@@ -19,7 +19,7 @@
 
 // heard tells the log when a member begins to fail and when it answers again.
 func (c *Core) heard(member int, e port.Ending, why error) {
-	b := &c.book
+	b := &c.metrics
 	for len(b.failing) <= member {
 		b.failing = append(b.failing, false)
 	}
@@ -41,8 +41,8 @@
 	}
 }
 
-func (b *Book) late(by time.Duration) { b.lateMost = max(b.lateMost, by) }
-func (b *Book) took(d time.Duration)  { b.tookMost = max(b.tookMost, d) }
+func (b *Metrics) late(by time.Duration) { b.lateMost = max(b.lateMost, by) }
+func (b *Metrics) took(d time.Duration)  { b.tookMost = max(b.tookMost, d) }
 
 // ended tells the module an ending and gives the place back if it was the last.
 func (c *Core) ended(s *Submission, o port.Outcome, why error) {
@@ -54,8 +54,8 @@
 		c.decider.Probed(c.now, s.member, o.Ending, c.now-s.sent, o.Load)
 		return
 	}
-	c.book.endings[o.Ending]++
-	d := c.doors.Must(s.ref) // a place with something out is never given back
+	c.metrics.endings[o.Ending]++
+	d := c.slab.Must(s.ref) // a place with something out is never given back
 	d.Out--
 	a := d.What
 	if !a.mayRun && !o.Ending.NeverRan() {
@@ -64,49 +64,49 @@
 	a.out = slices.DeleteFunc(a.out, func(o *Submission) bool { return o == s })
 	o.Ref, o.Hop, o.Member, o.Closed, o.Latency = s.ref, s.hop, s.member, d.Closed, c.now-s.sent
 	c.decider.Ended(c.now, o)
-	c.doors.Release(s.ref)
+	c.slab.Release(s.ref)
 }
 
 // conclude gives the final answer on the module's word.
-func (c *Core) conclude(r port.Ref, f Final) {
-	c.answer(c.doors.Must(r), f)
-	c.doors.Release(r)
+func (c *Core) conclude(r port.Ref, f Response) {
+	c.answer(c.slab.Must(r), f)
+	c.slab.Release(r)
 }
 
-// answer passes the one answer on; the door is closed from then on.
-func (c *Core) answer(d *Door[*Arrival], f Final) {
+// answer passes the one answer on; the slot is closed from then on.
+func (c *Core) answer(d *Slot[*Arrival], f Response) {
 	if d.Closed {
 		return
 	}
 	c.close(d)
-	switch f.Word {
+	switch f.Status {
 	case Served:
-		c.book.served++
+		c.metrics.served++
 	case Declined:
-		c.book.declined++
+		c.metrics.declined++
 	case Undone:
-		c.book.undone++
+		c.metrics.undone++
 	case Senseless:
-		c.book.senseless++
+		c.metrics.senseless++
 	}
 	a := d.What
-	c.audited(a, f.Word)
-	slog.Debug("answered", "type", string(a.Statement.Type), "word", f.Word, "after", c.now-a.At,
+	c.audited(a, f.Status)
+	slog.Debug("answered", "type", string(a.Statement.Type), "word", f.Status, "after", c.now-a.At,
 		"of", a.Statement.Wait, "submissions", d.Hops)
 	a.Client.Answer(f)
 }
 
-func (c *Core) audited(a *Arrival, w Word) {
+func (c *Core) audited(a *Arrival, w Status) {
 	if c.bound.Audit != nil {
 		c.bound.Audit.Ended(c.now, a.span, a.typ, w)
 	}
 }
 
-// close ends a door's txn for its client; its id may come again.
-func (c *Core) close(d *Door[*Arrival]) {
+// close ends a slot's txn for its client; its id may come again.
+func (c *Core) close(d *Slot[*Arrival]) {
 	d.Closed = true
 	delete(c.ids, string(d.What.Statement.ID))
-	c.doorsOpen--
+	c.unanswered--
 	if d.What.terms != c.terms {
 		c.older--
 		c.onlyNewest()
@@ -115,17 +115,17 @@
 
 func (g Gone) take(c *Core, now time.Duration) {
 	a := g.Arrival
-	if d := c.doors.At(a.ref); d != nil && !d.Closed {
+	if d := c.slab.At(a.ref); d != nil && !d.Closed {
 		c.close(d)
-		c.book.left++
+		c.metrics.left++
 		c.audited(a, Abandoned)
 		slog.Debug("left", "type", string(a.Statement.Type), "after", now-a.At, "of", a.Statement.Wait,
 			"submissions", d.Hops)
 		c.decider.Left(now, a.ref)
 		for _, s := range slices.Clone(a.out) { // where the site lets nothing be taken back, what was not sent is left unsent
-			c.spare(s)
+			c.cancelUnsent(s)
 		}
-		c.doors.Release(a.ref)
+		c.slab.Release(a.ref)
 	}
 }
 
@@ -133,10 +133,10 @@
 type Report struct{ Extra []any }
 
 func (r Report) take(c *Core, _ time.Duration) {
-	b := &c.book
+	b := &c.metrics
 	e := &b.endings
 	slog.Info("totals", append([]any{"taken", b.taken, "committed", b.served, "declined", b.declined,
-		"rolled_back", b.undone, "left", b.left, "senseless", b.senseless, "in_hand", c.doors.Held(),
+		"rolled_back", b.undone, "left", b.left, "senseless", b.senseless, "in_hand", c.slab.Held(),
 		"submissions", b.submissions, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt,
 		"full", e[port.Full], "timed_out", e[port.TimedOut], "unreachable", e[port.Unreachable], "broken", e[port.Broken],
 		"withdrawn", e[port.Withdrawn], "missed", e[port.Missed], "alarm_late", b.lateMost,
--- a/front/relay.go
+++ b/front/relay.go
@@ -60,7 +60,7 @@
 			o.Load = c.report(a.Value())
 		}
 	}
-	if d := c.doors.At(e.S.ref); d != nil {
+	if d := c.slab.At(e.S.ref); d != nil {
 		ty := &d.What.terms.types[d.What.typ]
 		if o.Ending == port.Committed && e.Crossed && ty.Level == port.Bounded && (!e.Aged || e.Age > ty.Bound) {
 			o.Ending, o.HasPosition = port.Missed, false // a read that is older than its bound by now is nobody's answer
@@ -70,16 +70,16 @@
 			c.learns(e.S)
 			c.answer(d, c.served(e, &o))
 		case e.Answer.Senseless(): // as it would be anywhere: other members are spared it
-			c.answer(d, Final{Word: Senseless, Code: e.Answer.Code, Reason: cmp.Or(e.Answer.Message, "the statement cannot be served")})
+			c.answer(d, Response{Status: Senseless, Code: e.Answer.Code, Reason: cmp.Or(e.Answer.Message, "the statement cannot be served")})
 		case e.Answer.TooLong: // it ran; another member would answer as much
-			c.answer(d, Final{Word: Senseless, Code: pgwire.TooLarge, Reason: e.Answer.Message})
+			c.answer(d, Response{Status: Senseless, Code: pgwire.TooLarge, Reason: e.Answer.Message})
 		}
 	}
 	var why error
 	if e.Failure != nil {
 		why = e.Failure
 		if e.Failure.Reach == Spoilt {
-			c.book.spoilt++
+			c.metrics.spoilt++
 		}
 	}
 	slog.Debug("ended", "member", c.members.Key(e.S.member), "probe", e.S.probe, "ending", o.Ending,
@@ -89,8 +89,8 @@
 
 // served is the final answer of what a member committed, with how old its data may be for a further site: since the
 // submission went out, and what the member was behind when it answered. Only clocks of one site are compared.
-func (c *Core) served(e *Ended, o *port.Outcome) Final {
-	f := Final{Word: Served, Rows: e.Answer.Rows, Primary: o.Role == port.Primary}
+func (c *Core) served(e *Ended, o *port.Outcome) Response {
+	f := Response{Status: Served, Rows: e.Answer.Rows, Primary: o.Role == port.Primary}
 	if e.Answer.HasApplied {
 		f.Place = e.Answer.Applied
 	}
--- a/front/route.go
+++ b/front/route.go
@@ -10,7 +10,7 @@
 
 // Submit and the rest are the module's wishes; each is carried out as it stands.
 func (c *Core) Submit(r port.Ref, member int, giveUpAfter time.Duration) {
-	d := c.doors.Must(r)
+	d := c.slab.Must(r)
 	s := &Submission{ref: r, member: member, hop: d.Hops, sent: c.now}
 	d.Out++
 	d.Hops++
@@ -45,10 +45,10 @@
 
 // Revoke takes one submission back.
 func (c *Core) Revoke(r port.Ref, hop int) {
-	for _, s := range c.doors.Must(r).What.out {
+	for _, s := range c.slab.Must(r).What.out {
 		if s.hop == hop && !s.done {
 			ending := port.Void
-			if s.drop() {
+			if s.cancel() {
 				ending = port.Withdrawn
 			}
 			c.later = append(c.later, settled{s, ending})
@@ -58,16 +58,16 @@
 
 // Decline and RollBack are final answers.
 func (c *Core) Decline(r port.Ref, comeBackIn time.Duration) {
-	a := c.doors.Must(r).What
-	c.conclude(r, Final{Word: Declined, Come: comeBackIn, MayRun: a.mayRun && c.types[a.typ].Effect != port.Repeatable})
+	a := c.slab.Must(r).What
+	c.conclude(r, Response{Status: Declined, Come: comeBackIn, MayRun: a.mayRun && c.types[a.typ].Effect != port.Repeatable})
 }
 
-func (c *Core) RollBack(r port.Ref) { c.conclude(r, Final{Word: Undone}) }
+func (c *Core) RollBack(r port.Ref) { c.conclude(r, Response{Status: Undone}) }
 
 // Probe asks a member for its report.
 func (c *Core) Probe(member int) {
 	s := &Submission{member: member, sent: c.now, turn: c.turns[member], probe: true, Message: probeMessage}
-	c.book.probes++
+	c.metrics.probes++
 	c.send(s, c.now+c.patience)
 }
 
@@ -85,9 +85,9 @@
 	slog.Info("forgotten", "member", c.members.Key(member))
 	c.members.Free(member)
 	c.turns[member]++
-	c.links.Forget(member)
-	if member < len(c.book.failing) {
-		c.book.failing[member] = false
+	c.pools.Forget(member)
+	if member < len(c.metrics.failing) {
+		c.metrics.failing[member] = false
 	}
 }
 
--- a/front/send.go
+++ b/front/send.go
@@ -68,7 +68,7 @@
 
 // send hands a submission to the links and sets the time at which it is given up.
 func (c *Core) send(s *Submission, until time.Duration) {
-	if d := c.doors.At(s.ref); d != nil {
+	if d := c.slab.At(s.ref); d != nil {
 		a := d.What
 		a.out = append(a.out, s)
 		s.right, s.clock = a.terms.right, c.clock
@@ -82,13 +82,13 @@
 		}
 	}
 	heap.Push(&c.alarms, alarm{at: until, s: s})
-	c.book.submissions++
-	c.links.Send(s.member, s)
+	c.metrics.submissions++
+	c.pools.Send(s.member, s)
 }
 
-// drop gives a submission up: afterwards nothing of it goes out, and what went out is cut off. It says
+// cancel gives a submission up: afterwards nothing of it goes out, and what went out is cut off. It says
 // whether something had.
-func (s *Submission) drop() (sent bool) {
+func (s *Submission) cancel() (sent bool) {
 	s.done = true
 	if s.stage.CompareAndSwap(waiting, dropped) {
 		return false
@@ -97,9 +97,9 @@
 	return true
 }
 
-// spare ends what has not begun to go out. A connection may come up late: what waits for it must not go out behind the end
+// cancelUnsent ends what has not begun to go out. A connection may come up late: what waits for it must not go out behind the end
 // of the window in which the member's group drops a repeat, nor for a client that has left.
-func (c *Core) spare(s *Submission) {
+func (c *Core) cancelUnsent(s *Submission) {
 	if !s.done && s.stage.CompareAndSwap(waiting, dropped) {
 		s.done = true
 		c.ended(s, port.Outcome{Ending: port.Void, Load: site.NoReport}, nil)
@@ -109,7 +109,7 @@
 // expire ends what nobody answered in time.
 func (c *Core) expire(s *Submission) {
 	if !s.done {
-		s.drop()
+		s.cancel()
 		c.ended(s, port.Outcome{Ending: port.TimedOut, Load: site.NoReport}, nil)
 	}
 }
--- a/front/takein.go
+++ b/front/takein.go
@@ -9,13 +9,13 @@
 )
 
 // Client is where a final answer goes. Answer never blocks.
-type Client interface{ Answer(Final) }
+type Client interface{ Answer(Response) }
 
-// Word is the sort of a final answer.
-type Word uint8
+// Status is the sort of a final answer.
+type Status uint8
 
 const (
-	Served Word = iota
+	Served Status = iota
 	Declined
 	Undone
 	Senseless // the statement cannot be served: nothing was sent anywhere
@@ -23,9 +23,9 @@
 	Words     // how many there are
 )
 
-// Final is the one answer of a txn.
-type Final struct {
-	Word   Word
+// Response is the one answer of a txn.
+type Response struct {
+	Status Status
 	Rows   []byte        // Served: messages as the member gave them
 	Come   time.Duration // Declined: when to come again, 0 for not named
 	Code   string        // Senseless
@@ -68,8 +68,8 @@
 // take turns names into indices; what names nothing known is answered at once.
 func (a *Arrival) take(c *Core, now time.Duration) {
 	if c.lapsed || c.shut {
-		c.book.declined++
-		a.Client.Answer(Final{Word: Declined, Come: c.comeBack})
+		c.metrics.declined++
+		a.Client.Answer(Response{Status: Declined, Come: c.comeBack})
 		return
 	}
 	a.terms = c.terms
@@ -119,6 +119,6 @@
 }
 
 func (a *Arrival) refuse(c *Core, why string) {
-	c.book.senseless++
-	a.Client.Answer(Final{Word: Senseless, Code: pgwire.BadValue, Reason: why})
+	c.metrics.senseless++
+	a.Client.Answer(Response{Status: Senseless, Code: pgwire.BadValue, Reason: why})
 }
--- a/front/terms.go
+++ b/front/terms.go
@@ -21,7 +21,7 @@
 // Auditor hears of each txn, from the core's goroutine: it must neither block nor allocate. Ended comes once for each Taken.
 type Auditor interface {
 	Taken(now time.Duration, id []byte, typ int) (span uint32)
-	Ended(now time.Duration, span uint32, typ int, w Word)
+	Ended(now time.Duration, span uint32, typ int, w Status)
 	Listed(now time.Duration, index int64)     // the list's version is another
 	Adopted(now time.Duration, version uint64) // the terms are
 	Right(now, until time.Duration, standby bool)
@@ -103,11 +103,11 @@
 			t.givenUp[g] = struct{}{}
 		}
 	}
-	if c.doorsOpen > c.older { // txns of the version before go on under its right
+	if c.unanswered > c.older { // txns of the version before go on under its right
 		c.past = append(c.past, c.terms)
 	}
 	c.terms = t
-	c.older, c.alone = c.doorsOpen, e.Alone
+	c.older, c.alone = c.unanswered, e.Alone
 	if c.bound.Audit != nil {
 		c.bound.Audit.Adopted(now, e.Version)
 	}
@@ -266,7 +266,7 @@
 
 // endAll gives each txn in hand on some terms its final answer, and takes back what is out for it.
 func (c *Core) endAll(now time.Duration, on func(*terms) bool) {
-	c.doors.Each(func(ref port.Ref, d *Door[*Arrival]) {
+	c.slab.Each(func(ref port.Ref, d *Slot[*Arrival]) {
 		if d.Closed || !on(d.What.terms) {
 			return
 		}
@@ -276,19 +276,19 @@
 		for i, s := range outs {
 			if !s.done {
 				endings[i] = port.Void
-				if s.drop() {
+				if s.cancel() {
 					endings[i], a.mayRun = port.Withdrawn, true
 				}
 			}
 		}
-		f := Final{Word: Declined, Come: c.comeBack, MayRun: a.mayRun}
+		f := Response{Status: Declined, Come: c.comeBack, MayRun: a.mayRun}
 		if a.mayRun && c.types[a.typ].Effect != port.Repeatable {
-			f = Final{Word: Undone}
+			f = Response{Status: Undone}
 		}
 		c.answer(d, f)
 		if len(outs) == 0 {
 			c.decider.Left(now, ref)
-			c.doors.Release(ref)
+			c.slab.Release(ref)
 		}
 		for i, s := range outs {
 			if endings[i] != port.Committed { // it was out until now
--- a/front/terms_test.go
+++ b/front/terms_test.go
@@ -20,7 +20,7 @@
 }
 
 func (l *ledger) Taken(time.Duration, []byte, int) uint32 { l.taken++; return uint32(l.version) }
-func (l *ledger) Ended(_ time.Duration, span uint32, _ int, w Word) {
+func (l *ledger) Ended(_ time.Duration, span uint32, _ int, w Status) {
 	l.ended++
 	l.words[w]++
 }
@@ -55,7 +55,7 @@
 	c.batch(30 * ms)
 	require.Len(t, m.begun, 2)
 	assert.Equal(t, []time.Duration{3 * time.Second, time.Second}, []time.Duration{m.begun[0].Bound, m.begun[1].Bound})
-	old := c.doors.Must(m.begun[0].Ref).What
+	old := c.slab.Must(m.begun[0].Ref).What
 	assert.EqualValues(t, 0, old.terms.version)
 	assert.Equal(t, 3*time.Second, old.terms.types[0].Bound, "those in hand keep theirs")
 
@@ -74,7 +74,7 @@
 	c.batch(50 * ms)
 	assert.Len(t, m.begun, 2)
 	require.Len(t, w.final, 1)
-	assert.Equal(t, Senseless, w.final[0].Word)
+	assert.Equal(t, Senseless, w.final[0].Status)
 	assert.Contains(t, w.final[0].Reason, "given up")
 }
 
@@ -87,16 +87,16 @@
 	*now = 100 * ms
 	c.batch(100 * ms)
 	require.Len(t, w.final, 1, "at once")
-	assert.Equal(t, Declined, w.final[0].Word, "a read may be asked again")
+	assert.Equal(t, Declined, w.final[0].Status, "a read may be asked again")
 	assert.Equal(t, 1, w.cuts)
 	assert.Equal(t, port.Withdrawn, m.ended[0].Ending)
 	assert.True(t, m.ended[0].Closed)
-	assert.Zero(t, c.doors.Held())
+	assert.Zero(t, c.slab.Held())
 	arrive(t, c, w, browse)
 	c.batch(110 * ms)
 	assert.Len(t, m.begun, 1, "no new txn is taken")
 	require.Len(t, w.final, 2)
-	assert.Equal(t, Declined, w.final[1].Word)
+	assert.Equal(t, Declined, w.final[1].Status)
 	c.Post(Renew{Until: 300 * ms})
 	c.batch(120 * ms)
 	arrive(t, c, w, browse)
@@ -118,7 +118,7 @@
 		}
 		c.batch(150 * ms)
 		require.Len(t, w.final, 1)
-		assert.Equal(t, map[bool]Word{true: Undone, false: Declined}[begun], w.final[0].Word)
+		assert.Equal(t, map[bool]Status{true: Undone, false: Declined}[begun], w.final[0].Status)
 		assert.Equal(t, map[bool]port.Ending{true: port.Withdrawn, false: port.Void}[begun], m.ended[0].Ending)
 		assert.False(t, !begun && w.sent[0].Begin(func() {}), "nothing goes out afterwards")
 	}
@@ -134,7 +134,7 @@
 	c.Post(Renew{Until: 70 * time.Second})
 	c.batch(60 * time.Second)
 	require.Len(t, w.final, 1)
-	assert.Equal(t, Declined, w.final[0].Word)
+	assert.Equal(t, Declined, w.final[0].Status)
 	assert.Equal(t, port.Void, m.ended[0].Ending)
 	assert.False(t, w.sent[0].Begin(func() {}), "not under the new right either")
 	arrive(t, c, w, browse)
@@ -176,5 +176,5 @@
 	c.batch(100 * ms)
 	require.Len(t, w.final, 1, "the right to version 0 is over")
 	assert.False(t, c.Lapsed())
-	assert.Equal(t, 1, c.doors.Held(), "the other goes on")
+	assert.Equal(t, 1, c.slab.Held(), "the other goes on")
 }
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -503,7 +503,7 @@
 		} else if err != nil {
 			what = err.Error()
 		}
-		r.Answer(front.Final{Word: front.Senseless, Code: code, Reason: what})
+		r.Answer(front.Response{Status: front.Senseless, Code: code, Reason: what})
 		return
 	}
 	st.Wait, st.After = min(st.Wait, s.Wait), max(st.After, s.After)
@@ -515,7 +515,7 @@
 }
 
 // Answer takes our front's final answer on the core's goroutine; it never blocks.
-func (r *runner) Answer(f front.Final) {
+func (r *runner) Answer(f front.Response) {
 	l := r.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -525,8 +525,8 @@
 }
 
 // frame puts a final answer into a frame.
-func frame(f *front.Final) gateway.Frame {
-	switch f.Word {
+func frame(f *front.Response) gateway.Frame {
+	switch f.Status {
 	case front.Served:
 		g := gateway.Frame{Word: gateway.Served, Data: f.Rows, Place: f.Place, Age: f.Age, Aged: f.Aged}
 		if f.Primary {
--- a/gateway/link/links.go
+++ b/gateway/link/links.go
@@ -13,7 +13,7 @@
 // Links sends what goes to members of this site over their own links, and what goes to the other site over the Link.
 // All calls come from the core's goroutine.
 type Links struct {
-	Local front.Links
+	Local front.Pools
 	Far   *Link
 	far   []bool // by member
 }
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -73,7 +73,7 @@
 	Type      string
 	At, Ended time.Duration // the world's
 	Finals    int
-	Word      front.Word
+	Word      front.Status
 	Write     bool
 }
 
@@ -177,14 +177,14 @@
 	f.startedAt = t.Now
 	i := slices.Index(t.Hosts, f.host)
 	f.due = -1
-	ways := front.Links(&links{f: f})
+	ways := front.Pools(&links{f: f})
 	f.dir = &directory{f: f}
 	s := t.site(i)
 	if f.host.Node != nil {
 		f.list = fleet.NewListing()
 		f.host.Node.Mirror(fleet.ListDuty, f.list)
 		f.scouts = company.NewScouts(t.Pace.Span, s.Allowance.DialTimeout)
-		f.scouts.Links, f.scouts.Post = ways, func(e front.Event) { f.post(e) }
+		f.scouts.Pools, f.scouts.Post = ways, func(e front.Event) { f.post(e) }
 		f.scouts.Now = f.host.Clock
 		f.scouts.Ask = func(to, member string) {
 			f.host.Do(func(n *fleet.Node, now time.Duration) { n.Post(now, to, "scout", []byte(member)) })
@@ -434,10 +434,10 @@
 	x *Txn
 }
 
-func (c *client) Answer(f front.Final) {
+func (c *client) Answer(f front.Response) {
 	c.x.Finals++
-	c.x.Word, c.x.Ended = f.Word, c.f.t.Now
-	if f.Word == front.Served {
+	c.x.Word, c.x.Ended = f.Status, c.f.t.Now
+	if f.Status == front.Served {
 		c.f.Served[c.x.Type]++
 	}
 }
--- a/lab/model/rolls.go
+++ b/lab/model/rolls.go
@@ -110,7 +110,7 @@
 func (f *tally) Tick(time.Duration)                       {}
 func (f *tally) Close(time.Duration)                      {}
 func (f *tally) Right(time.Duration, time.Duration, bool) {}
-func (f *tally) Ended(_ time.Duration, _ uint32, typ int, w front.Word) {
+func (f *tally) Ended(_ time.Duration, _ uint32, typ int, w front.Status) {
 	f.sums[typ].Ended++
 	if w == front.Served {
 		f.sums[typ].Served++
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -147,9 +147,9 @@
 	sv      *Server
 	conn    *net.TCPConn
 	r       *pgwire.Reader
-	final   chan front.Final // holds one: a connection has one txn at a time
-	idle    atomic.Int64     // since when it has nothing to do, as the clock says, 0 while it has
-	evicted atomic.Bool      // makes way for another
+	final   chan front.Response // holds one: a connection has one txn at a time
+	idle    atomic.Int64        // since when it has nothing to do, as the clock says, 0 while it has
+	evicted atomic.Bool         // makes way for another
 
 	until    time.Time // by which it must have asked something
 	answered bool      // once at least
@@ -206,7 +206,7 @@
 		sv.reject(conn)
 		return
 	}
-	c := &client{sv: sv, conn: conn, final: make(chan front.Final, 1), until: time.Now().Add(messageTimeout),
+	c := &client{sv: sv, conn: conn, final: make(chan front.Response, 1), until: time.Now().Add(messageTimeout),
 		r: pgwire.NewReader(conn, clientBuffer, longestQuery)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
@@ -367,7 +367,7 @@
 }
 
 // Answer passes the final answer to the connection's goroutine and wakes it.
-func (c *client) Answer(f front.Final) {
+func (c *client) Answer(f front.Response) {
 	c.final <- f
 	c.conn.SetReadDeadline(past)
 }
@@ -566,7 +566,7 @@
 	}
 	c.out = nil
 	c.r.Shed(bodyKept)
-	switch f.Word {
+	switch f.Status {
 	case front.Served:
 		return c.last(pgwire.Ready(f.Rows))
 	case front.Declined:
@@ -583,7 +583,7 @@
 
 // await waits for the final answer; false when the client went away before. Of one that has sent more than is read ahead
 // only the state of its connection tells.
-func (c *client) await() (front.Final, bool) {
+func (c *client) await() (front.Response, bool) {
 	for {
 		select {
 		case f := <-c.final:
@@ -596,12 +596,12 @@
 		}
 		switch {
 		case err == nil && full:
-			return front.Final{}, false
+			return front.Response{}, false
 		case err == nil:
 		case timedOut(err):
 			c.conn.SetReadDeadline(time.Time{})
 		default:
-			return front.Final{}, false
+			return front.Response{}, false
 		}
 	}
 }
