Clients' long messages share an eighth of the memory; one that finds no room is told to come again

Each message was bounded (256 KB), their sum was not (pgwire/message.go rest, sockets/clients.go begin). Now room beyond 16 KB a connection is reserved from a sum and given back with the answer or the end of the connection; one that gets none ends with 53300, and what its client still writes is read up to the longest message, as a reset would overtake the word. Usual messages (up to 16 KB) ask nobody. Members' answers are bounded one by one as before, not in sum: not probed.

--- /dev/null
+++ b/cmd/dapplerouter/flood_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/pgwire"
+	"dapplerouter/standin/store"
+)
+
+// resident is the memory that a process holds, in KiB.
+func (p *process) resident() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, err := strconv.Atoi(strings.Fields(rest)[0])
+			require.NoError(p.t, err)
+			return n
+		}
+	}
+	p.t.Fatal("no VmRSS")
+	return 0
+}
+
+// Clients that each sent nearly all of the longest message, or all of it to a silent member, took more memory than the platform
+// allows, which ends the front and all that it has in hand.
+func TestAFloodOfLongMessagesStaysWithinTheMemory(t *testing.T) {
+	insert := func(n int) string {
+		return fmt.Sprintf(`INSERT INTO facts (code, data) VALUES ('k', '\x%s') RETURNING data /* id=%d,c=pay,d=8000,cluster=0 */`, strings.Repeat("0", 250<<10), n)
+	}
+	for name, message := range map[string]func(n int) []byte{
+		"nearly all": func(n int) []byte { return pgwire.Query(nil, insert(n))[:250<<10] },
+		"all":        func(n int) []byte { return pgwire.Query(nil, insert(n)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startGroup(t, 1)
+			list := g.List()
+			t.Cleanup(list.Close)
+			p := startProcess(t, g, list.Listener.Addr().String(), "8000000000", `"memory_mb": 64`, `"memory_mb": 32`)
+			g.Members[0].Hang(true)
+			before, most := p.resident(), 0
+			for n := range 180 {
+				c, err := net.Dial("tcp", p.address)
+				require.NoError(t, err)
+				t.Cleanup(func() { c.Close() })
+				c.SetDeadline(time.Now().Add(5 * time.Second))
+				c.Write(append(pgwire.Hello(nil, "portal", "crm"), message(n)...)) // it may be let go midway
+				most = max(most, p.resident())
+			}
+			t.Log("KiB resident before", before, "at most", most)
+			assert.Less(t, most, 32<<10)
+			g.Members[0].Hang(false)
+			require.Eventually(t, func() bool { // there may be no room at first
+				c, err := store.Dial(p.address)
+				if err != nil {
+					return false
+				}
+				defer c.Close()
+				a, err := c.Query("SELECT 'x' /* id=good,c=browse,d=900,cluster=0 */")
+				return err == nil && a.Code == ""
+			}, 20*time.Second, 50*time.Millisecond)
+		})
+	}
+}
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -140,7 +140,7 @@
 	for _, ty := range told.Site.TxnTypes {
 		longest = max(longest, ty.Expiry)
 	}
-	server := sockets.NewServer(post, room, clock, longest)
+	server := sockets.NewServer(post, room, clock, longest, told.Memory)
 	if fellows != nil {
 		fellows.Rest = func(on bool) { server.Standby(on, operator.fleet.Span) }
 	}
--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -57,12 +57,20 @@
 	typ  byte
 	size int
 	body []byte
+	held int // of the body's room, by the word of Reserve
 
 	// Check, where set, looks at a message as it comes: at its type and length, then at what has come of its
 	// body. So nobody waits for the rest of what cannot be right.
 	Check func(typ byte, size int, begun []byte) error
+
+	// Reserve, where set, is asked for room for a body that is longer than Kept, and gets it back by a number below 0.
+	Reserve func(bytes int) bool
+	Kept    int // room of a body that is kept from message to message
 }
 
+// ErrNoRoom is the end of a message that is too long for what others hold already.
+var ErrNoRoom = errors.New("too much is being sent at once")
+
 // NewReader returns a Reader of r with a buffer of so many bytes, for bodies of at most so many.
 func NewReader(r io.Reader, buffer, most int) *Reader {
 	from := &source{r: r, left: -1}
@@ -175,7 +183,14 @@
 func (r *Reader) rest() (byte, []byte, error) {
 	for len(r.body) < r.size {
 		if len(r.body) == cap(r.body) {
-			grown := make([]byte, len(r.body), min(r.size, max(512, 2*cap(r.body))))
+			room := min(r.size, max(512, 2*cap(r.body)))
+			if r.Reserve != nil && room > r.Kept {
+				if !r.Reserve(room - r.held) {
+					return 0, nil, ErrNoRoom
+				}
+				r.held = room
+			}
+			grown := make([]byte, len(r.body), room)
 			copy(grown, r.body)
 			r.body = grown
 		}
@@ -193,10 +208,19 @@
 	return r.typ, r.body, nil
 }
 
-// Shed gives a large body back once it is done with.
-func (r *Reader) Shed(above int) {
-	if cap(r.body) > above && !r.head {
-		r.body = nil
+// Shed gives a body longer than Kept back once it is done with.
+func (r *Reader) Shed() {
+	if cap(r.body) > r.Kept && !r.head {
+		r.Close()
+	}
+}
+
+// Close gives back what is held, whatever it is used for.
+func (r *Reader) Close() {
+	r.body = nil
+	if r.held > 0 {
+		r.Reserve(-r.held)
+		r.held = 0
 	}
 }
 
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -18,8 +18,9 @@
 
 const (
 	clientBuffer   = 4 << 10
+	bodiesPart     = 8                      // part of the memory that clients' long messages may hold together
 	longestQuery   = 256 << 10              // a value of 64 KiB in hex, and its statement
-	maxDiscarded   = 64 << 10               // bytes that are read behind the front's half-close, to be thrown away
+	maxDiscarded   = longestQuery           // bytes that are read behind the front's half-close, to be thrown away
 	maxRejecting   = 8                      // newcomers for whom there is no room and who are being told
 	minRejectTime  = 100 * time.Millisecond // after which one of these makes way for the next
 	idleTimeout    = 2 * time.Second        // idle: clients that ask once and stay would keep others out of their own limit
@@ -42,8 +43,10 @@
 	idle         time.Duration // after which a connection with nothing to do is closed
 	parse        func(body []byte) (pgwire.Statement, error)
 
+	memory    int64
 	stage     atomic.Int32
 	refused   atomic.Int64 // requests since the server refuses
+	bodies    atomic.Int64 // bytes held by long messages, a part of the memory at most
 	standby   atomic.Int64 // newcomers are rejected: standsBy, or the moment since when they are taken again
 	pace      atomic.Int64 // over which they are, once the front is back
 	came      atomic.Int64
@@ -70,13 +73,27 @@
 }
 
 // NewServer makes a Server; writeTimeout is the longest that a txn may take.
-func NewServer(post func(front.Event), room *ConnLimiter, clock *Clock, patience time.Duration) *Server {
-	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: patience, linger: time.Second, idle: idleTimeout, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
+func NewServer(post func(front.Event), room *ConnLimiter, clock *Clock, writeTimeout time.Duration, memory int64) *Server {
+	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: writeTimeout, memory: memory, linger: time.Second, idle: idleTimeout, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
 		rejecting: make(chan struct{}, maxRejecting)}
 	room.onEvict(sv.evictIdle)
 	return sv
 }
 
+// reader reads a client's messages. Long ones share a part of the memory: a flood of them must not end the front.
+func (sv *Server) reader(conn *net.TCPConn, buffer int) *pgwire.Reader {
+	r := pgwire.NewReader(conn, buffer, longestQuery)
+	r.Kept = bodyKept
+	r.Reserve = func(bytes int) bool {
+		if sv.bodies.Add(int64(bytes)) > sv.memory/bodiesPart && bytes > 0 {
+			sv.bodies.Add(-int64(bytes))
+			return false
+		}
+		return true
+	}
+	return r
+}
+
 // Parse sets how queries are taken apart; without it as pgwire.ParseStatement does. It is called before Serve.
 func (sv *Server) Parse(parse func(body []byte) (pgwire.Statement, error)) { sv.parse = parse }
 
@@ -207,7 +224,7 @@
 		return
 	}
 	c := &client{sv: sv, conn: conn, final: make(chan front.Response, 1), until: time.Now().Add(messageTimeout),
-		r: pgwire.NewReader(conn, clientBuffer, longestQuery)}
+		r: sv.reader(conn, clientBuffer)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
 	sv.mu.Unlock()
@@ -253,8 +270,9 @@
 			sv.mu.Unlock()
 		}()
 		defer guard()
-		c := &client{sv: sv, conn: conn, r: pgwire.NewReader(conn, clientBuffer/4, longestQuery),
+		c := &client{sv: sv, conn: conn, r: sv.reader(conn, clientBuffer/4),
 			until: time.Now().Add(sv.linger)}
+		defer c.r.Close()
 		conn.SetReadDeadline(c.until)
 		if c.start() != nil {
 			return
@@ -322,6 +340,7 @@
 		if c.out != nil {
 			c.sv.post(c.out.Leave())
 		}
+		c.r.Close()
 		c.sv.closeGracefully(c.conn)
 		c.sv.mu.Lock()
 		delete(c.sv.clients, c)
@@ -357,7 +376,7 @@
 		code = pgwire.ProtocolViolation
 	case err == errSilent:
 		code = pgwire.IdleTooLong
-	case err == errCrowded:
+	case err == errCrowded || errors.Is(err, pgwire.ErrNoRoom):
 		code = pgwire.TooManyConnections
 	default:
 		return
@@ -418,7 +437,9 @@
 	}
 	switch typ {
 	case 'Q':
-		return c.query(body)
+		on := c.query(body)
+		c.r.Shed()
+		return on
 	case pgwire.Terminate:
 		return false
 	case 'P', 'B', 'D', 'E', 'C', 'F':
@@ -565,7 +586,6 @@
 		return false // its end is told by serve
 	}
 	c.out = nil
-	c.r.Shed(bodyKept)
 	switch f.Status {
 	case front.Served:
 		return c.last(pgwire.Ready(f.Rows))
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,7 +189,7 @@
 	in, err := l.AcceptTCP()
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { in.Close() })
-	return newPeer(g.t, out), &client{sv: g.server, conn: in, until: time.Now().Add(time.Minute), r: pgwire.NewReader(in, clientBuffer, longestQuery)}
+	return newPeer(g.t, out), &client{sv: g.server, conn: in, until: time.Now().Add(time.Minute), r: g.server.reader(in, clientBuffer)}
 }
 
 func sending(t *testing.T, end func(*client)) {
@@ -320,7 +321,7 @@
 	g.eventually(func() bool { return peek(c.conn) > 0 })
 	_, _, err = c.next()
 	assert.ErrorIs(t, err, errLeaving, "of one that was not read the client knows that it was not taken")
-	c = &client{sv: g.server, conn: c.conn, answered: true, r: pgwire.NewReader(c.conn, clientBuffer, longestQuery)}
+	c = &client{sv: g.server, conn: c.conn, answered: true, r: g.server.reader(c.conn, clientBuffer)}
 	c.conn.SetReadDeadline(time.Time{})
 	_, err = c.r.Watch()
 	require.NoError(t, err)
@@ -377,6 +378,33 @@
 	assert.Contains(t, string(c.hear("EZ")), pgwire.TooManyConnections, "nothing is taken any more")
 }
 
+// Long messages share a part of the memory. One that finds none is told so and comes again; what was held is given back, however its
+// connection ends.
+func TestALongMessageThatFindsNoRoomIsToldSo(t *testing.T) {
+	g := newRig(t, 60)
+	g.events()
+	g.answering()
+	g.server.memory = bodiesPart * (300 << 10)
+	held := func() int64 { return g.server.bodies.Load() }
+	long := pgwire.Query(nil, "SELECT data FROM facts WHERE code = '"+strings.Repeat("k", 200<<10)+"' /* id=long,c=read,d=4000,cluster=2 */")
+	first, second, small := g.client(), g.client(), g.client()
+	first.say(long[:len(long)-1]...)
+	g.eventually(func() bool { return held() > 200<<10 })
+	second.say(long...)
+	assert.Contains(t, string(second.hear("E")), pgwire.TooManyConnections)
+	second.ends()
+	small.say(read("4000")...)
+	small.hear("TDCZ")
+	first.say(long[len(long)-1])
+	first.hear("TDCZ")
+	g.eventually(func() bool { return held() == 0 })
+	third := g.client()
+	third.say(long[:len(long)-1]...)
+	g.eventually(func() bool { return held() > 200<<10 })
+	third.Close()
+	g.eventually(func() bool { return held() == 0 })
+}
+
 // A fault at one client ends that one connection, whatever it is.
 func TestBadInputEndsOneConnectionOnly(t *testing.T) {
 	g := newRig(t, 60)
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -187,6 +187,7 @@
 		return err
 	}
 	l.r = pgwire.NewReader(l.conn, linkBuffer, l.ls.longest)
+	l.r.Kept = bodyKept
 	var a pgwire.Answer
 	l.r.Check = a.Early
 	for done := false; !done; {
@@ -268,7 +269,7 @@
 			continue
 		case done && err == nil && (l.r.Waiting() || e.Answer.Open): // more than was asked for must not answer the next submission
 		case done && err == nil:
-			l.r.Shed(bodyKept)
+			l.r.Shed()
 			l.release() // before its answer is told, so that the next submission finds it
 			l.ls.post(e)
 			return true
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -87,7 +87,7 @@
 		return g.d
 	}, g.links, nobody{}, nil)
 	g.list(g.member.Addr().String(), 0)
-	g.server = NewServer(post, g.room, clock, 5*time.Second)
+	g.server = NewServer(post, g.room, clock, 5*time.Second, 32<<20)
 	g.server.idle = time.Minute
 	stop := make(chan struct{})
 	var running sync.WaitGroup
