Members' long answers share an eighth of the memory, as clients' long messages do

Probe: twelve members that each begin an answer of 500 KB and never end it, 180 clients: 40.2, 42.3 and 44.1 MB resident in a front told of 32 MB (one such member: 21.5). Each answer was bounded (a 64th of the memory), their sum by the module's windows only, which count no bytes (sockets/pools.go connect). Now room beyond 16 KB a connection is reserved from a sum; an answer that finds none counts as one that cannot be read.

--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -42,11 +42,15 @@
 
 // startProcess starts it before a group; discovery is where the list's service is, changes are pairs of what is told otherwise.
 func startProcess(t *testing.T, g *store.Group, discovery, expiry string, changes ...string) *process {
+	return startTold(t, discovery, g.Listed(), append(changes, `"Deadline": 8000000000`, `"Deadline": `+expiry)...)
+}
+
+func startTold(t *testing.T, discovery string, listed any, changes ...string) *process {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &process{t: t, address: l.Addr().String(), config: filepath.Join(t.TempDir(), "config.json")}
 	l.Close()
-	text := fmt.Appendf(nil, strings.NewReplacer(`"Deadline": 8000000000`, `"Deadline": `+expiry, "127.0.0.1:0", p.address).Replace(strings.NewReplacer(changes...).Replace(told)), discovery, g.Listed())
+	text := fmt.Appendf(nil, strings.NewReplacer(append(changes, "127.0.0.1:0", p.address)...).Replace(told), discovery, listed)
 	require.NoError(t, os.WriteFile(p.config, text, 0o600))
 	p.start()
 	return p
--- a/cmd/dapplerouter/flood_test.go
+++ b/cmd/dapplerouter/flood_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +73,68 @@
 		})
 	}
 }
+
+// endless is a member whose answers are nearly as long as may be, and never end.
+func endless(t *testing.T) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	columns := "\x00\x01data\x00" + strings.Repeat("\x00", 9) + "\x11\xff\xff\xff\xff\xff\xff\x00\x01"
+	const size = 500 << 10
+	answer := append(binary.BigEndian.AppendUint32([]byte{'T'}, uint32(len(columns)+4)), columns...)
+	answer = append(binary.BigEndian.AppendUint32(append(answer, 'D'), size+10), 0, 1)
+	answer = append(binary.BigEndian.AppendUint32(answer, size), strings.Repeat("v", size-1)...)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := pgwire.NewReader(c, 4096, 1<<20)
+				if _, err := r.Startup(); err != nil {
+					return
+				}
+				c.Write(pgwire.Welcome(nil))
+				if _, _, err := r.Next(); err == nil {
+					c.Write(answer)
+					r.Next() // until it is given up
+				}
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Members' answers were bounded one by one, and their sum was over what the platform allows.
+func TestAFloodOfLongAnswersStaysWithinTheMemory(t *testing.T) {
+	var entries []string
+	for i, role := range strings.Fields("primary" + strings.Repeat(" replica", 11)) {
+		entries = append(entries, fmt.Sprintf(`{"name":"s%d","address":%q,"zone":"a","type":"x","group":0,"status":"up","role":%q}`, i, endless(t), role))
+	}
+	p := startTold(t, "127.0.0.1:1", `{"index":1,"snapshot":true,"endpoints":[`+strings.Join(entries, ",")+`]}`, `"memory_mb": 64`, `"memory_mb": 32`)
+	before, most := p.resident(), 0
+	var clients sync.WaitGroup
+	for n := range 180 {
+		c, err := store.Dial(p.address)
+		require.NoError(t, err)
+		clients.Go(func() {
+			defer c.Close()
+			c.Query(fmt.Sprintf("SELECT 'x' /* id=%d,c=browse,d=2000,cluster=0 */", n))
+		})
+		most = max(most, p.resident())
+	}
+	all := make(chan struct{})
+	go func() { clients.Wait(); close(all) }()
+	for waiting := true; waiting; {
+		select {
+		case <-all:
+			waiting = false
+		case <-time.After(10 * time.Millisecond):
+			most = max(most, p.resident())
+		}
+	}
+	t.Log("KiB resident before", before, "at most", most)
+	assert.Less(t, most, 32<<10)
+}
--- a/sockets/clients.go
+++ b/sockets/clients.go
@@ -18,7 +18,6 @@
 
 const (
 	clientBuffer   = 4 << 10
-	bodiesPart     = 8                      // part of the memory that clients' long messages may hold together
 	longestQuery   = 256 << 10              // a value of 64 KiB in hex, and its statement
 	maxDiscarded   = longestQuery           // bytes that are read behind the front's half-close, to be thrown away
 	maxRejecting   = 8                      // newcomers for whom there is no room and who are being told
@@ -43,10 +42,9 @@
 	idle         time.Duration // after which a connection with nothing to do is closed
 	parse        func(body []byte) (pgwire.Statement, error)
 
-	memory    int64
 	stage     atomic.Int32
 	refused   atomic.Int64 // requests since the server refuses
-	bodies    atomic.Int64 // bytes held by long messages, a part of the memory at most
+	bodies    bodies
 	standby   atomic.Int64 // newcomers are rejected: standsBy, or the moment since when they are taken again
 	pace      atomic.Int64 // over which they are, once the front is back
 	came      atomic.Int64
@@ -74,23 +72,17 @@
 
 // NewServer makes a Server; writeTimeout is the longest that a txn may take.
 func NewServer(post func(front.Event), room *ConnLimiter, clock *Clock, writeTimeout time.Duration, memory int64) *Server {
-	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: writeTimeout, memory: memory, linger: time.Second, idle: idleTimeout, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
+	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: writeTimeout, bodies: bodies{most: memory / longPart}, linger: time.Second, idle: idleTimeout, clients: map[*client]struct{}{}, parse: pgwire.ParseStatement,
 		rejecting: make(chan struct{}, maxRejecting)}
 	room.onEvict(sv.evictIdle)
 	return sv
 }
 
-// reader reads a client's messages. Long ones share a part of the memory: a flood of them must not end the front.
+// reader reads a client's messages.
 func (sv *Server) reader(conn *net.TCPConn, buffer int) *pgwire.Reader {
 	r := pgwire.NewReader(conn, buffer, longestQuery)
 	r.Kept = bodyKept
-	r.Reserve = func(bytes int) bool {
-		if sv.bodies.Add(int64(bytes)) > sv.memory/bodiesPart && bytes > 0 {
-			sv.bodies.Add(-int64(bytes))
-			return false
-		}
-		return true
-	}
+	r.Reserve = sv.bodies.reserve
 	return r
 }
 
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -384,8 +384,8 @@
 	g := newRig(t, 60)
 	g.events()
 	g.answering()
-	g.server.memory = bodiesPart * (300 << 10)
-	held := func() int64 { return g.server.bodies.Load() }
+	g.server.bodies.most = 300 << 10
+	held := func() int64 { return g.server.bodies.held.Load() }
 	long := pgwire.Query(nil, "SELECT data FROM facts WHERE code = '"+strings.Repeat("k", 200<<10)+"' /* id=long,c=read,d=4000,cluster=2 */")
 	first, second, small := g.client(), g.client(), g.client()
 	first.say(long[:len(long)-1]...)
@@ -405,6 +405,29 @@
 	g.eventually(func() bool { return held() == 0 })
 }
 
+// So do members' long messages. One that finds no room counts as an answer that cannot be read.
+func TestALongAnswerThatFindsNoRoomIsAnError(t *testing.T) {
+	g := newRig(t, 60)
+	held := func() int64 { return g.links.bodies.held.Load() }
+	g.links.bodies.most = 300 << 10
+	long := whole(strings.Repeat("v", 200<<10))
+	first, second := g.client(), g.client()
+	first.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q")
+	m.say(long[:len(long)-20]...)
+	g.eventually(func() bool { return held() > 200<<10 })
+	second.say(read("4000")...)
+	n := g.memberUp()
+	n.hear("Q")
+	n.Write(long) // it may be cut off midway
+	assert.Equal(t, port.Errored, (<-g.d.ended).Ending)
+	assert.Contains(t, string(second.hear("EZ")), pgwire.RolledBack)
+	m.say(long[len(long)-20:]...)
+	first.hear("TDCZ")
+	g.eventually(func() bool { return held() == 0 })
+}
+
 // A fault at one client ends that one connection, whatever it is.
 func TestBadInputEndsOneConnectionOnly(t *testing.T) {
 	g := newRig(t, 60)
--- a/sockets/limiter.go
+++ b/sockets/limiter.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,5 +71,23 @@
 	return r.clients, r.links, r.peak
 }
 
+// longPart is the part of the memory that clients' long messages may hold together, and that members' may.
+const longPart = 8
+
+// bodies shares it out: a flood of long messages must not end the front.
+type bodies struct {
+	held atomic.Int64
+	most int64
+}
+
+// reserve takes room, or gives it back by a number below 0, and says whether there was some.
+func (b *bodies) reserve(bytes int) bool {
+	if b.held.Add(int64(bytes)) > b.most && bytes > 0 {
+		b.held.Add(-int64(bytes))
+		return false
+	}
+	return true
+}
+
 // past is a deadline that wakes a blocked read at once.
 var past = time.Unix(1, 0)
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -31,6 +31,8 @@
 	longest        int  // message that a member may send
 	any            bool // answers may be those of any statement
 
+	bodies bodies
+
 	mu    sync.Mutex
 	pools []*pool
 }
@@ -40,7 +42,7 @@
 // memory told that leaves room for all that are out at once.
 func NewPools(post func(front.Event), room *ConnLimiter, user, database string, dial, idle time.Duration, memory int64) *Pools {
 	return &Pools{post: post, limiter: room, user: user, database: database, dial: dial, idle: idle - idle/20,
-		longest: int(memory / messages)}
+		longest: int(memory / messages), bodies: bodies{most: memory / longPart}}
 }
 
 // Any lets members answer as any statement is answered: rows of any number and width, up to the longest message in all.
@@ -158,6 +160,9 @@
 		if l.conn != nil {
 			l.conn.Close()
 		}
+		if l.r != nil {
+			l.r.Close()
+		}
 	}()
 	if err := l.connect(); err != nil {
 		ls.connectFailed(s, err)
@@ -187,7 +192,7 @@
 		return err
 	}
 	l.r = pgwire.NewReader(l.conn, linkBuffer, l.ls.longest)
-	l.r.Kept = bodyKept
+	l.r.Kept, l.r.Reserve = bodyKept, l.ls.bodies.reserve
 	var a pgwire.Answer
 	l.r.Check = a.Early
 	for done := false; !done; {
@@ -277,7 +282,7 @@
 			continue
 		case tooMuch(err):
 			e.Answer = pgwire.Answer{Any: true, TooLong: true, Message: err.Error()}
-		case pgwire.IsViolation(err):
+		case pgwire.IsViolation(err) || errors.Is(err, pgwire.ErrNoRoom):
 			e.Failure, e.Answer = &front.Failure{Reach: front.Spoilt, Err: err}, pgwire.Answer{}
 		case e.Answer.Code == "":
 			e.Failure, e.Answer = &front.Failure{Reach: front.Written, Err: err}, pgwire.Answer{}
