--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -174,6 +174,47 @@
 	assert.Less(t, took, 4300*time.Millisecond)
 }
 
+// A front ended by force takes its txns with it: their clients see the end, nothing of them is done again, and the next one serves.
+func TestAKillWithTxnsInFlightDoublesNothing(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 1)
+	list := g.List()
+	t.Cleanup(list.Close)
+	p := startProcess(t, g, list.Listener.Addr().String(), "8000000000")
+	done := func(id string) int { return g.Committed(id) }
+	a, err := dial(t, p.address).Query(pay("before", 0))
+	require.NoError(t, err)
+	require.Empty(t, a.Code)
+	g.Members[0].Hang(true)
+	ends := make(chan error, 10)
+	for i := range 5 {
+		for id, sql := range map[string]string{"r": "SELECT 'x' /* id=r%d,c=browse,d=8000,cluster=0 */", "w": pay("w%d", 0)} {
+			c := dial(t, p.address)
+			go func() {
+				_, err := c.Query(strings.Replace(sql, id+"%d", fmt.Sprint(id, i), -1))
+				ends <- err
+			}()
+		}
+	}
+	require.Eventually(t, func() bool { return g.Swallowed.Load() >= 2 }, 10*time.Second, time.Millisecond, "some are out, the others wait")
+	require.NoError(t, p.cmd.Process.Kill())
+	<-p.ended
+	for range 10 {
+		require.Error(t, <-ends, "nobody is told what is not so")
+	}
+	g.Members[0].Hang(false)
+	p.start()
+	for _, sql := range []string{"SELECT 'x' /* id=after,c=browse,d=3000,cluster=0 */", pay("after-w", 0)} {
+		a, err := dial(t, p.address).Query(sql)
+		require.NoError(t, err)
+		assert.Empty(t, a.Code, "%+v", a)
+	}
+	assert.Equal(t, []int{1, 1}, []int{done("before"), done("after-w")})
+	for i := range 5 {
+		assert.Zero(t, done(fmt.Sprint("w", i)), "a silent member has it or nobody, and it is not sent again")
+	}
+}
+
 // What stands before listening waits for nobody: a front is ready at once though its list's service says nothing.
 func TestAKilledFrontIsReadyAgainWhileDiscoveryIsSilent(t *testing.T) {
 	t.Parallel()
