--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -45,6 +45,13 @@
 	return startTold(t, discovery, g.Listed(), append(changes, `"Deadline": 8000000000`, `"Deadline": `+expiry)...)
 }
 
+// startListed starts it before a group whose list is followed.
+func startListed(t *testing.T, g *store.Group, expiry string, changes ...string) *process {
+	list := g.List()
+	t.Cleanup(list.Close)
+	return startProcess(t, g, list.Listener.Addr().String(), expiry, changes...)
+}
+
 func startTold(t *testing.T, discovery string, listed any, changes ...string) *process {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -127,9 +134,7 @@
 	t.Parallel()
 	g := startGroup(t, 2)
 	g.Each = 5 * time.Millisecond
-	list := g.List()
-	t.Cleanup(list.Close)
-	p := startProcess(t, g, list.Listener.Addr().String(), "1000000000")
+	p := startListed(t, g, "1000000000")
 	u := &unanswered{ids: map[string]bool{}}
 	var clients sync.WaitGroup
 	for i := range 20 {
@@ -150,9 +155,7 @@
 func TestATermAnswersWhatIsOutAtASilentMember(t *testing.T) {
 	t.Parallel()
 	g := startGroup(t, 1)
-	list := g.List()
-	t.Cleanup(list.Close)
-	p := startProcess(t, g, list.Listener.Addr().String(), "8000000000")
+	p := startListed(t, g, "8000000000")
 	g.Members[0].Hang(true)
 	reader, writer := dial(t, p.address), dial(t, p.address)
 	codes := make(chan string, 2)
@@ -178,20 +181,17 @@
 func TestAKillWithTxnsInFlightDoublesNothing(t *testing.T) {
 	t.Parallel()
 	g := startGroup(t, 1)
-	list := g.List()
-	t.Cleanup(list.Close)
-	p := startProcess(t, g, list.Listener.Addr().String(), "8000000000")
-	done := func(id string) int { return g.Committed(id) }
+	p := startListed(t, g, "8000000000")
 	a, err := dial(t, p.address).Query(pay("before", 0))
 	require.NoError(t, err)
 	require.Empty(t, a.Code)
 	g.Members[0].Hang(true)
 	ends := make(chan error, 10)
 	for i := range 5 {
-		for id, sql := range map[string]string{"r": "SELECT 'x' /* id=r%d,c=browse,d=8000,cluster=0 */", "w": pay("w%d", 0)} {
+		for _, sql := range []string{"SELECT 'x' /* id=r%d,c=browse,d=8000,cluster=0 */", pay("w%d", 0)} {
 			c := dial(t, p.address)
 			go func() {
-				_, err := c.Query(strings.Replace(sql, id+"%d", fmt.Sprint(id, i), -1))
+				_, err := c.Query(strings.ReplaceAll(sql, "%d", fmt.Sprint(i)))
 				ends <- err
 			}()
 		}
@@ -209,9 +209,9 @@
 		require.NoError(t, err)
 		assert.Empty(t, a.Code, "%+v", a)
 	}
-	assert.Equal(t, []int{1, 1}, []int{done("before"), done("after-w")})
+	assert.Equal(t, []int{1, 1}, []int{g.Committed("before"), g.Committed("after-w")})
 	for i := range 5 {
-		assert.Zero(t, done(fmt.Sprint("w", i)), "a silent member has it or nobody, and it is not sent again")
+		assert.Zero(t, g.Committed(fmt.Sprint("w", i)), "a silent member has it or nobody, and it is not sent again")
 	}
 }
 
--- a/cmd/dapplerouter/flood_test.go
+++ b/cmd/dapplerouter/flood_test.go
@@ -45,9 +45,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := startGroup(t, 1)
-			list := g.List()
-			t.Cleanup(list.Close)
-			p := startProcess(t, g, list.Listener.Addr().String(), "8000000000", `"memory_mb": 64`, `"memory_mb": 32`)
+			p := startListed(t, g, "8000000000", `"memory_mb": 64`, `"memory_mb": 32`)
 			g.Members[0].Hang(true)
 			before, most := p.resident(), 0
 			for n := range 180 {
