The time told is made when it is written; a stop ends 0.3 s before SIGKILL may come

Cause: a statement's d was reckoned when its attempt was decided on (front/route.go), so that what waited for its connection told its server more than its client had left; and closing began 0.1 s before the earliest SIGKILL, less than one hold-up of 0.15 s. Change: Submission keeps the query as pgwire.TimedQuery, which tells the wait at the moment of writing, never a longer one, and nothing begins behind its own end; drainFor leaves two hold-ups and the linger.

--- a/cmd/dapplerouter/limits_test.go
+++ b/cmd/dapplerouter/limits_test.go
@@ -21,10 +21,9 @@
 // The limits of the operators' terms, at their edge, with the built program. Each row of docs/terms-audit.md names its test.
 
 const (
-	longestHoldUp   = 150 * time.Millisecond // for which a front may be held up between reading its clock and writing
-	deadlineSlack   = 150 * time.Millisecond // by which a server may be told more than its client has left
-	departureSlack  = 100 * time.Millisecond // after a client's departure, in which an attempt may still begin
-	killAfterLonger = 700 * time.Millisecond // from the longest deadline after SIGTERM on, SIGKILL may come
+	deadlineSlack  = 150 * time.Millisecond // by which a server may be told more than its client has left
+	departureSlack = 100 * time.Millisecond // after a client's departure, in which an attempt may still begin
+	earliestKill   = 700 * time.Millisecond // from the longest deadline after SIGTERM on, SIGKILL may come
 )
 
 var toldDeadline = regexp.MustCompile(`[ ,]d=(\d+)`)
@@ -209,7 +208,7 @@
 			}
 			from := time.Now()
 			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
-			kill := time.AfterFunc(deadline+killAfterLonger, func() { p.cmd.Process.Kill() })
+			kill := time.AfterFunc(deadline+earliestKill, func() { p.cmd.Process.Kill() })
 			defer kill.Stop()
 			time.AfterFunc(heldUpAt, func() {
 				p.cmd.Process.Signal(syscall.SIGSTOP)
--- a/cmd/dapplerouter/permute_test.go
+++ b/cmd/dapplerouter/permute_test.go
@@ -41,8 +41,8 @@
 	if !sub.Begin(func() { s.said = append(s.said, fmt.Sprintf("%v cut at %d", s.now, member)) }) {
 		return
 	}
-	s.said = append(s.said, fmt.Sprintf("%v to %d %q", s.now, member, sub.Message))
-	sum := crc32.ChecksumIEEE(append([]byte{byte(member)}, sub.Message...))
+	s.said = append(s.said, fmt.Sprintf("%v to %d %q", s.now, member, sub.Message()))
+	sum := crc32.ChecksumIEEE(append([]byte{byte(member)}, sub.Message()...))
 	e := &front.Ended{S: sub, Answer: pgwire.Answer{Whole: true, Role: "replica", Applied: 1_000_000 + s.now.Milliseconds(), HasApplied: true}}
 	if member == 0 {
 		e.Answer.Role = "primary"
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -31,9 +31,20 @@
 	database = "crm"
 )
 
-// drainMost is how long a txn that is in hand at a stop may take at most. The platform ends a front by force no sooner than
-// its longest expiry, counted as so much, and 0.7 s after it asked for the end.
-const drainMost = 3 * time.Second
+// How long a stop may take. The platform sends SIGKILL no sooner than the longest deadline, counted as longestCounted at most, and
+// killAfter behind SIGTERM. The front may be held up once on the way, connections linger until their clients have read the last of
+// what they were sent, and the signal itself takes a moment: so much sooner whatever is still out gets its answer.
+const (
+	longestCounted = 3 * time.Second
+	killAfter      = 700 * time.Millisecond
+	longestHoldUp  = 150 * time.Millisecond
+	drainMargin    = 2*longestHoldUp + sockets.ClosingLinger
+)
+
+// drainFor is how long after SIGTERM requests may stay out, for a longest deadline.
+func drainFor(longest time.Duration) time.Duration {
+	return min(longest, longestCounted) + killAfter - drainMargin
+}
 
 // serveCall is the front: what deploy/balancer.toml runs, with what EDGE_CONFIG tells.
 type serveCall struct {
@@ -180,7 +191,7 @@
 		slog.Error("no more clients can be accepted", "why", failed)
 	case <-stopAsked:
 	}
-	until := time.Now().Add(sockets.AcceptGrace + min(longest, drainMost))
+	until := time.Now().Add(drainFor(longest))
 	slog.Info("draining")
 	server.Stop(listener)
 	all.drain(time.Second)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -113,7 +113,7 @@
 	out(t, c, m, w)
 	assert.Equal(t, 90*ms, m.begun[0].Budget, "what it waited since its last byte is off")
 	assert.NotZero(t, m.begun[0].Session)
-	assert.Contains(t, string(w.sent[0].Message), "d=90,")
+	assert.Contains(t, string(w.sent[0].Message()), "d=90,")
 	w.begin(t, 0)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
 	c.batch(30 * ms)
--- a/front/route.go
+++ b/front/route.go
@@ -31,7 +31,7 @@
 		c.later = append(c.later, settled{s, port.Void})
 		return
 	}
-	s.Message = a.Statement.Query(until - c.now)
+	s.query = a.Statement.Timed(until - c.now)
 	if far {
 		s.way = Way{ID: uint64(r.Place)<<32 | uint64(r.Turn), Try: s.hop, Group: a.Statement.Group, Until: until, Grant: grant,
 			Write: a.Statement.Write, After: a.Statement.After}
@@ -66,7 +66,8 @@
 
 // Probe asks a member for its report.
 func (c *Core) Probe(member int) {
-	s := &Submission{member: member, sent: c.now, turn: c.turns[member], probe: true, Message: probeMessage}
+	s := NewProbe(probeMessage)
+	s.member, s.sent, s.turn = member, c.now, c.turns[member]
 	c.metrics.probes++
 	c.send(s, c.now+c.patience)
 }
--- a/front/send.go
+++ b/front/send.go
@@ -10,9 +10,10 @@
 	"dapplerouter/site"
 )
 
-// Submission is one sending to a member, of a txn or of a probe. Message goes out as it is.
+// Submission is one sending to a member, of a txn or of a probe.
 type Submission struct {
-	Message []byte
+	query pgwire.TimedQuery
+	until time.Duration // when it is given up
 
 	ref    port.Ref
 	member int
@@ -57,13 +58,35 @@
 	if s.right != nil && !s.right.Lasts() { // the core ends it as soon as it looks
 		return false
 	}
-	if s.left != nil && s.left.Load() || s.begin > 0 && s.clock != nil && s.clock() >= s.begin { // so does it here
+	if s.left != nil && s.left.Load() || s.clock != nil && s.clock() >= s.mustBeginBy() { // so does it here
 		return false
 	}
 	s.cut = cut
 	return s.stage.CompareAndSwap(waiting, going)
 }
 
+// NewProbe is a submission of a message that asks a member about itself and tells no deadline.
+func NewProbe(message []byte) *Submission {
+	return &Submission{probe: true, query: pgwire.TimedQuery{Message: message}}
+}
+
+// Message is what goes out at this moment. A statement tells its member how long its sender will wait from now on: a connection
+// may have come up late, or the front may have been held up, since the attempt was decided on. Only who sends it calls this, once.
+func (s *Submission) Message() []byte {
+	if s.probe || s.clock == nil {
+		return s.query.Message
+	}
+	return s.query.Shorten(s.until - s.clock())
+}
+
+// mustBeginBy is the moment from which on nothing of it may go out.
+func (s *Submission) mustBeginBy() time.Duration {
+	if s.begin > 0 {
+		return min(s.begin, s.until)
+	}
+	return s.until
+}
+
 var probeMessage = pgwire.Query(nil, "SHOW load")
 
 // send hands a submission to the links and sets the time at which it is given up.
@@ -80,6 +103,7 @@
 			}
 		}
 	}
+	s.until = until
 	heap.Push(&c.alarms, alarm{at: until, s: s})
 	c.metrics.submissions++
 	c.pools.Send(s.member, s)
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -383,7 +383,7 @@
 		return
 	}
 	x := gateway.Crossing{ID: w.ID, Try: uint32(w.Try), Group: w.Group, Until: w.Until, Grant: uint32(w.Grant),
-		Write: w.Write, After: w.After, Message: s.Message[headed:]}
+		Write: w.Write, After: w.After, Message: s.Message()[headed:]}
 	l.subs[x.ID] = s
 	l.side.Cross(l.o.Clock.Now(), x)
 	l.carryOut()
--- a/lab/model/member.go
+++ b/lab/model/member.go
@@ -152,7 +152,7 @@
 		if !s.Begin(func() { *cut = true }) {
 			return
 		}
-		message := s.Message
+		message := s.Message()
 		t.After(t.way(), func() {
 			m.came(f.Name, message, cut, func(a pgwire.Answer) {
 				t.After(t.way(), func() {
--- a/pgwire/pgwire_test.go
+++ b/pgwire/pgwire_test.go
@@ -273,3 +273,20 @@
 		}
 	})
 }
+
+// What is written later tells a shorter wait, and is the same to the letter but for that.
+func TestATimedQueryIsShortenedInPlace(t *testing.T) {
+	const text = "SELECT 'x' /* id=1,c=o,d=12000,k=5c,cluster=3 */"
+	s, err := ParseStatement(append([]byte(text), 0))
+	require.NoError(t, err)
+	for _, wait := range []time.Duration{12 * time.Second, 9999 * time.Millisecond, 10 * time.Millisecond, 9*time.Millisecond + 1, 0, -time.Second} {
+		q := s.Timed(12 * time.Second)
+		assert.Equal(t, string(s.Query(wait)), string(q.Shorten(wait)), "%v", wait)
+	}
+	q := s.Timed(12 * time.Second)
+	for _, wait := range []time.Duration{11 * time.Second, 900 * time.Millisecond, 899 * time.Millisecond, time.Millisecond} {
+		assert.Equal(t, string(s.Query(wait)), string(q.Shorten(wait)), "again and again")
+	}
+	assert.Equal(t, string(s.Query(time.Millisecond)), string(q.Shorten(time.Minute)), "never longer")
+	assert.Equal(t, text, string(s.text))
+}
--- a/pgwire/statement.go
+++ b/pgwire/statement.go
@@ -178,14 +178,50 @@
 	return nil
 }
 
-// Query is the message that passes the statement on: as it came, but for how long its sender will wait.
-func (s *Statement) Query(wait time.Duration) []byte {
-	ms := max(1, int64((wait+time.Millisecond-1)/time.Millisecond))
+// TimedQuery is a query message that tells how long its sender will wait.
+type TimedQuery struct {
+	Message  []byte
+	from, to int // of the digits in it; 0 where it tells nothing
+}
+
+// Timed is the message that passes the statement on: as it came, but for how long its sender will wait.
+func (s *Statement) Timed(wait time.Duration) TimedQuery {
 	b := make([]byte, 0, len(s.text)+16)
 	b = append(b, 'Q', 0, 0, 0, 0)
 	b = append(b, s.text[:s.waitAt]...)
-	b = strconv.AppendInt(b, ms, 10)
+	from := len(b)
+	b = strconv.AppendInt(b, milliseconds(wait), 10)
+	to := len(b)
 	b = append(append(b, s.text[s.waitEnd:]...), 0)
 	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-1))
-	return b
+	return TimedQuery{b, from, to}
+}
+
+// Query is Timed's message.
+func (s *Statement) Query(wait time.Duration) []byte { return s.Timed(wait).Message }
+
+// Shorten has the message tell a wait that is no longer than the one it told, and returns it.
+func (q *TimedQuery) Shorten(wait time.Duration) []byte {
+	if q.to == 0 {
+		return q.Message
+	}
+	var digits [20]byte
+	now := strconv.AppendInt(digits[:0], milliseconds(wait), 10)
+	cut := q.to - q.from - len(now)
+	if cut < 0 {
+		return q.Message
+	}
+	if cut > 0 { // what stands before the digits moves up to them
+		copy(q.Message[cut:], q.Message[:q.from])
+		q.Message = q.Message[cut:]
+		q.to -= cut
+		binary.BigEndian.PutUint32(q.Message[1:], uint32(len(q.Message)-1))
+	}
+	copy(q.Message[q.from:q.to], now)
+	return q.Message
+}
+
+// milliseconds is a wait as statements tell it: rounded up, and 1 at least.
+func milliseconds(wait time.Duration) int64 {
+	return max(1, int64((wait+time.Millisecond-1)/time.Millisecond))
 }
--- a/sockets/client.go
+++ b/sockets/client.go
@@ -47,7 +47,7 @@
 	}
 	wait := sv.linger
 	if sv.stage.Load() == closing {
-		wait /= 10
+		wait = min(wait, ClosingLinger)
 	}
 	conn.SetReadDeadline(time.Now().Add(wait))
 	var waste [1 << 10]byte
@@ -182,7 +182,7 @@
 		c.conn.SetReadDeadline(until)
 		if !closed && c.sv.stage.Load() == closing { // looked at after the setting
 			closed = true // of what has begun to come in, the rest may be on its way
-			if soon := time.Now().Add(c.sv.linger / 10); soon.Before(until) {
+			if soon := time.Now().Add(min(c.sv.linger, ClosingLinger)); soon.Before(until) {
 				until = soon
 			}
 			c.conn.SetReadDeadline(until)
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -255,9 +255,10 @@
 		l.release()
 		return true
 	}
-	if n, err := l.conn.Write(s.Message); err != nil {
+	message := s.Message()
+	if n, err := l.conn.Write(message); err != nil {
 		reach := front.Unwritten
-		if n == len(s.Message) {
+		if n == len(message) {
 			reach = front.Written
 		}
 		l.conn.Close()
--- a/sockets/server.go
+++ b/sockets/server.go
@@ -24,11 +24,12 @@
 	messageTimeout = 2 * time.Second        // from connecting to a first whole message, and for any message: the site's word is 3 s
 )
 
-// AcceptGrace is how long after a stop was asked for new connections may still come; a little later all have been taken.
-const (
-	acceptGrace = 500 * time.Millisecond
-	AcceptGrace = acceptGrace + acceptGrace/5
-)
+// acceptGrace is how long after a stop was asked for new connections may still come; a tenth of it later all have been taken.
+const acceptGrace = 500 * time.Millisecond
+
+// ClosingLinger is how long, once the server closes, a connection waits for the other side to read the last of what it was sent, and
+// for the rest of a message that has begun.
+const ClosingLinger = 100 * time.Millisecond
 
 // Server serves clients.
 type Server struct {
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -430,7 +430,7 @@
 			require.NoError(t, err)
 			spoil(newPeer(t, c))
 			g.eventually(func() bool { return peek(l.conn) >= 0 })
-			s := &front.Submission{Message: pgwire.Query(nil, "SELECT 2")}
+			s := front.NewProbe(pgwire.Query(nil, "SELECT 2"))
 			l.job <- s
 			assert.Nil(t, l.awaitJob())
 			m := g.memberUp()
