Audit: system calls that fail for a moment at a start and a reload, signals in series; three tests fail

The built program, real files and sockets. Red: an address that is taken and a configuration that cannot be opened or is half written for 0.7 s end the start; a file that is not there or half written at SIGHUP leaves the old discovery address for good; SIGHUP between the runtime's start and the configuration's reading ends the process (signal: hangup). A stop under SIGTERM, SIGHUP and SIGINT in series holds.

--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -63,7 +63,20 @@
 	return p
 }
 
+// start starts it and waits until it takes clients.
 func (p *process) start() {
+	p.spawn()
+	require.Eventually(p.t, func() bool {
+		c, err := store.Dial(p.address)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+// spawn starts it.
+func (p *process) spawn() {
 	program, err := built()
 	require.NoError(p.t, err)
 	p.cmd = exec.Command(program)
@@ -74,13 +87,6 @@
 	cmd := p.cmd
 	go func() { cmd.Wait(); close(ended) }()
 	p.t.Cleanup(func() { cmd.Process.Kill(); <-ended })
-	require.Eventually(p.t, func() bool {
-		c, err := store.Dial(p.address)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	}, 10*time.Second, 5*time.Millisecond)
 }
 
 // term asks the process to end and says how long it took.
--- /dev/null
+++ b/cmd/dapplerouter/system_calls_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/standin/store"
+)
+
+// TERMS.md: "System calls fail in all the ways that Linux documents [...] may fail for a moment". Here with the built program.
+
+// tell writes what the process is told, without starting it.
+func tell(t *testing.T, g *store.Group, discovery string) *process {
+	p := &process{t: t, address: freeAddress(t), config: t.TempDir() + "/config.json"}
+	text := fmt.Appendf(nil, strings.Replace(told, "127.0.0.1:0", p.address, 1), discovery, g.Listed())
+	require.NoError(t, os.WriteFile(p.config, text, 0o600))
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A front that cannot listen, or read what it is told, for a moment starts all the same.
+func TestAFrontStartsThoughASystemCallFailsForAMoment(t *testing.T) {
+	const moment = 700 * time.Millisecond
+	for name, fail := range map[string]func(p *process) (mend func()){
+		"its address is taken": func(p *process) func() {
+			l, err := net.Listen("tcp", p.address)
+			require.NoError(p.t, err)
+			return func() { l.Close() }
+		},
+		"its configuration cannot be opened": func(p *process) func() {
+			require.NoError(p.t, os.Rename(p.config, p.config+".away"))
+			return func() { os.Rename(p.config+".away", p.config) }
+		},
+		"its configuration is half written": func(p *process) func() {
+			text, err := os.ReadFile(p.config)
+			require.NoError(p.t, err)
+			require.NoError(p.t, os.WriteFile(p.config, text[:len(text)/2], 0o600))
+			return func() { os.WriteFile(p.config, text, 0o600) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 2)
+			l := startList(t, g)
+			p := tell(t, g, l.address())
+			_, err := built()
+			require.NoError(t, err)
+			mend := fail(p)
+			p.spawn()
+			time.AfterFunc(moment, mend)
+			require.Eventually(t, func() bool {
+				select {
+				case <-p.ended:
+					return true
+				default:
+					return p.asks("ready")
+				}
+			}, 10*time.Second, 5*time.Millisecond)
+			select {
+			case <-p.ended:
+				assert.Fail(t, "it refused to start")
+			default:
+			}
+		})
+	}
+}
+
+// A new configuration that cannot be read for a moment after its signal is taken in all the same, within the 4 s after SIGHUP from
+// which on what the new service has counts as told.
+func TestAReloadIsTriedAgainWhileItsFileCannotBeRead(t *testing.T) {
+	for name, unreadable := range map[string]func(p *process, text []byte){
+		"not there":    func(p *process, _ []byte) { require.NoError(p.t, os.Remove(p.config)) },
+		"half written": func(p *process, text []byte) { require.NoError(p.t, os.WriteFile(p.config, text[:len(text)/2], 0o600)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 2)
+			old, next := startList(t, g), startList(t, g)
+			p := startProcess(t, g, old.address(), "8000000000")
+			require.Eventually(t, func() bool { return old.watches.Load() > 0 }, 10*time.Second, time.Millisecond)
+			text, err := os.ReadFile(p.config)
+			require.NoError(t, err)
+			text = []byte(strings.Replace(string(text), old.address(), next.address(), 1))
+			unreadable(p, text)
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+			time.Sleep(time.Second)
+			require.NoError(t, os.WriteFile(p.config, text, 0o600))
+			require.Eventually(t, func() bool { return next.watches.Load() > 0 }, 3*time.Second, time.Millisecond, "the new address is never followed")
+		})
+	}
+}
+
+// Signals in series from the first moment at which the process can catch one: none of them is a crash, and it serves.
+func TestSignalsInSeriesWhileAFrontStartsDoNotEndIt(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 2)
+	l := startList(t, g)
+	for range 5 {
+		p := tell(t, g, l.address())
+		p.spawn()
+		for !p.catches(syscall.SIGHUP) {
+			time.Sleep(50 * time.Microsecond)
+		}
+		for range 100 {
+			p.cmd.Process.Signal(syscall.SIGHUP)
+			time.Sleep(200 * time.Microsecond)
+		}
+		select {
+		case <-p.ended:
+			require.Fail(t, "SIGHUP ended it", p.cmd.ProcessState.String())
+		default:
+		}
+		require.Eventually(t, func() bool { return p.asks("ready") }, 10*time.Second, 5*time.Millisecond)
+		p.term()
+	}
+}
+
+// catches tells whether the process has a handler for a signal.
+func (p *process) catches(signal syscall.Signal) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(p.t, err)
+	_, mask, _ := strings.Cut(string(status), "SigCgt:")
+	mask, _, _ = strings.Cut(strings.TrimSpace(mask), "\n")
+	bits, err := strconv.ParseUint(mask, 16, 64)
+	return err == nil && bits&(1<<(signal-1)) != 0
+}
+
+// A second SIGTERM, a SIGINT and a SIGHUP behind the first change nothing of a stop.
+func TestSignalsInSeriesDoNotCutAStopShort(t *testing.T) {
+	t.Parallel()
+	g := startGroup(t, 2)
+	g.Each = 300 * time.Millisecond
+	p := startListed(t, g, "1000000000")
+	answers := make(chan string, 8)
+	for i := range cap(answers) {
+		c := dial(t, p.address)
+		go func() {
+			a, err := c.Query(fmt.Sprintf("SELECT 'x' /* id=s%d,c=browse,d=900,cluster=0 */", i))
+			if err != nil {
+				a.Code = err.Error()
+			}
+			answers <- a.Code
+		}()
+	}
+	require.Eventually(t, func() bool { return len(g.Members[0].Seen())+len(g.Members[1].Seen()) > 1 }, 5*time.Second, time.Millisecond)
+	for range 5 {
+		for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+			require.NoError(t, p.cmd.Process.Signal(signal))
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	for range cap(answers) {
+		assert.Contains(t, []string{"", "53300", "57P03"}, <-answers)
+	}
+	<-p.ended
+	assert.Zero(t, p.cmd.ProcessState.ExitCode())
+}
