A start, a listen and a reload are tried again while what they need fails for a moment

Cause: cmd/dapplerouter/serve.go read the configuration and called net.Listen once, and reread gave up at the first failure, so an address in use or a file half written for 0.7 s ended the start, and one at SIGHUP left the old discovery address for good; signals were caught only behind the reading. Change: retry.go tries again what may pass (15 s at a start, 60 s behind SIGHUP, the next SIGHUP begins anew), a fault of a whole file still ends at once; signals are caught first, and run ignores SIGHUP until then.

--- /dev/null
+++ b/cmd/dapplerouter/retry.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"dapplerouter/site"
+)
+
+// How long what may fail for a moment is tried again. The platform waits 30 s for a front that starts, and 10 s for nine in ten.
+const (
+	startPatience  = 15 * time.Second
+	reloadPatience = time.Minute
+	firstPause     = 20 * time.Millisecond
+	longestPause   = 250 * time.Millisecond
+)
+
+// retry calls an operation until it succeeds, fails for good, or time is up; each failure of another kind is logged. It returns the
+// last error.
+func retry[T any](ctx context.Context, what string, within time.Duration, lasting func(error) bool, operation func() (T, error)) (T, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	said := ""
+	return backoff.Retry(ctx, func() (T, error) {
+		result, err := operation()
+		if err != nil && lasting(err) {
+			return result, backoff.Permanent(err)
+		}
+		if err != nil && err.Error() != said {
+			said = err.Error()
+			slog.Warn(what+" failed; it is tried again", "why", err)
+		}
+		return result, err
+	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(within))
+}
+
+// loadStart reads what the front is told at its start.
+func loadStart(ctx context.Context) (*site.Start, error) {
+	return retry(ctx, "reading the configuration", startPatience, lastingFault, func() (*site.Start, error) {
+		return site.Load(os.Getenv, os.ReadFile)
+	})
+}
+
+// reload reads the configuration again.
+func reload(ctx context.Context) (*site.Start, error) {
+	return retry(ctx, "reading the new configuration", reloadPatience, lastingFault, func() (*site.Start, error) {
+		return site.Reload(os.Getenv, os.ReadFile)
+	})
+}
+
+// lastingFault tells whether another reading of the configuration would find it as it is.
+func lastingFault(err error) bool {
+	var fault *site.Fault
+	return !errors.As(err, &fault) || !fault.Transient
+}
+
+// listen opens the listener for clients.
+func listen(ctx context.Context, address string) (*net.TCPListener, error) {
+	return retry(ctx, "listening", startPatience, lastingListenError, func() (*net.TCPListener, error) {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return l.(*net.TCPListener), nil
+	})
+}
+
+// lastingListenError tells whether listening would fail in the same way again: the address is none, or not for this process. What
+// Linux names otherwise may pass: EADDRINUSE of a process that is about to end, ENFILE, ENOBUFS, EADDRNOTAVAIL and the like.
+func lastingListenError(err error) bool {
+	var number syscall.Errno
+	if !errors.As(err, &number) {
+		return true
+	}
+	switch number {
+	case syscall.EACCES, syscall.EPERM, syscall.EINVAL, syscall.EAFNOSUPPORT:
+		return true
+	}
+	return false
+}
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -59,10 +59,14 @@
 	if os.Getenv("EDGE_LOG") == "debug" {
 		level = slog.LevelDebug
 	}
+	stopAsked, rereadAsked := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stopAsked, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(rereadAsked, syscall.SIGHUP) // before the configuration is read: what changes behind that is read again
+	signal.Ignore(syscall.SIGPIPE)             // of whoever read the log
 	out := newLines(os.Stderr)
 	defer out.end()
 	slog.SetDefault(slog.New(newRepeats(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))))
-	told, err := site.Load(os.Getenv, os.ReadFile)
+	told, err := loadStart(context.Background())
 	if err != nil {
 		slog.Error("what is told at the start cannot be used", "why", err)
 		return 2
@@ -79,9 +83,6 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(told.Cores))))
 	debug.SetMemoryLimit(collectorLimit(told.Memory))
-	stopAsked, rereadAsked := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stopAsked, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(rereadAsked, syscall.SIGHUP)
 	if !asked {
 		operator.gateway = nil
 	}
@@ -164,17 +165,16 @@
 		directory.Follow()
 	}
 
-	l, err := net.Listen("tcp", told.Listen)
+	listener, err := listen(ctx, told.Listen)
 	if err != nil {
 		return err
 	}
-	listener := l.(*net.TCPListener)
 	if classing != nil {
 		links.Any()
 		server.Parse(parse)
 		slog.Info("statements are classed", "cache", operator.classing.Bytes, "rules", len(classing.Rules()))
 	}
-	ready(l.Addr(), across)
+	ready(listener.Addr(), across)
 	slog.Info("serving", "name", told.Name, "listen", told.Listen, "cores", told.Cores, "memory", told.Memory,
 		"sockets", told.Sockets, "members", len(told.Known.Entries))
 	go totals(ctx, core, room)
@@ -209,25 +209,44 @@
 	return failed
 }
 
-// reread takes the file in again each time that it is asked for. What cannot be used is logged and changes
-// nothing; what takes a restart is logged too. It goes on while the front drains.
+// reread takes the file in again each time that it is asked for. One that cannot be opened or is not whole is tried again, until the
+// next signal asks anew. What cannot be used is logged and changes nothing; what takes a restart is logged too. It goes on while the
+// front drains.
 func reread(ctx context.Context, asked <-chan os.Signal, told *site.Start, move func(address string)) {
+	read := make(chan *site.Start)
+	giveUp := func() {}
 	for {
 		select {
 		case <-asked:
+			giveUp()
+			var attempt context.Context
+			attempt, giveUp = context.WithCancel(ctx)
+			go rereadOnce(attempt, read)
+		case next := <-read:
+			slog.Info("the file is read again", "discovery", next.Discovery)
+			for _, key := range told.Fixed(next) {
+				slog.Warn("a change takes a restart", "key", key)
+			}
+			move(next.Discovery)
 		case <-ctx.Done():
+			giveUp()
 			return
 		}
-		next, err := site.Reload(os.Getenv, os.ReadFile)
-		if err != nil {
-			slog.Error("the new file cannot be used; the old values stay", "why", err)
-			continue
-		}
-		slog.Info("the file is read again", "discovery", next.Discovery)
-		for _, key := range told.Fixed(next) {
-			slog.Warn("a change takes a restart", "key", key)
+	}
+}
+
+// rereadOnce brings the file as it is now, unless it is given up before.
+func rereadOnce(ctx context.Context, read chan<- *site.Start) {
+	next, err := reload(ctx)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		slog.Error("the new file cannot be used; the old values stay", "why", err)
+	default:
+		select {
+		case read <- next:
+		case <-ctx.Done():
 		}
-		move(next.Discovery)
 	}
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -17,7 +17,10 @@
 type Source func(path string) string
 
 // Fault is what is wrong with the text under a key.
-type Fault struct{ Key, What string }
+type Fault struct {
+	Key, What string
+	Transient bool // the file could not be opened or is not whole, as while it is written: another reading may find it well
+}
 
 func (f *Fault) Error() string { return f.Key + " " + f.What }
 
--- a/site/start.go
+++ b/site/start.go
@@ -47,15 +47,15 @@
 func Load(variable func(string) string, read func(string) ([]byte, error)) (*Start, error) {
 	path := variable(FileVariable)
 	if path == "" {
-		return nil, &Fault{FileVariable, "is missing"}
+		return nil, &Fault{Key: FileVariable, What: "is missing"}
 	}
 	data, err := read(path)
 	if err != nil {
-		return nil, &Fault{FileVariable, fmt.Sprintf("cannot be read: %v", err)}
+		return nil, &Fault{FileVariable, fmt.Sprintf("cannot be read: %v", err), true}
 	}
 	keys, raw, err := flatten(data)
 	if err != nil {
-		return nil, &Fault{FileVariable, fmt.Sprintf("is no JSON object: %v", err)}
+		return nil, &Fault{FileVariable, fmt.Sprintf("is no JSON object: %v", err), true}
 	}
 	r := &reading{get: func(k string) string { return keys[k] }}
 	told := func(name, key string) string { // the variable stands above the file
@@ -101,13 +101,13 @@
 	s.Site, err = Read(func(k string) string { return keys["settings."+k] })
 	var f *Fault
 	if errors.As(err, &f) {
-		return nil, &Fault{"settings." + f.Key, f.What}
+		return nil, &Fault{Key: "settings." + f.Key, What: f.What}
 	}
 	if err == nil && s.Site.Allowance.DialTimeout <= 0 {
-		return nil, &Fault{"settings.Limits.DialTimeout", "is missing"}
+		return nil, &Fault{Key: "settings.Limits.DialTimeout", What: "is missing"}
 	}
 	if err == nil && s.Site.Allowance.LinkIdle <= 0 {
-		return nil, &Fault{"settings.Limits.ConnIdle", "is missing"}
+		return nil, &Fault{Key: "settings.Limits.ConnIdle", What: "is missing"}
 	}
 	return s, err
 }
