--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dapplerouter/front"
@@ -28,8 +29,9 @@
 	limiter        *ConnLimiter
 	user, database string
 	dial, idle     time.Duration
-	longest        int  // message that a member may send
-	any            bool // answers may be those of any statement
+	longest        int                                                    // message that a member may send
+	any            bool                                                   // answers may be those of any statement
+	control        func(network, address string, c syscall.RawConn) error // of net.Dialer; nil but in tests
 
 	bodies bodies
 
@@ -181,7 +183,7 @@
 	until := time.Now().Add(l.ls.dial)
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1}
+	d := net.Dialer{KeepAlive: -1, Control: l.ls.control}
 	c, err := d.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return err
--- a/sockets/server.go
+++ b/sockets/server.go
@@ -84,9 +84,16 @@
 // Parse sets how queries are taken apart; without it as pgwire.ParseStatement does. It is called before Serve.
 func (sv *Server) Parse(parse func(body []byte) (pgwire.Statement, error)) { sv.parse = parse }
 
+// Listener is where clients connect: a *net.TCPListener.
+type Listener interface {
+	AcceptTCP() (*net.TCPConn, error)
+	SetDeadline(time.Time) error
+	Close() error
+}
+
 // Serve accepts until a stop was asked for and nobody comes any more: what the machine has accepted is taken,
 // so once newcomers are over, what still stands in line is served too.
-func (sv *Server) Serve(l *net.TCPListener) error {
+func (sv *Server) Serve(l Listener) error {
 	defer sv.enter(refusing)
 	defer l.Close()
 	for over := false; ; {
@@ -111,7 +118,7 @@
 
 // Stop asks every client to leave once it is answered, and Serve to return when nobody comes any more. From then on the
 // server refuses.
-func (sv *Server) Stop(l *net.TCPListener) {
+func (sv *Server) Stop(l Listener) {
 	sv.enter(draining)
 	l.SetDeadline(time.Now().Add(acceptGrace))
 }
