What fails for want of this machine's own is tried again and blames no member; only our deadlines wake

Cause: sockets/pools.go dialled once and told 'unreachable' whatever connect said, and a full table of descriptors likewise; timedOut asked net.Error, which is true of ETIMEDOUT and EAGAIN, so accept's ended Serve. Change: dialMember and awaitDescriptor try again within the dial's time, then the attempt ends as never sent (front.Local, port.Void), which costs the member nothing and the txn no retry; timedOut is os.ErrDeadlineExceeded.

--- a/front/relay.go
+++ b/front/relay.go
@@ -15,7 +15,8 @@
 type Reach uint8
 
 const (
-	Unconnected Reach = iota // no connection came up
+	Local       Reach = iota // this machine could open no connection, for want of something of its own
+	Unconnected              // no connection came up
 	Unwritten                // its last byte was not written
 	Written                  // all of it was: the member may have run it
 	Spoilt                   // and the member answered, but what came cannot be read
@@ -28,7 +29,7 @@
 }
 
 func (f *Failure) Error() string {
-	return fmt.Sprintf("%s: %v", [...]string{"not connected", "not fully written", "written", "answer spoilt"}[f.Reach], f.Err)
+	return fmt.Sprintf("%s: %v", [...]string{"no connection could be opened here", "not connected", "not fully written", "written", "answer spoilt"}[f.Reach], f.Err)
 }
 
 func (f *Failure) Unwrap() error { return f.Err }
@@ -119,6 +120,8 @@
 		return port.Errored // the member is there, and it may have run
 	case f != nil && f.Reach == Written:
 		return port.Broken
+	case f != nil && f.Reach == Local:
+		return port.Void // never sent, and nobody's fault
 	case f != nil:
 		return port.Unreachable
 	case a.TooLong:
--- a/router/router.go
+++ b/router/router.go
@@ -733,7 +733,7 @@
 	}
 	t.missed = t.missed || o.Ending == port.Missed
 	switch o.Ending {
-	case port.Unreachable:
+	case port.Unreachable, port.Void:
 		r.again++ // it was no work for any member
 	case port.Errored:
 		t.errors++
@@ -918,7 +918,7 @@
 	m := &r.members[i]
 	m.probing = false
 	if e != port.Committed {
-		if e != port.Full {
+		if e != port.Full && e != port.Void {
 			m.lost = now
 			if now-m.heard > r.shortest {
 				r.takeDown(now, i)
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -147,8 +148,8 @@
 
 // serve is the goroutine of a connection, from its first submission to its end.
 func (ls *Pools) serve(l *memberConn, s *front.Submission) {
-	if !ls.limiter.admitMember(ls.evictIdle) {
-		ls.failed(s, front.Unconnected, fmt.Errorf("no descriptor is free"))
+	if !ls.awaitDescriptor() {
+		ls.failed(s, front.Local, errors.New("no descriptor is free"))
 		return
 	}
 	defer ls.limiter.releaseMember()
@@ -178,17 +179,61 @@
 	}
 }
 
-// connect dials and waits for the member's welcome, within the limit for both together.
-func (l *memberConn) connect() error {
-	until := time.Now().Add(l.ls.dial)
+// localPause lies between two tries of what failed for want of something that this machine lacks for a moment.
+const localPause = 5 * time.Millisecond
+
+// awaitDescriptor waits until a connection may be opened, as long as one may take to come up: clients that were asked to make way
+// take a moment to leave.
+func (ls *Pools) awaitDescriptor() bool {
+	for until := time.Now().Add(ls.dial); ; time.Sleep(localPause) {
+		if ls.limiter.admitMember(ls.evictIdle) {
+			return true
+		}
+		if !time.Now().Before(until) {
+			return false
+		}
+	}
+}
+
+// dialMember opens a connection until a moment at most. What fails for want of this machine's own is tried again.
+func (l *memberConn) dialMember(until time.Time) (*net.TCPConn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1, Control: l.ls.control}
-	c, err := d.DialContext(ctx, "tcp", l.address)
+	for {
+		c, err := d.DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			return c.(*net.TCPConn), nil
+		}
+		if !localFailure(err) || !time.Now().Add(localPause).Before(until) {
+			return nil, err
+		}
+		time.Sleep(localPause)
+	}
+}
+
+// localFailure tells whether a dial failed for want of something of this machine, which says nothing of the member.
+func localFailure(err error) bool {
+	var number syscall.Errno
+	if !errors.As(err, &number) {
+		return false
+	}
+	switch number {
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
+		syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EAGAIN, syscall.EINTR:
+		return true
+	}
+	return false
+}
+
+// connect dials and waits for the member's welcome, within the limit for both together.
+func (l *memberConn) connect() error {
+	until := time.Now().Add(l.ls.dial)
+	conn, err := l.dialMember(until)
 	if err != nil {
 		return err
 	}
-	l.conn, l.opened = c.(*net.TCPConn), time.Now().UnixMilli()
+	l.conn, l.opened = conn, time.Now().UnixMilli()
 	l.conn.SetDeadline(until)
 	if _, err := l.conn.Write(pgwire.Hello(nil, l.ls.user, l.ls.database)); err != nil {
 		return err
@@ -236,6 +281,10 @@
 		ls.post(&front.Ended{S: s, Answer: t.answer})
 		return
 	}
+	if localFailure(err) {
+		ls.failed(s, front.Local, err)
+		return
+	}
 	ls.failed(s, front.Unconnected, err)
 }
 
@@ -363,7 +412,6 @@
 	return errors.As(err, &t)
 }
 
-func timedOut(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
+// timedOut tells whether a wait ended by a deadline that was set here. net.Error's Timeout would be true of ETIMEDOUT and EAGAIN
+// too, by which a broken connection or a call that failed for a moment may show.
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
