Audit: a front that starts behind a step of its wall clock; three tests fail

The built program; the servers' and the list's clock differ from the front's by 5 s or an hour, either way. Red: reads answered 3 s old where 1 s is allowed (servers that do not check themselves, clock ahead); a cold server that gets its full half at once (clock behind), or nothing once it is warm (clock ahead by an hour).

--- /dev/null
+++ b/cmd/dapplerouter/wall_clock_test.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TERMS.md: "A machine's wall clock may be stepped, forward or back, by seconds or by an hour; its monotonic clock runs on." A front
+// that starts behind such a step differs from its servers and its list by it: here theirs differ from its.
+var steps = []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}
+
+// No read is answered from data older than its type allows, whatever the front's wall clock says: servers that do not check
+// themselves answer from what they have.
+func TestNoStaleReadThoughTheWallClockWasStepped(t *testing.T) {
+	const bound, behind = time.Second, 3 * time.Second
+	for _, step := range steps {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 3)
+			g.Wall.Store(int64(step))
+			g.Lag.Store(int64(behind))
+			p := startListed(t, g, "8000000000", `"bounce"`, `"silent"`)
+			late := lateness(t)
+			var clients sync.WaitGroup
+			var served atomic.Int64
+			for i := range 6 {
+				c := dial(t, p.address)
+				clients.Go(func() {
+					for n := range 60 {
+						asked := g.Now()
+						a, err := c.Query(fmt.Sprintf("SELECT 'age_of_data' /* id=s%d-%d,c=slots,d=3000,cluster=0 */", i, n))
+						if !assert.NoError(t, err) || a.Code != "" || len(a.Rows) != 1 {
+							continue
+						}
+						served.Add(1)
+						at, err := strconv.ParseInt(a.Rows[0][0], 10, 64)
+						assert.NoError(t, err)
+						assert.Less(t, asked.Sub(time.UnixMilli(at)), bound+deadlineSlack+time.Duration(late.Load()), "answered from older data")
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+			}
+			clients.Wait()
+			t.Logf("%d served, %d probes", served.Load(), g.Probes.Load())
+			assert.Greater(t, served.Load(), int64(300))
+			assert.NotZero(t, g.Probes.Load(), "the front knows how far its servers are")
+		})
+	}
+}
+
+// A server that has just started gets its part as a cold one, and all of its part once it is warm.
+func TestASlowStartIsKeptThoughTheWallClockWasStepped(t *testing.T) {
+	const cold, warmUp = 3 * time.Second, 2 * time.Second
+	for _, step := range append(steps, 0) {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 3)
+			g.Wall.Store(int64(step))
+			g.Each = 2 * time.Millisecond
+			l := startList(t, g)
+			p := startProcess(t, g, l.address(), "8000000000", `"Cold": 1000000000`, fmt.Sprintf(`"Cold": %d, "StartCapacity": 0.1, "FallMultiple": 1.5`, cold))
+			p.readers(6)
+			time.Sleep(warmUp)
+			started := time.Now()
+			l.entry(g.Members[1], "since_ms", g.Now().UnixMilli())
+			time.Sleep(cold * 3)
+			share := func(from, to time.Duration) float64 {
+				one, all := 0.0, 0.0
+				for _, m := range g.Members {
+					n := sawWithin(m.Seen(), started.Add(from), started.Add(to))
+					all += n
+					if m == g.Members[1] {
+						one = n
+					}
+				}
+				return one / all
+			}
+			before, early, after := share(-time.Second, 0), share(100*time.Millisecond, 600*time.Millisecond), share(2*cold, 3*cold)
+			t.Logf("share of the one that started: %.2f before, %.2f in its first half second, %.2f once warm", before, early, after)
+			assert.Less(t, early, before*0.6, "a cold server gets its part by its progress")
+			assert.Greater(t, after, before*0.6, "a warm one gets its full part")
+		})
+	}
+}
+
+// A front that starts anew behind a step, before servers that started long ago by their own clocks, serves as before.
+func TestAFrontRestartedBehindAStepServes(t *testing.T) {
+	for _, step := range steps {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 2)
+			g.Wall.Store(int64(step))
+			l := startList(t, g)
+			for _, m := range g.Members {
+				l.entry(m, "since_ms", g.Now().Add(-time.Minute).UnixMilli())
+			}
+			p := startProcess(t, g, l.address(), "8000000000", `"Cold": 1000000000`, `"Cold": 17000000000, "StartCapacity": 0.1, "FallMultiple": 1.5`)
+			require.Eventually(t, func() bool { return p.asks("first") }, 5*time.Second, time.Millisecond)
+			c := dial(t, p.address)
+			served := 0
+			for n := range 20 {
+				id := fmt.Sprint("w", n)
+				a, err := c.Query(strings.ReplaceAll("INSERT INTO bookings (id, house, diner) VALUES ('%id', '1', 'x') RETURNING id /* id=%id,c=book,k=%id,d=1000,cluster=0 */", "%id", id))
+				require.NoError(t, err)
+				if a.Code == "" {
+					served++
+				}
+			}
+			assert.GreaterOrEqual(t, served, 18, "its servers are warm")
+		})
+	}
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -25,6 +25,7 @@
 	Guests  []*Member    // of other groups, that this group's list tells of too
 	Primary atomic.Int64 // index of the primary
 	Lag     atomic.Int64 // nanoseconds by which replicas are behind
+	Wall    atomic.Int64 // nanoseconds by which the members' wall clocks are ahead of this process's
 
 	Probes    atomic.Int64 // questions after a member's load
 	Swallowed atomic.Int64 // statements that a member which hangs took
@@ -229,8 +230,12 @@
 	plainMark = regexp.MustCompile(`(?is)^\s*(/\*.*?\*/\s*)*(insert|update|delete|merge|truncate)\b`)
 )
 
+// Now is the members' wall clock.
+func (g *Group) Now() time.Time { return time.Now().Add(time.Duration(g.Wall.Load())) }
+
 // applied is the position in Unix milliseconds: the moment up to which all changes are here.
 func (m *Member) applied(now time.Time) int64 {
+	now = now.Add(time.Duration(m.g.Wall.Load()))
 	if m.primary() {
 		return now.UnixMilli()
 	}
