Times that others tell are placed by what was heard, not by the wall clock of the start

Cause: front/core.go since() and sockets/pools.go opened/since read the machine's wall clock, once at the start and at each connection; behind a step of 5 s or an hour positions looked fresh (reads 3 s old where 1 s is allowed), a cold server warm, a warm one never so. Change: front/timeline.go: a primary's position is the present, between its statement's sending and its answer; the first is believed, later ones against it only by three that agree; a start lies in the past. Until then no replica's position counts.

--- a/adapter/adapter_test.go
+++ b/adapter/adapter_test.go
@@ -22,6 +22,7 @@
 func (e *echo) Begin(_ time.Duration, t port.Txn)                              { e.Submit(t.Ref, 0, 0) }
 func (e *echo) Ended(time.Duration, port.Outcome)                              {}
 func (e *echo) Left(time.Duration, port.Ref)                                   {}
+func (e *echo) Redate(time.Duration, time.Duration)                            {}
 func (e *echo) Heard(time.Duration, int, []byte)                               {}
 func (e *echo) Woken(time.Duration)                                            { panic("woken") }
 func (e *echo) Settle(time.Duration)                                           {}
--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -50,14 +50,14 @@
 }
 
 // Place implements front.Links.
-func (s *Prober) Place(server int, address string, since int64) {
+func (s *Prober) Place(server int, address string, age time.Duration) {
 	s.mu.Lock()
 	for len(s.addresses) <= server {
 		s.addresses = append(s.addresses, "")
 	}
 	s.addresses[server] = address
 	s.mu.Unlock()
-	s.Pools.Place(server, address, since)
+	s.Pools.Place(server, address, age)
 }
 
 // Send implements front.Links.
--- a/front/core.go
+++ b/front/core.go
@@ -27,7 +27,7 @@
 
 // Pools carries submissions to members. No call blocks.
 type Pools interface {
-	Place(member int, address string, since int64) // Unix milliseconds of its last start
+	Place(member int, address string, age time.Duration) // since its last start
 	Send(member int, s *Submission)
 	Forget(member int)
 }
@@ -56,9 +56,10 @@
 	pools   Pools
 	ask     Directory
 	events  chan Event
-	now     time.Duration        // of the batch in hand
-	born    time.Time            // on the wall, for positions and starts
-	clock   func() time.Duration // nil where a host steps the core
+	now     time.Duration // of the batch in hand
+	timeline
+	places []place              // by member
+	clock  func() time.Duration // nil where a host steps the core
 
 	types      []port.TxnType
 	most       int           // submissions a txn
@@ -93,7 +94,7 @@
 // NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
 // the one form that the users' protocol has.
 func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Pools, ask Directory, classing *Classing) *Core {
-	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), born: born, types: s.TxnTypes,
+	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), timeline: timeline{zero: born.Round(0)}, types: s.TxnTypes,
 		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
@@ -225,6 +226,9 @@
 	if l.Kind == port.Whole || l.Kind == port.Cached {
 		all = slices.Concat(all, c.standing)
 	}
+	for _, e := range all { // a start lies in the past
+		c.moved(c.timeline.past(e.Since, now))
+	}
 	for _, e := range all {
 		zone, ok := c.zones.Find(e.Zone)
 		if !ok {
@@ -238,7 +242,7 @@
 			delete(c.far, m) // the place may have been another's
 		}
 		if e.Address != "" {
-			c.pools.Place(m, e.Address, e.Since)
+			c.place(m, place{e.Address, e.Since})
 		}
 		c.entries = append(c.entries, port.Entry{Member: m, Zone: zone, Kind: c.kinds.Number(e.Kind),
 			Group: c.groups.Number(e.Group), State: e.State, Weight: e.Weight, Primary: e.Primary,
@@ -261,6 +265,3 @@
 	}
 	c.decider.List(now, l.Kind, l.List.Index, c.entries)
 }
-
-// since puts a Unix time in milliseconds on the clock of this instance.
-func (c *Core) since(ms int64) time.Duration { return time.UnixMilli(ms).Sub(c.born.Round(0)) }
--- a/front/relay.go
+++ b/front/relay.go
@@ -58,12 +58,16 @@
 	o := port.Outcome{Ending: ending(&e.Answer, e.Failure), Load: site.NoReport}
 	if a := &e.Answer; e.Failure == nil {
 		o.Role = roles[a.Role]
-		if a.HasApplied {
-			o.Position, o.HasPosition = c.since(a.Applied), true
+		if a.HasApplied && o.Role == port.Primary && a.Code == "" && !e.Crossed {
+			c.moved(c.timeline.present(a.Applied, e.S.sent, c.now))
 		}
-		o.Load = c.report(a.Load)
+		report := a.Load
 		if e.S.probe && o.Ending == port.Committed {
-			o.Load = c.report(a.Value())
+			report = a.Value()
+		}
+		o.Load = c.report(report, e.S.sent)
+		if a.HasApplied && (c.confirmed || o.Role == port.Primary) {
+			o.Position, o.HasPosition = c.since(a.Applied), true
 		}
 	}
 	if d := c.slab.At(e.S.ref); d != nil {
@@ -138,11 +142,18 @@
 	return port.Errored // an answer without a row: it may have run
 }
 
-func (c *Core) report(pairs []byte) port.Load {
+// report reads a member's report of its load. Where a primary's is the first that tells of the present, times move by it.
+func (c *Core) report(pairs []byte, sent time.Duration) port.Load {
 	l := site.NoReport
 	zero := c.since(0)
 	if !pgwire.Pairs(pairs, func(name string, v float64) { site.Report(&l, name, v, zero) }) {
 		return site.NoReport
 	}
+	if l.HasPosition && l.Role == port.Primary && !c.confirmed {
+		told := (l.Position - zero).Milliseconds()
+		c.moved(c.timeline.present(told, sent-oldestLoadReport, c.now))
+		l.Position = c.since(told)
+	}
+	l.HasPosition = l.HasPosition && c.confirmed
 	return l
 }
--- a/front/route.go
+++ b/front/route.go
@@ -36,7 +36,7 @@
 		s.way = Way{ID: uint64(r.Place)<<32 | uint64(r.Turn), Try: s.hop, Group: a.Statement.Group, Until: until, Grant: grant,
 			Write: a.Statement.Write, After: a.Statement.After}
 		if pos, ok := c.decider.Target(r); ok {
-			at := c.born.Round(0).Add(pos + time.Millisecond - 1) // rounded up: never too low
+			at := c.zero.Add(pos + time.Millisecond - 1) // rounded up: never too low
 			s.way.After = max(s.way.After, at.UnixMilli())
 		}
 	}
@@ -87,6 +87,9 @@
 	c.members.Free(member)
 	c.turns[member]++
 	c.pools.Forget(member)
+	if member < len(c.places) {
+		c.places[member] = place{}
+	}
 	if member < len(c.metrics.failing) {
 		c.metrics.failing[member] = false
 	}
--- /dev/null
+++ b/front/timeline.go
@@ -0,0 +1,107 @@
+package front
+
+import "time"
+
+// timeline puts Unix times that others tell, in milliseconds, on the core's clock.
+//
+// The wall clock is read once, at the start, and may be an hour off then: a machine's wall clock may be stepped. What was heard,
+// and when by the monotonic clock, tells more: a primary's position is the present, so it lies between the moments in which its
+// statement went out and its answer came. The first such answer is believed; later ones that contradict it only where several agree,
+// since one may be spoilt, or of a server that was primary.
+//
+// Invariant: a time told by others moves on the core's clock only by a shift that is returned, so that whoever keeps such times can
+// move them too.
+type timeline struct {
+	zero      time.Time // by the others' wall clock, at 0 of the core's
+	confirmed bool      // by a primary's answer
+
+	earliest, latest time.Duration // shifts that the last contradicting answers agree on
+	contradicting    int           // how many of them there are
+}
+
+const (
+	timelineSlack    = 20 * time.Millisecond // what clocks of milliseconds and of several machines may differ by
+	timelineQuorum   = 3                     // contradicting answers, one behind the other, that are believed
+	oldestLoadReport = 10 * time.Second      // how old the position in a load report may be
+)
+
+// at is a Unix time in milliseconds on the core's clock.
+func (l *timeline) at(ms int64) time.Duration { return time.UnixMilli(ms).Sub(l.zero) }
+
+// present takes a time that was the present at some moment between two. It returns by how much times have moved since, mostly 0.
+func (l *timeline) present(ms int64, from, until time.Duration) (shift time.Duration) {
+	told := l.at(ms)
+	if told >= from-timelineSlack && told <= until+timelineSlack {
+		l.confirmed, l.contradicting = true, 0
+		return 0
+	}
+	earliest, latest := from-told, until-told
+	if l.contradicting > 0 && earliest <= l.latest+timelineSlack && latest >= l.earliest-timelineSlack {
+		earliest, latest = max(earliest, l.earliest), min(latest, l.latest)
+		l.contradicting++
+	} else {
+		l.contradicting = 1
+	}
+	l.earliest, l.latest = earliest, latest
+	if l.confirmed && l.contradicting < timelineQuorum {
+		return 0
+	}
+	l.confirmed = true
+	return l.move(earliest) // positions look as old as they can be
+}
+
+// past takes a time that lies in the past. Until the present is confirmed, it tells that the clock is behind.
+func (l *timeline) past(ms int64, now time.Duration) (shift time.Duration) {
+	if told := l.at(ms); !l.confirmed && told > now+timelineSlack {
+		return l.move(now - told)
+	}
+	return 0
+}
+
+func (l *timeline) move(by time.Duration) time.Duration {
+	l.zero = l.zero.Add(-by)
+	l.contradicting = 0
+	return by
+}
+
+// place is where a member is reached, and when it started last.
+type place struct {
+	address string
+	since   int64 // Unix milliseconds, 0 for long ago
+}
+
+// since puts a Unix time in milliseconds on the clock of this instance.
+func (c *Core) since(ms int64) time.Duration { return c.timeline.at(ms) }
+
+// place tells the pools where a member is reached.
+func (c *Core) place(member int, p place) {
+	for len(c.places) <= member {
+		c.places = append(c.places, place{})
+	}
+	c.places[member] = p
+	c.pools.Place(member, p.address, c.age(p.since))
+}
+
+// age is how long ago a member started.
+func (c *Core) age(since int64) time.Duration {
+	if since == 0 {
+		return longAgo
+	}
+	return max(0, c.now-c.since(since))
+}
+
+// longAgo is the age of a member that started before anyone can say.
+const longAgo = 100 * 365 * 24 * time.Hour
+
+// moved tells all who keep times of others that these have moved.
+func (c *Core) moved(shift time.Duration) {
+	if shift == 0 {
+		return
+	}
+	c.decider.Redate(c.now, shift)
+	for member, p := range c.places {
+		if p.since != 0 && p.address != "" {
+			c.pools.Place(member, p.address, c.age(p.since))
+		}
+	}
+}
--- a/gateway/link/links.go
+++ b/gateway/link/links.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"dapplerouter/discovery"
 	"dapplerouter/front"
@@ -19,12 +20,12 @@
 }
 
 // Place, Send and Forget are those of front.Links.
-func (ls *Links) Place(member int, address string, since int64) {
+func (ls *Links) Place(member int, address string, age time.Duration) {
 	for len(ls.far) <= member {
 		ls.far = append(ls.far, false)
 	}
 	if ls.far[member] = strings.HasPrefix(address, front.FarAddress); !ls.far[member] {
-		ls.Local.Place(member, address, since)
+		ls.Local.Place(member, address, age)
 	}
 }
 
--- a/port/port.go
+++ b/port/port.go
@@ -238,6 +238,7 @@
 	Heard(now time.Duration, peer int, message []byte)
 	Woken(now time.Duration)
 	Settle(now time.Duration)
+	Redate(now, by time.Duration)                   // log positions and listed starts told until now lie later by so much, or earlier
 	Target(r Ref) (position time.Duration, ok bool) // that a read in hand must see; not ok for none
 }
 
--- /dev/null
+++ b/router/redate_test.go
@@ -0,0 +1,44 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dapplerouter/port"
+)
+
+// A front that started with its clock an hour off learns so by a primary's answer: what it holds moves, and goes on counting.
+func TestWhatOthersDatedMovesWithTheirClock(t *testing.T) {
+	for _, off := range []time.Duration{-time.Hour, time.Hour} {
+		y := tell(t, littleSite()).group(3)
+		y.now = time.Minute
+		y.list(port.Changes, port.Entry{Member: 1, Zone: 1, HasStarted: true, Started: y.now + off - time.Second})
+		y.claims(y.now, 0, port.Primary, y.now+off, true)
+		y.placed(y.now, &y.members[2], y.now+off-50*ms, 0)
+		y.wrote(77, y.Router.group(0), y.now+off-20*ms)
+		y.Redate(y.now, -off)
+		assert.Equal(t, y.now-time.Second, y.members[1].started)
+		assert.True(t, y.members[1].cold, "it has just started")
+		assert.Equal(t, y.now-50*ms, y.members[2].pos)
+		assert.Equal(t, y.now-20*ms, y.needs(y.now, &port.Txn{Session: 77}, y.Router.group(0)))
+		y.claims(y.now+ms, 1, port.Primary, y.now+ms, true)
+		assert.Equal(t, 1, y.Router.group(0).primary, "the next claim is the newer one")
+		assert.Equal(t, never, y.members[1].pos, "what is not known stays so")
+	}
+}
+
+// What this instance measured by its own clock stays, and a member that is warm becomes no cold one by a start long ago.
+func TestWhatWasMeasuredHereStaysWhenTimesMove(t *testing.T) {
+	y := tell(t, littleSite()).group(2)
+	y.now = time.Minute
+	y.starts(y.now, &y.members[0], y.now-time.Second)
+	y.list(port.Changes, port.Entry{Member: 1, Zone: 1, HasStarted: true, Started: y.now - 30*time.Second})
+	y.Redate(y.now, -time.Hour)
+	assert.Equal(t, y.now-time.Second, y.members[0].started)
+	assert.True(t, y.members[0].cold)
+	assert.False(t, y.members[1].cold)
+	y.list(port.Changes, port.Entry{Member: 1, Zone: 1, HasStarted: true, Started: y.now + time.Hour})
+	assert.Equal(t, 0.2, y.warmth(y.now, &y.members[1]), "a start ahead of the clock has come no further than its beginning")
+}
--- a/router/router.go
+++ b/router/router.go
@@ -123,6 +123,7 @@
 	started time.Duration // latest start known
 	budget  float64       // what a cold member may still be sent, in seconds of usual latency
 
+	startListed      bool // started is what the list told
 	cold, probing    bool
 	budgetAt, probed time.Duration
 }
@@ -360,7 +361,7 @@
 }
 
 func (r *Router) starts(now time.Duration, m *member, at time.Duration) { // cold from then on
-	m.started, m.cold = at, now-at < r.warmIn
+	m.started, m.cold, m.startListed = at, now-at < r.warmIn, false
 	m.budget, m.budgetAt = r.draw()*slices.Min(r.usual).Seconds(), now
 }
 
@@ -369,7 +370,7 @@
 	if m.cold = m.cold && now-m.started < r.warmIn; !m.cold {
 		return 1
 	}
-	return r.coldFrom + (1-r.coldFrom)*float64(now-m.started)/float64(r.warmIn)
+	return r.coldFrom + (1-r.coldFrom)*float64(max(0, now-m.started))/float64(r.warmIn)
 }
 
 // spares tells whether a cold member can take one more. Its part, by least warmth, of what a warm one bears
@@ -878,6 +879,7 @@
 		}
 		if e.HasStarted && e.Started > m.started {
 			r.starts(now, m, e.Started)
+			m.startListed = true
 		}
 		if e.Primary && r.roles != port.RoleNever && !m.bound &&
 			(g.by == none || g.primary == none && g.by != e.Member) {
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -55,8 +55,8 @@
 
 // pool is the connections to one member; idle ones are used last in, first out.
 type pool struct {
-	address string // "" once the member is forgotten
-	since   int64  // Unix milliseconds of the member's last start
+	address string    // "" once the member is forgotten
+	started time.Time // the member's last start, on the monotonic clock
 	idle    []*memberConn
 }
 
@@ -65,31 +65,31 @@
 	ls       *Pools
 	pool     *pool
 	address  string
-	opened   int64 // Unix milliseconds
+	opened   time.Time // on the monotonic clock
 	conn     *net.TCPConn
 	r        *pgwire.Reader
 	job      chan *front.Submission // holds one, given by whoever takes the link from its pool
 	canceled atomic.Bool            // cut
 }
 
-// Place says where a member is reached and when it started last. What was opened to where or what it was
+// Place says where a member is reached and how long ago it started last. What was opened to where or what it was
 // before leads nowhere: a machine that vanished and came back says nothing of its old connections.
-func (ls *Pools) Place(member int, address string, since int64) {
+func (ls *Pools) Place(member int, address string, age time.Duration) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	ls.pool(member).place(address, since)
+	ls.pool(member).place(address, time.Now().Add(-age))
 }
 
 // Forget ends the idle connections of a member; its place may be another's from now on.
 func (ls *Pools) Forget(member int) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	ls.pool(member).place("", 0)
+	ls.pool(member).place("", time.Time{})
 	ls.pools[member] = &pool{} // links still at work keep the old one, which serves none
 }
 
-func (p *pool) place(address string, since int64) {
-	p.address, p.since = address, since
+func (p *pool) place(address string, started time.Time) {
+	p.address, p.started = address, started
 	p.idle = slices.DeleteFunc(p.idle, func(l *memberConn) bool {
 		if p.serves(l) {
 			return false
@@ -106,7 +106,9 @@
 	return ls.pools[member]
 }
 
-func (p *pool) serves(l *memberConn) bool { return p.address == l.address && l.opened >= p.since }
+func (p *pool) serves(l *memberConn) bool {
+	return p.address == l.address && !l.opened.Before(p.started)
+}
 
 // Send gives a submission to the connection that was idle last, or to a new one.
 func (ls *Pools) Send(member int, s *front.Submission) {
@@ -233,7 +235,7 @@
 	if err != nil {
 		return err
 	}
-	l.conn, l.opened = conn, time.Now().UnixMilli()
+	l.conn, l.opened = conn, time.Now()
 	l.conn.SetDeadline(until)
 	if _, err := l.conn.Write(pgwire.Hello(nil, l.ls.user, l.ls.database)); err != nil {
 		return err
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -43,9 +43,10 @@
 	}
 	d.ended <- o
 }
-func (d *direct) Left(_ time.Duration, r port.Ref) { d.left <- r }
-func (d *direct) Heard(time.Duration, int, []byte) {}
-func (d *direct) Woken(time.Duration)              {}
+func (d *direct) Left(_ time.Duration, r port.Ref)    { d.left <- r }
+func (d *direct) Redate(time.Duration, time.Duration) {}
+func (d *direct) Heard(time.Duration, int, []byte)    {}
+func (d *direct) Woken(time.Duration)                 {}
 func (d *direct) Settle(time.Duration) {
 	for _, r := range d.out {
 		d.Submit(r, 0, 0)
