--- /dev/null
+++ b/router/scale_bench_test.go
@@ -0,0 +1,32 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	"dapplerouter/port"
+)
+
+// What an instance's beat and its settling cost, by how many members the list has: a fleet may grow by sixteen times.
+func BenchmarkAQuietSecondByMembers(b *testing.B) {
+	for _, members := range []int{200, 3200} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			y := tell(nil, littleSite())
+			var list []port.Entry
+			for i := range members {
+				list = append(list, port.Entry{Member: i, Group: i / 5, Zone: i % 2, Primary: i%5 == 0})
+			}
+			y.List(0, port.Cached, 1, list)
+			for b.Loop() {
+				for range 50 { // beats
+					y.now += 20 * ms
+					y.Woken(y.now)
+					y.Settle(y.now)
+				}
+				for range 60 { // what comes in of 20 requests
+					y.Settle(y.now)
+				}
+			}
+		})
+	}
+}
