What waits for a connection to a server that drains is never sent

Cause: an attempt was decided on, its connection took longer than the grace to come up (front/send.go knew the window of repeats and the client's departure, not the list), and it went out. Change: front/drains.go: once the list has been taken in, what has not begun at a member that takes nothing new ends as never sent, and the module places it anew.

--- a/front/core.go
+++ b/front/core.go
@@ -58,8 +58,9 @@
 	events  chan Event
 	now     time.Duration // of the batch in hand
 	timeline
-	places []place              // by member
-	clock  func() time.Duration // nil where a host steps the core
+	places  []place              // by member
+	serving []bool               // by member: the list lets new work go there
+	clock   func() time.Duration // nil where a host steps the core
 
 	types      []port.TxnType
 	most       int           // submissions a txn
@@ -226,6 +227,9 @@
 	if l.Kind == port.Whole || l.Kind == port.Cached {
 		all = slices.Concat(all, c.standing)
 	}
+	if l.Kind == port.Whole || l.Kind == port.Cached {
+		clear(c.serving)
+	}
 	for _, e := range all { // a start lies in the past
 		c.moved(c.timeline.past(e.Since, now))
 	}
@@ -244,6 +248,7 @@
 		if e.Address != "" {
 			c.place(m, place{e.Address, e.Since})
 		}
+		c.serves(m, e.State == port.Serving)
 		c.entries = append(c.entries, port.Entry{Member: m, Zone: zone, Kind: c.kinds.Number(e.Kind),
 			Group: c.groups.Number(e.Group), State: e.State, Weight: e.Weight, Primary: e.Primary,
 			Started: c.since(e.Since), HasStarted: e.Since != 0})
@@ -264,4 +269,7 @@
 		c.bound.Audit.Listed(now, l.List.Index)
 	}
 	c.decider.List(now, l.Kind, l.List.Index, c.entries)
+	if l.Kind != port.Failed {
+		c.cancelDrained()
+	}
 }
--- /dev/null
+++ b/front/drains.go
@@ -0,0 +1,31 @@
+package front
+
+import "slices"
+
+// serves notes whether the list lets new work go to a member.
+func (c *Core) serves(member int, serving bool) {
+	for len(c.serving) <= member {
+		c.serving = append(c.serving, false)
+	}
+	c.serving[member] = serving
+}
+
+// cancelDrained ends what waits for a connection to members that take nothing new any more, so that nothing goes out however late
+// the connection comes up: the module hears that it was never sent.
+func (c *Core) cancelDrained() {
+	for _, s := range c.unsent() {
+		if s.member >= len(c.serving) || !c.serving[s.member] {
+			c.cancelUnsent(s)
+		}
+	}
+}
+
+// unsent are the submissions of which nothing has gone out.
+func (c *Core) unsent() (all []*Submission) {
+	for i := range c.slab.slots {
+		if slot := &c.slab.slots[i]; slot.held {
+			all = append(all, slot.What.out...)
+		}
+	}
+	return slices.DeleteFunc(all, func(s *Submission) bool { return s.done || s.stage.Load() != waiting })
+}
