Departures are looked for when an attempt begins; servers are told a little less than what is left

Three: an attempt 104 to 134 ms after its client had closed: behind a hold-up the connection's goroutine had read the request and not yet the close. One: told 156 ms too much: the request lay 0.15 s in the socket before it was read. One: a keyed write took effect twice: the stand-in's own fault, its window ran from when a statement had its turn, not from when it came. Change: Submission.Begin asks the client's connection (POLLRDHUP), whoever is at what; what is told is less by 20 ms, a tenth at most; the stand-in's marks run from a statement's coming.

--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -109,3 +110,32 @@
 	c.batch(30 * ms)
 	assert.Len(t, w.final, 4, "and only once")
 }
+
+// absent is a client that has left, which nobody has noticed.
+type absent struct{ wires }
+
+func (absent) Departed() bool { return true }
+
+func TestNothingBeginsForAClientThatHasLeftUnnoticed(t *testing.T) {
+	c, m, w := newFront(t)
+	s, err := pgwire.ParseStatement([]byte(browse + "\x00"))
+	require.NoError(t, err)
+	c.Post(NewArrival(&absent{}, s, c.now))
+	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
+	c.batch(10 * ms)
+	require.Len(t, w.sent, 1)
+	assert.False(t, w.sent[0].Begin(func() {}))
+}
+
+// A member is told less than what is left, by as long as the request may have lain here before it was read.
+func TestAMemberIsToldWhatIsLeftWhenItIsWrittenTo(t *testing.T) {
+	c, m, w := newFront(t)
+	c.clock = func() time.Duration { return 10 * ms }
+	out(t, c, m, w)
+	for now, want := range map[time.Duration]string{10 * ms: "d=81,", 60 * ms: "d=36,", 90 * ms: "d=9,", 100 * ms: "d=1,"} {
+		c.clock = func() time.Duration { return now }
+		s := &Submission{query: w.sent[0].query, until: w.sent[0].until, clock: c.clock}
+		s.query.Message = slices.Clone(s.query.Message)
+		assert.Contains(t, string(s.Message()), want)
+	}
+}
--- a/front/send.go
+++ b/front/send.go
@@ -24,6 +24,7 @@
 	way    Way
 	right  *Right               // to what its txn was taken on; nil where none is needed
 	left   *atomic.Bool         // of its txn: the client has left; nil for a probe
+	client Presence             // who can tell so before that was noticed; nil where nobody can
 	begin  time.Duration        // from then on nothing of it may go out; 0 for no limit
 	clock  func() time.Duration // by which that is; nil where the core is stepped
 	done   bool                 // the core's: its ending is told, or about to be
@@ -58,6 +59,9 @@
 	if s.right != nil && !s.right.Lasts() { // the core ends it as soon as it looks
 		return false
 	}
+	if s.client != nil && s.client.Departed() {
+		return false
+	}
 	if s.left != nil && s.left.Load() || s.clock != nil && s.clock() >= s.mustBeginBy() { // so does it here
 		return false
 	}
@@ -76,9 +80,17 @@
 	if s.probe || s.clock == nil {
 		return s.query.Message
 	}
-	return s.query.Shorten(s.until - s.clock())
+	left := s.until - s.clock()
+	return s.query.Shorten(left - min(readingDelay, left/readingPart))
 }
 
+// What a member is told is less than what is left by as long as a request may have lain here before it was read, or by a tenth of
+// what is left: the request's time runs from its arrival, and the front may besides be held up between its clock and the write.
+const (
+	readingDelay = 20 * time.Millisecond
+	readingPart  = 10
+)
+
 // mustBeginBy is the moment from which on nothing of it may go out.
 func (s *Submission) mustBeginBy() time.Duration {
 	if s.begin > 0 {
@@ -96,6 +108,7 @@
 		a.out = append(a.out, s)
 		s.right, s.clock = a.terms.right, c.clock
 		s.left = a.gone
+		s.client, _ = a.Client.(Presence)
 		if ty := &a.terms.types[a.typ]; a.mayRun && ty.Effect == port.Referenced {
 			s.begin = a.ranSince + ty.Window
 			if s.begin < until {
--- a/front/takein.go
+++ b/front/takein.go
@@ -11,6 +11,10 @@
 // Client is where a final answer goes. Answer never blocks.
 type Client interface{ Answer(Response) }
 
+// Presence is a Client that can tell whether it has left, though nobody has noticed so far: a front that was held up finds what came
+// meanwhile in some order. Departed may be called from any goroutine and does not block.
+type Presence interface{ Departed() bool }
+
 // Status is the sort of a final answer.
 type Status uint8
 
--- a/sockets/client.go
+++ b/sockets/client.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dapplerouter/front"
@@ -18,6 +19,7 @@
 type client struct {
 	sv      *Server
 	conn    *net.TCPConn
+	raw     syscall.RawConn
 	r       *pgwire.Reader
 	idle    atomic.Int64 // since when it has nothing to do, as the clock says, 0 while it has
 	evicted atomic.Bool  // makes way for another
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -459,3 +459,23 @@
 		})
 	}
 }
+
+// Whoever asks sees at once that a client has closed, though what it sent before lies unread and its connection is at something else.
+func TestADepartureIsSeenBehindWhatNobodyHasRead(t *testing.T) {
+	l := listen(t)
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	conn, err := l.AcceptTCP()
+	require.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.SyscallConn()
+	require.NoError(t, err)
+	q := &request{client: &client{conn: conn, raw: raw}}
+	_, err = c.Write(read("4000"))
+	require.NoError(t, err)
+	assert.False(t, q.Departed())
+	c.Close()
+	require.Eventually(t, q.Departed, 5*time.Second, time.Millisecond)
+	conn.Close()
+	assert.True(t, q.Departed(), "one whose connection is closed here has left too")
+}
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -38,6 +38,13 @@
 	return raw.Read(hungUp)
 }
 
+// departed looks whether the other side of a connection has closed it, whatever it sent before and nobody has read.
+func departed(raw syscall.RawConn) bool {
+	gone := true // where the descriptor is closed already
+	raw.Control(func(fd uintptr) { gone = hungUp(fd) })
+	return gone
+}
+
 // hungUp looks whether the other side has closed.
 func hungUp(fd uintptr) bool {
 	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
--- a/sockets/server.go
+++ b/sockets/server.go
@@ -203,7 +203,12 @@
 		sv.reject(conn)
 		return
 	}
-	c := &client{sv: sv, conn: conn, until: time.Now().Add(messageTimeout), r: sv.reader(conn, clientBuffer)}
+	raw, err := conn.SyscallConn()
+	if err != nil { // it is closed
+		sv.limiter.releaseClient()
+		return
+	}
+	c := &client{sv: sv, conn: conn, raw: raw, until: time.Now().Add(messageTimeout), r: sv.reader(conn, clientBuffer)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
 	sv.mu.Unlock()
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -281,7 +281,7 @@
 	}
 	m.work <- struct{}{}
 	began := time.Now()
-	if m.known(primary, sql) { // a repeat: answered as before, without an effect
+	if m.known(primary, sql, now) { // a repeat: answered as before, without an effect
 		<-m.work
 		return m.end(rows(b, [][]string{{id}}, "INSERT 0 1"), primary, time.Now()), true
 	}
@@ -313,18 +313,19 @@
 	return m.end(rows(b, res.Rows, "SELECT "+strconv.Itoa(len(res.Rows))), primary, time.Now()), true
 }
 
-// known tells whether a mark's change took effect within the window, and notes it where it is about to.
-func (m *Member) known(primary bool, sql string) bool {
+// known tells whether a mark's change came within the window before, and notes it where it is the first. A window runs from when a
+// statement came, however long it had to wait for its turn.
+func (m *Member) known(primary bool, sql string, came time.Time) bool {
 	f := markWord.FindStringSubmatch(sql)
 	if f == nil || !primary || !plainMark.MatchString(sql) {
 		return false
 	}
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
-	if at, ok := m.g.marks[f[1]]; ok && time.Since(at) < m.g.Window {
+	if at, ok := m.g.marks[f[1]]; ok && came.Sub(at) < m.g.Window {
 		return true
 	}
-	m.g.marks[f[1]] = time.Now()
+	m.g.marks[f[1]] = came
 	return false
 }
 
