--- a/cmd/dapplerouter/list_test.go
+++ b/cmd/dapplerouter/list_test.go
@@ -21,6 +21,7 @@
 	t       *testing.T
 	calls   atomic.Int64 // of any kind so far
 	watches atomic.Int64 // opened so far
+	slow    atomic.Int64 // nanoseconds after which a call begins to be answered
 
 	mu      sync.Mutex
 	whole   map[string]any
@@ -102,6 +103,11 @@
 
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.calls.Add(1)
+	select {
+	case <-time.After(time.Duration(l.slow.Load())):
+	case <-r.Context().Done():
+		return
+	}
 	whole, up, changed := l.now()
 	if !up {
 		<-r.Context().Done()
--- a/cmd/dapplerouter/restart_test.go
+++ b/cmd/dapplerouter/restart_test.go
@@ -74,6 +74,46 @@
 	assert.Less(t, last, told)
 }
 
+// STANDING.md: "discovery that is slow or crowded, and new configurations in quick succession". Each answer of the list's service takes
+// longer to begin than the next SIGHUP takes to come; what it has counts as told 4 s after the first that named it.
+func TestADrainIsHeardThoughConfigurationsComeFasterThanDiscoveryAnswers(t *testing.T) {
+	const (
+		told  = 4 * time.Second
+		slow  = 700 * time.Millisecond
+		pause = 400 * time.Millisecond
+		grace = 500 * time.Millisecond
+	)
+	for name, services := range map[string]int{"the same service": 1, "three services in turn": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 4)
+			g.Each = 2 * time.Millisecond
+			old := startList(t, g)
+			draining := g.Members[3]
+			var next []*list
+			for range services {
+				next = append(next, startList(t, g))
+				next[len(next)-1].slow.Store(int64(slow))
+				next[len(next)-1].entry(draining, "status", "draining")
+			}
+			p := startProcess(t, g, old.address(), "8000000000", `"StopSendingWithin": 2000000000`, fmt.Sprintf(`"StopSendingWithin": %d`, grace))
+			require.Eventually(t, func() bool { return old.watches.Load() > 0 }, 10*time.Second, time.Millisecond)
+			p.readers(8)
+			require.Eventually(t, func() bool { return len(draining.Seen()) > 0 }, 10*time.Second, time.Millisecond, "it has work")
+			from, at := time.Now(), old
+			for n := 0; time.Since(from) < told+time.Second; n++ {
+				p.reload(at, next[n%services])
+				at = next[n%services]
+				time.Sleep(pause)
+			}
+			seen := draining.Seen()
+			last := seen[len(seen)-1].At.Sub(from)
+			t.Logf("last asked %v after the first signal", last)
+			assert.Less(t, last, told+grace)
+		})
+	}
+}
+
 // A front that is told to read its file and to end at once, and to read it again while it drains, loses nothing and ends well.
 func TestAReloadWithAStopLosesNothing(t *testing.T) {
 	t.Parallel()
