Another address is followed beside the one before until it has brought its list

Cause: sockets/directory.go ended what ran at each Move, so that SIGHUP after SIGHUP cut off every whole list before it came. Change: the addresses of before, four at most, are followed until a later one has brought its list, and nothing of them comes behind it; the same address is not asked anew before it has answered; of too many the one last begun makes way.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -34,6 +34,7 @@
 
 // Client speaks to the list's service. It holds two connections at most.
 type Client struct {
+	address   string
 	base      string
 	http      *http.Client
 	heartbeat time.Duration
@@ -44,7 +45,7 @@
 
 // New makes a client of the service at an address, which knows the list up to a version.
 func New(address string, index int64) *Client {
-	c := &Client{base: "http://" + address + "/v1/endpoints", heartbeat: heartbeat}
+	c := &Client{address: address, base: "http://" + address + "/v1/endpoints", heartbeat: heartbeat}
 	c.index.Store(index)
 	c.http = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: heartbeat, KeepAlive: -1}).DialContext,
@@ -62,6 +63,9 @@
 	return m
 }
 
+// Address is where the service is.
+func (c *Client) Address() string { return c.address }
+
 // Index is the version last heard.
 func (c *Client) Index() int64 { return c.index.Load() }
 
--- a/sockets/directory.go
+++ b/sockets/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,15 +19,26 @@
 	spread func() float64
 
 	mu      sync.Mutex
-	client  *discovery.Client
+	client  *discovery.Client // of the newest address
+	told    bool              // it has brought a list
 	follows bool
 	watches bool
-	end     func()                // ends what runs, and returns when it has
+	end     func()                // ends what runs for it, and returns when it has
+	earlier []followed            // addresses of before, oldest first, until a later one has brought its list
 	lean    func() discovery.List // what others who follow the list know; nil where this front follows by itself
 	turn    int
 	passing []front.Listed // to the core, in order
 }
 
+// followed is an address at which the list is followed.
+type followed struct {
+	client *discovery.Client
+	end    func()
+}
+
+// maxEarlier bounds how many addresses of before are followed; each takes two descriptors at most.
+const maxEarlier = 4
+
 // NewDirectory makes a Directory that lasts as long as ctx; spread keeps fronts from asking all at once.
 func NewDirectory(ctx context.Context, client *discovery.Client, post func(front.Event), spread func() float64) *Directory {
 	return &Directory{client: client, post: post, ctx: ctx, spread: spread, end: func() {}}
@@ -51,15 +63,34 @@
 	d.begin()
 }
 
-// Move goes on with the list at another address. What has changed since the last word of the old one is in
-// the whole list, which comes first; nothing of the old one comes after it.
+// Move goes on with the list at another address. What has changed since the last word of the old one is in the whole list, which
+// comes first; until then the old one is followed, and nothing of it comes afterwards. Configurations may come faster than the
+// service answers: the same address is not asked anew before it has answered, and of too many the one last begun makes way, so that
+// the others come to an end.
 func (d *Directory) Move(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.client = d.client.Moved(address)
+	if address == d.client.Address() && !d.told && d.lean == nil && (d.follows || d.watches) {
+		return
+	}
+	if len(d.earlier) < maxEarlier {
+		d.earlier = append(d.earlier, followed{d.client, d.end})
+	} else {
+		go d.end()
+	}
+	d.end = func() {}
+	d.client, d.told = d.client.Moved(address), false
 	d.begin()
 }
 
+// endEarlier ends the first addresses of before.
+func (d *Directory) endEarlier(many int) {
+	for _, f := range d.earlier[:many] {
+		go f.end()
+	}
+	d.earlier = d.earlier[many:]
+}
+
 // begin ends what runs and starts what is wanted; it does not wait for either.
 func (d *Directory) begin() {
 	end, client := d.end, d.client
@@ -68,6 +99,7 @@
 	switch {
 	case d.lean != nil: // others follow it
 		go end()
+		d.endEarlier(len(d.earlier))
 		return
 	case d.follows:
 		run = func(ctx context.Context) {
@@ -82,6 +114,7 @@
 		}
 	default:
 		go end()
+		d.endEarlier(len(d.earlier))
 		return
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -190,11 +223,23 @@
 	return func(l discovery.List) { d.passFrom(client, listed(l)) }
 }
 
-// passFrom passes on what came from an address, unless the list is at another by now: that one's whole list says all.
+// passFrom passes on what came from an address, unless a later one has brought its list: that says all.
 func (d *Directory) passFrom(client *discovery.Client, e front.Listed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.client == client {
+		if e.Kind != port.Failed {
+			d.told = true
+			d.endEarlier(len(d.earlier))
+		}
+		d.pass(e)
+		return
+	}
+	if e.Kind == port.Failed { // of an address of before
+		return
+	}
+	if i := slices.IndexFunc(d.earlier, func(f followed) bool { return f.client == client }); i >= 0 {
+		d.endEarlier(i)
 		d.pass(e)
 	}
 }
