--- a/fleet/disk/segments_test.go
+++ b/fleet/disk/segments_test.go
@@ -132,3 +132,41 @@
 	require.Len(t, l.Apart, 1)
 	assert.Contains(t, l.Apart[0].What, "two copies differ")
 }
+
+// TERMS.md: "Where a folder lasts: writes and syncs to it may fail for a while". A segment that cannot be begun is begun later, and
+// what was not written meanwhile is told.
+func TestAFolderThatFailsForAWhileWhereASegmentIsTurnedIsWrittenAgain(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "audit")
+	s := begun(t, dir, 1<<20, 1<<24)
+	require.NoError(t, s.Write(span(1)))
+	require.NoError(t, os.Rename(dir, dir+".away"))
+	assert.Error(t, s.Turn())
+	for i := 2; i <= 4; i++ {
+		assert.Error(t, s.Write(span(i)))
+	}
+	assert.NoError(t, s.Sync(), "nothing is open")
+	require.NoError(t, os.Rename(dir+".away", dir))
+	require.NoError(t, s.Write(span(5)))
+	require.NoError(t, s.Turn())
+	require.NoError(t, s.Write(span(6)))
+	require.NoError(t, s.Close())
+	_, notes := verified(t, dir)
+	assert.Contains(t, fmt.Sprint(notes), "3 lines could not be written")
+}
+
+// A sync that fails where a segment is closed costs no line behind it.
+func TestASyncThatFailsWhereASegmentIsTurnedCostsNoLineBehindIt(t *testing.T) {
+	dir := t.TempDir()
+	s := begun(t, dir, 1<<20, 1<<24)
+	require.NoError(t, s.Write(span(1)))
+	read, write, err := os.Pipe() // which cannot be synced
+	require.NoError(t, err)
+	defer read.Close()
+	was := s.ids
+	s.ids = write
+	assert.Error(t, s.Turn())
+	was.Close()
+	require.NoError(t, s.Write(span(2)))
+	require.NoError(t, s.Close())
+	verified(t, dir)
+}
--- a/fleet/mesh/mesh_test.go
+++ b/fleet/mesh/mesh_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,13 +25,16 @@
 var pace = fleet.Timing{LeaseDuration: 600 * time.Millisecond}
 
 // one is a front that keeps the record alone.
-func one(t *testing.T, slots int) (*Mesh, chan fleet.Event) {
+func one(t *testing.T, slots int) (*Mesh, chan fleet.Event) { return oneOn(t, noDisk{}, slots) }
+
+// oneOn is one on a disk.
+func oneOn(t *testing.T, disk Disk, slots int) (*Mesh, chan fleet.Event) {
 	told := make(chan fleet.Event, 1000)
 	n, err := fleet.New(fleet.Options{Fleet: "x", Name: "a", Incarnation: 7, InitialVoters: []fleet.Voter{{Name: "a"}}, Timing: pace, Seed: 1, AcceptsLeases: true, MaxFollowers: slots},
 		&fleet.DiskState{Opened: 1})
 	require.NoError(t, err)
 	n.DeclareLease("list", 0)
-	m, err := New(Options{Listen: "127.0.0.1:0", Node: n, Timing: pace, Disk: noDisk{}, OnEvent: func(_ time.Duration, e fleet.Event) { told <- e }})
+	m, err := New(Options{Listen: "127.0.0.1:0", Node: n, Timing: pace, Disk: disk, OnEvent: func(_ time.Duration, e fleet.Event) { told <- e }})
 	require.NoError(t, err)
 	m.Run()
 	t.Cleanup(m.Close)
@@ -35,12 +42,16 @@
 }
 
 func until[E fleet.Event](t *testing.T, told <-chan fleet.Event) E {
+	end := time.After(20 * time.Second) // whatever else comes
 	for {
 		select {
 		case e := <-told:
 			if e, ok := e.(E); ok {
 				return e
 			}
+		case <-end:
+			var never E
+			t.Fatalf("not told among others: %T", never)
 		case <-time.After(10 * time.Second):
 			var never E
 			t.Fatalf("never told: %T", never)
@@ -114,3 +125,50 @@
 	}
 	assert.True(t, m.Broadcast("list", []byte("x")), "it goes on as before")
 }
+
+// failingDisk fails with an error as long as it is told to.
+type failingDisk struct{ why atomic.Pointer[error] }
+
+func (d *failingDisk) Save(*fleet.DiskWrite) error {
+	if why := d.why.Load(); why != nil {
+		return fmt.Errorf("saving: %w", &os.PathError{Op: "write", Path: "x", Err: *why})
+	}
+	return nil
+}
+
+// TERMS.md: "Where a folder lasts: writes and syncs to it may fail for a while (ENOSPC, EIO)". A voter says nothing that rests on what
+// is not written, and goes on once it is.
+func TestAVoterWhoseDiskFailsForAWhileGoesOn(t *testing.T) {
+	for _, number := range []error{syscall.ENOSPC, syscall.EIO} {
+		disk := &failingDisk{}
+		m, told := oneOn(t, disk, 0)
+		until[fleet.LeaseRenewed](t, told)
+		disk.why.Store(&number)
+		m.Do(func(n *fleet.Node, _ time.Duration) { n.DeclareLease("other", 0) }) // which has to be written
+		time.Sleep(2 * pace.LeaseDuration)
+		for len(told) > 0 {
+			if e, ok := (<-told).(fleet.LeaseAcquired); ok {
+				assert.NotEqual(t, "other", e.Lease, "it rests on what is not written")
+			}
+		}
+		disk.why.Store(nil)
+		for until[fleet.LeaseAcquired](t, told).Lease != "other" {
+		}
+		until[fleet.LeaseRenewed](t, told)
+		assert.True(t, m.Broadcast("list", []byte("x")), number.Error())
+	}
+}
+
+// One that fails for good halts, as before.
+func TestAVoterWhoseDiskIsNoneHalts(t *testing.T) {
+	disk := &failingDisk{}
+	m, told := oneOn(t, disk, 0)
+	until[fleet.LeaseRenewed](t, told)
+	why := error(os.ErrClosed)
+	disk.why.Store(&why)
+	m.Do(func(n *fleet.Node, _ time.Duration) { n.DeclareLease("other", 0) })
+	require.Eventually(t, func() (halted bool) {
+		m.Do(func(n *fleet.Node, _ time.Duration) { halted = n.VoterHaltReason() != "" })
+		return halted
+	}, 10*time.Second, 5*time.Millisecond)
+}
