Folders whose writes and syncs fail for a while are written again once they can be

Cause: Segments.turn returned between closing a segment and beginning the next, with no file open from then on; Mesh.pump halted the voter at any error of its disk. Change: a segment that is not open is begun by the next write, and the gap is told; the mesh tries a write again that failed by ENOSPC, EIO and the like, and the voter is silent meanwhile. Other errors still halt it.

--- a/fleet/disk/segments.go
+++ b/fleet/disk/segments.go
@@ -108,25 +108,39 @@
 	return nil
 }
 
-// begin opens the next segment.
-func (s *Segments) begin() (err error) {
-	s.number++
-	name := audit.SegmentName(s.front, s.number)
-	if s.lines, err = os.OpenFile(filepath.Join(s.dir, name+audit.LinesEnd), os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600); err != nil {
+// begin opens the next segment. Where that fails none is open, and the next write tries again.
+func (s *Segments) begin() error {
+	path := filepath.Join(s.dir, audit.SegmentName(s.front, s.number+1))
+	lines, err := os.OpenFile(path+audit.LinesEnd, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
 		return fmt.Errorf("the audit: %w", err)
 	}
-	if s.ids, err = os.OpenFile(filepath.Join(s.dir, name+audit.IDsEnd), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600); err != nil {
+	ids, err := os.OpenFile(path+audit.IDsEnd, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		lines.Close()
+		os.Remove(path + audit.LinesEnd)
 		return fmt.Errorf("the audit: %w", err)
 	}
+	s.lines, s.ids = lines, ids
+	s.number++
 	s.at, s.idsAt = 0, 0
 	s.chain.Segment()
 	return nil
 }
 
+// open tells whether a segment is.
+func (s *Segments) open() bool { return s.lines != nil }
+
 // Write appends a line, with its span's part of the index. What can't be written is counted; the error is for the log.
 func (s *Segments) Write(l *audit.Line, ids []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.open() { // the folder failed where the last one was closed
+		if err := s.begin(); err != nil {
+			s.lost, s.why = s.lost+1, err.Error()
+			return err
+		}
+	}
 	if s.cut > 0 {
 		cut := &audit.Line{What: audit.Cut, Lost: uint64(s.cut), Why: "the last line of the segment before was not whole"}
 		s.Told(cut)
@@ -181,10 +195,7 @@
 
 // turn closes the segment and opens the next; where the budget is passed the oldest goes, told.
 func (s *Segments) turn() error {
-	if err := s.seal(); err != nil {
-		return err
-	}
-	if err := s.begin(); err != nil {
+	if err := errors.Join(s.seal(), s.begin()); err != nil { // what failed in closing it costs no line behind it
 		return err
 	}
 	for len(s.sealed) > 0 && s.total() > s.budget {
@@ -205,7 +216,11 @@
 }
 
 func (s *Segments) seal() error {
+	if !s.open() {
+		return nil
+	}
 	err := errors.Join(s.ids.Sync(), s.lines.Sync(), s.ids.Close(), s.lines.Close())
+	s.lines, s.ids = nil, nil
 	s.sealed = append(s.sealed, audit.SegmentName(s.front, s.number))
 	return err
 }
@@ -226,6 +241,9 @@
 func (s *Segments) Sync() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.open() {
+		return nil
+	}
 	return errors.Join(s.ids.Sync(), s.lines.Sync())
 }
 
@@ -240,7 +258,7 @@
 func (s *Segments) Turn() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.at == 0 {
+	if s.open() && s.at == 0 {
 		return nil
 	}
 	return s.turn()
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -8,10 +8,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dapplerouter/fleet"
@@ -76,6 +78,8 @@
 	dialling map[string]bool
 	ended    bool
 
+	diskRetryAt time.Duration // not before then; 0 while the voter's disk is written
+
 	events     chan timedEvent
 	lostEvents atomic.Uint64
 	count      struct{ sent, received, sentBytes, gotBytes, shed, refused, dials atomic.Uint64 }
@@ -197,19 +201,54 @@
 	return all
 }
 
-// pump carries out what the node asks for; m.mu must be held.
-func (m *Mesh) pump() {
-	for {
+// diskPause lies between two tries of a write that failed for a while, in tick intervals: the mesh is held up by each.
+const diskPause = 10
+
+// writePending writes what the voter waits for; m.mu must be held. One that fails for want of room, or by an error of the device, is
+// tried again: the voter says nothing until it is on disk.
+func (m *Mesh) writePending() {
+	for m.Now() >= m.diskRetryAt {
 		s, ok := m.node.PendingWrite()
 		if !ok {
-			break
+			return
 		}
-		if err := m.o.Disk.Save(s); err != nil {
+		err := m.o.Disk.Save(s)
+		switch {
+		case err == nil:
+			if m.diskRetryAt > 0 {
+				m.diskRetryAt = 0
+				slog.Info("fleet: the voter's disk is written again")
+			}
+			m.node.WriteDone(m.Now())
+		case passingDiskError(err):
+			if m.diskRetryAt == 0 {
+				slog.Error("fleet: the voter's disk can't be written; it is tried again, and the voter is silent until then", "why", err)
+			}
+			m.diskRetryAt = m.Now() + diskPause*m.o.Timing.TickInterval()
+			return
+		default:
 			m.node.WriteFailed(err)
-			break
+			return
 		}
-		m.node.WriteDone(m.Now())
 	}
+}
+
+// passingDiskError tells whether a write may succeed later.
+func passingDiskError(err error) bool {
+	var number syscall.Errno
+	if !errors.As(err, &number) {
+		return false
+	}
+	switch number {
+	case syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EINTR, syscall.EAGAIN, syscall.ENOMEM:
+		return true
+	}
+	return false
+}
+
+// pump carries out what the node asks for; m.mu must be held.
+func (m *Mesh) pump() {
+	m.writePending()
 	now := m.Now()
 	for _, e := range m.node.Events() { // before any peer hears of it
 		select {
