Audit lines and spans are dated where they are queued, by a clock that is not stepped

Cause: fleet/agent/auditor.go dated lines in the goroutine that told them, spans and told gaps when they were written, by the wall clock of that moment. Change: enqueue dates and queues under one lock, never before the last date, by the start's wall clock and the monotonic one since; what the writer adds takes the date of its line.

--- a/fleet/agent/auditor.go
+++ b/fleet/agent/auditor.go
@@ -29,6 +29,9 @@
 	ended     chan struct{}
 	collector *collector
 
+	dating sync.Mutex // held while an entry is dated and queued
+	dated  int64      // the last date
+
 	exporting        sync.Mutex
 	exportedSegments map[string]bool // exported, or removed meanwhile
 	exportFailing    bool
@@ -38,6 +41,7 @@
 type queueEntry struct {
 	line *audit.Line
 	span *audit.Span
+	date int64 // of the span, Unix microseconds
 	sync chan struct{}
 }
 
@@ -58,15 +62,31 @@
 func (w *auditor) sign(l *audit.Line) {
 	l.Front, l.Incarnation = w.agent.name, w.agent.incarnation
 	if l.At == 0 {
-		l.At = time.Now().UnixMicro()
+		l.At = w.agent.wallNow()
 	}
 	if l.Index == 0 {
 		l.Index = w.index.Load()
 	}
 }
 
-// enqueue queues an entry; it never blocks, and reports whether there was room.
+// date gives an entry its date, never one before the last: lines are read in the order in which they are queued.
+func (w *auditor) date(e *queueEntry) {
+	at := w.agent.wallNow()
+	if e.line != nil && e.line.At > 0 {
+		at = e.line.At
+	}
+	w.dated = max(w.dated, at)
+	e.date = w.dated
+	if e.line != nil {
+		e.line.At = w.dated
+	}
+}
+
+// enqueue dates and queues an entry; it never blocks on the queue, and reports whether there was room.
 func (w *auditor) enqueue(e queueEntry) bool {
+	w.dating.Lock()
+	defer w.dating.Unlock()
+	w.date(&e)
 	select {
 	case w.queue <- e:
 		return true
@@ -90,7 +110,9 @@
 		case e.line == nil && e.span == nil:
 			return
 		case e.span != nil:
-			w.write(w.spanLine(e.span))
+			l, ids := w.spanLine(e.span)
+			l.At = e.date
+			w.write(l, ids)
 		default:
 			w.write(e.line, nil)
 		}
@@ -185,9 +207,6 @@
 // writeAudit queues an audit line, where there is an audit.
 func (a *Agent) writeAudit(l *audit.Line) {
 	if a.audit != nil {
-		if l.At == 0 {
-			l.At = time.Now().UnixMicro()
-		}
 		a.audit.enqueue(queueEntry{line: l})
 	}
 }
@@ -206,6 +225,15 @@
 	}
 }
 
+// wallNow is the wall clock as it was at the start and has gone on since, in Unix microseconds: one that is stepped meanwhile dates
+// nothing backwards.
+func (a *Agent) wallNow() int64 {
+	if a.Clock == nil { // it has not started
+		return time.Now().UnixMicro()
+	}
+	return a.wallMicros(a.Clock())
+}
+
 // wallMicros is a time of the core's clock as Unix microseconds.
 func (a *Agent) wallMicros(at time.Duration) int64 { return a.StartedAt.Add(at).UnixMicro() }
 
--- a/fleet/agent/rollout.go
+++ b/fleet/agent/rollout.go
@@ -116,7 +116,7 @@
 		Adopt:  func(adoption rollout.Adoption) { go h.adopt(adoption) },
 		Renew:  h.onRenewal,
 		Counts: h.counts,
-		Wall:   func() int64 { return time.Now().UnixMicro() },
+		Wall:   a.wallNow,
 	})
 	return h, begins, nil
 }
--- a/fleet/disk/segments.go
+++ b/fleet/disk/segments.go
@@ -28,6 +28,7 @@
 	idsAt  int64
 	lost   uint64
 	why    string
+	latest int64    // date of the last line
 	sealed []string // names without ending, oldest first
 	cut    int64
 	Told   func(l *audit.Line) // fills in what a line of the keeper's own has to say of its front
@@ -142,14 +143,14 @@
 		}
 	}
 	if s.cut > 0 {
-		cut := &audit.Line{What: audit.Cut, Lost: uint64(s.cut), Why: "the last line of the segment before was not whole"}
+		cut := &audit.Line{What: audit.Cut, At: l.At, Lost: uint64(s.cut), Why: "the last line of the segment before was not whole"}
 		s.Told(cut)
 		if s.append(cut, nil) == nil {
 			s.cut = 0
 		}
 	}
 	if s.lost > 0 {
-		gap := &audit.Line{What: audit.Gap, Lost: s.lost, Why: s.why}
+		gap := &audit.Line{What: audit.Gap, At: l.At, Lost: s.lost, Why: s.why}
 		s.Told(gap)
 		if err := s.append(gap, nil); err != nil {
 			s.lost++
@@ -188,6 +189,7 @@
 		s.lines.Truncate(s.at)
 		return err
 	}
+	s.latest = l.At
 	s.at += int64(len(b))
 	s.idsAt += int64(len(ids))
 	return nil
@@ -200,7 +202,7 @@
 	}
 	for len(s.sealed) > 0 && s.total() > s.budget {
 		oldest := s.sealed[0]
-		gone := &audit.Line{What: audit.Dropped, Name: oldest, Why: fmt.Sprintf("the audit may take %d bytes", s.budget)}
+		gone := &audit.Line{What: audit.Dropped, At: s.latest, Name: oldest, Why: fmt.Sprintf("the audit may take %d bytes", s.budget)}
 		s.Told(gone)
 		if err := s.append(gone, nil); err != nil {
 			return err
