--- a/cmd/dapplerouter/wall_clock_test.go
+++ b/cmd/dapplerouter/wall_clock_test.go
@@ -56,6 +56,39 @@
 	}
 }
 
+// The servers' clocks are stepped while the front serves: what their replicas tell then says nothing of how far these are behind.
+func TestNoStaleReadThoughTheServersClocksAreSteppedMeanwhile(t *testing.T) {
+	const bound, behind = time.Second, 3 * time.Second
+	for _, step := range steps {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 3)
+			g.Lag.Store(int64(behind))
+			p := startListed(t, g, "8000000000", `"bounce"`, `"silent"`)
+			late := lateness(t)
+			c := dial(t, p.address)
+			served := 0
+			for n := range 300 {
+				if n%100 == 50 {
+					g.Wall.Add(int64(step))
+				}
+				asked := g.Now()
+				a, err := c.Query(fmt.Sprintf("SELECT 'age_of_data' /* id=l%d,c=slots,d=3000,cluster=0 */", n))
+				require.NoError(t, err)
+				if a.Code != "" {
+					continue
+				}
+				served++
+				at, err := strconv.ParseInt(a.Rows[0][0], 10, 64)
+				require.NoError(t, err)
+				assert.Less(t, asked.Sub(time.UnixMilli(at)), bound+deadlineSlack+time.Duration(late.Load()), "answered from older data")
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Greater(t, served, 280)
+		})
+	}
+}
+
 // A server that has just started gets its part as a cold one, and all of its part once it is warm.
 func TestASlowStartIsKeptThoughTheWallClockWasStepped(t *testing.T) {
 	const cold, warmUp = 3 * time.Second, 2 * time.Second
--- a/front/relay.go
+++ b/front/relay.go
@@ -66,7 +66,7 @@
 			report = a.Value()
 		}
 		o.Load = c.report(report, e.S.sent)
-		if a.HasApplied && (c.confirmed || o.Role == port.Primary) {
+		if a.HasApplied && c.believes(o.Role, c.since(a.Applied)) {
 			o.Position, o.HasPosition = c.since(a.Applied), true
 		}
 	}
@@ -154,6 +154,6 @@
 		c.moved(c.timeline.present(told, sent-oldestLoadReport, c.now))
 		l.Position = c.since(told)
 	}
-	l.HasPosition = l.HasPosition && c.confirmed
+	l.HasPosition = l.HasPosition && c.believes(l.Role, l.Position)
 	return l
 }
--- a/front/timeline.go
+++ b/front/timeline.go
@@ -1,6 +1,10 @@
 package front
 
-import "time"
+import (
+	"time"
+
+	"dapplerouter/port"
+)
 
 // timeline puts Unix times that others tell, in milliseconds, on the core's clock.
 //
@@ -64,6 +68,12 @@
 	return by
 }
 
+// believes tells whether a position that a member tells may count. A primary's is the present. Another's counts only once the present
+// is known, and never where it lies ahead of it: then a clock was stepped, and it tells nothing of how far that member is behind.
+func (c *Core) believes(role port.Role, position time.Duration) bool {
+	return role == port.Primary || c.confirmed && position <= c.now+timelineSlack
+}
+
 // place is where a member is reached, and when it started last.
 type place struct {
 	address string
--- a/front/timeline_test.go
+++ b/front/timeline_test.go
@@ -100,3 +100,14 @@
 	c.batch(60 * ms)
 	assert.Equal(t, -5*ms, m.listed[len(m.listed)-1].Started)
 }
+
+func TestAReplicasPositionAheadOfThePresentTellsNothing(t *testing.T) {
+	c, m, w := newFront(t)
+	out(t, c, m, w)
+	w.begin(t, 0)
+	a := row()
+	a.Applied += 3_600_000
+	c.Post(&Ended{S: w.sent[0], Answer: a})
+	c.batch(30 * ms)
+	assert.False(t, m.ended[0].HasPosition)
+}
