A panic in a client's connection leaves no request that was read without an answer

Cause: the deferred guard of sockets/client.go logged it and closed the connection over requests that had been read. Change: each of them is told XX000, which promises nothing, and so is the message that was being taken in. The test fails without it.

--- a/pgwire/message.go
+++ b/pgwire/message.go
@@ -22,6 +22,7 @@
 	BadValue           = "22023"
 	RolledBack         = "40000"
 	TooLarge           = "54000"
+	InternalError      = "XX000"
 	IdleTooLong        = "57P05"
 	CannotConnectNow   = "57P03"
 )
--- a/sockets/client.go
+++ b/sockets/client.go
@@ -73,7 +73,7 @@
 		c.sv.mu.Unlock()
 		c.sv.limiter.releaseClient()
 	}()
-	defer guard()
+	defer c.answerAfterPanic()
 	err := c.watch(c.until)
 	if err == nil || timedOut(err) {
 		c.conn.SetReadDeadline(c.until)
@@ -87,6 +87,19 @@
 	}
 }
 
+// answerAfterPanic, deferred, stops a panic at its connection: what was read is told that it failed, which promises nothing.
+func (c *client) answerAfterPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	slog.Error("panic in a client's connection", "panic", p, "trace", string(debug.Stack()))
+	for range c.pipeline.Len() {
+		c.write(encodeError(pgwire.InternalError, "an internal fault", ""))
+	}
+	c.write(pgwire.Error(nil, "FATAL", pgwire.InternalError, "an internal fault", "")) // for a message that was being taken in
+}
+
 // guard, deferred, stops a panic at the connection that it happened on.
 func guard() {
 	if p := recover(); p != nil {
--- a/sockets/requests_test.go
+++ b/sockets/requests_test.go
@@ -300,3 +300,23 @@
 	assert.Empty(t, g.d.begun)
 	assert.True(t, g.server.Wait(10*time.Second))
 }
+
+// A fault of ours while a message is taken in: what had been read, and the message itself, get an answer before the connection ends.
+func TestAPanicLeavesNoRequestWithoutAnAnswer(t *testing.T) {
+	g := newRig(t, 40)
+	g.events()
+	g.server.Parse(func(body []byte) (pgwire.Statement, error) {
+		if bytes.Contains(body, []byte("d=4999")) {
+			panic("a fault")
+		}
+		return pgwire.ParseStatement(body)
+	})
+	c := g.client()
+	c.say(read("4000")...)
+	m := g.memberUp()
+	m.hear("Q") // and says nothing
+	c.say(read("4999")...)
+	assert.Contains(t, string(c.hear("EZ")), pgwire.InternalError)
+	assert.Contains(t, string(c.hear("E")), pgwire.InternalError)
+	c.ends()
+}
