--- a/cmd/dapplerouter/soak_test.go
+++ b/cmd/dapplerouter/soak_test.go
@@ -20,7 +20,7 @@
 )
 
 // The soak plays short lives of one front, each from a seed: servers hang, break and drain, the list falls silent and moves, signals
-// come in series, the front is held up for 0.15 s, clients leave, pipeline, rest and crowd; then SIGTERM, and SIGKILL at its earliest
+// come in series, the front is held up for 0.15 s, its wall clock differs from all others', clients leave, pipeline, rest and crowd; then SIGTERM, and SIGKILL at its earliest
 // while all go on. CI plays a few seeds; SOAK_SEEDS=200 go test ./cmd/dapplerouter -run Soak plays so many, SOAK_FIRST=17 from there on.
 
 // soakRequest is what a client knows of one of its requests.
@@ -209,7 +209,7 @@
 				}
 			}
 		case 5:
-			service.entry(s.g.Members[4], "since_ms", time.Now().UnixMilli())
+			service.entry(s.g.Members[4], "since_ms", s.g.Now().UnixMilli())
 		case 6:
 			s.g.Members[2].WelcomeAfter(time.Duration(s.rand.IntN(240)) * time.Millisecond)
 		}
@@ -311,6 +311,9 @@
 	crowded := s.rand.IntN(4) == 0
 	s.g = startGroup(t, 5)
 	s.g.Each, s.g.Window = time.Duration(2+s.rand.IntN(8))*time.Millisecond, s.window
+	if s.rand.IntN(3) == 0 { // the front's machine had its clock stepped before it started
+		s.g.Wall.Store(int64(steps[s.rand.IntN(len(steps))]))
+	}
 	breaks := rand.New(rand.NewPCG(seed, 47))
 	var lock sync.Mutex
 	for _, m := range s.g.Members {
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -1,7 +1,6 @@
 package sockets
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -181,85 +180,6 @@
 	}
 }
 
-// localPause lies between two tries of what failed for want of something that this machine lacks for a moment.
-const localPause = 5 * time.Millisecond
-
-// awaitDescriptor waits until a connection may be opened, as long as one may take to come up: clients that were asked to make way
-// take a moment to leave.
-func (ls *Pools) awaitDescriptor() bool {
-	for until := time.Now().Add(ls.dial); ; time.Sleep(localPause) {
-		if ls.limiter.admitMember(ls.evictIdle) {
-			return true
-		}
-		if !time.Now().Before(until) {
-			return false
-		}
-	}
-}
-
-// dialMember opens a connection until a moment at most. What fails for want of this machine's own is tried again.
-func (l *memberConn) dialMember(until time.Time) (*net.TCPConn, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	d := net.Dialer{KeepAlive: -1, Control: l.ls.control}
-	for {
-		c, err := d.DialContext(ctx, "tcp", l.address)
-		if err == nil {
-			return c.(*net.TCPConn), nil
-		}
-		if !localFailure(err) || !time.Now().Add(localPause).Before(until) {
-			return nil, err
-		}
-		time.Sleep(localPause)
-	}
-}
-
-// localFailure tells whether a dial failed for want of something of this machine, which says nothing of the member.
-func localFailure(err error) bool {
-	var number syscall.Errno
-	if !errors.As(err, &number) {
-		return false
-	}
-	switch number {
-	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
-		syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EAGAIN, syscall.EINTR:
-		return true
-	}
-	return false
-}
-
-// connect dials and waits for the member's welcome, within the limit for both together.
-func (l *memberConn) connect() error {
-	until := time.Now().Add(l.ls.dial)
-	conn, err := l.dialMember(until)
-	if err != nil {
-		return err
-	}
-	l.conn, l.opened = conn, time.Now()
-	l.conn.SetDeadline(until)
-	if _, err := l.conn.Write(pgwire.Hello(nil, l.ls.user, l.ls.database)); err != nil {
-		return err
-	}
-	l.r = pgwire.NewReader(l.conn, linkBuffer, l.ls.longest)
-	l.r.Kept, l.r.Reserve = bodyKept, l.ls.bodies.reserve
-	var a pgwire.Answer
-	l.r.Check = a.Early
-	for done := false; !done; {
-		done, err = l.readMessage(&a)
-		if a.Code != "" {
-			return &rejectedConn{a}
-		}
-		if err != nil {
-			return err
-		}
-	}
-	if l.disturbed() {
-		return errors.New("it ended, or said more than a welcome, before it was asked anything")
-	}
-	l.conn.SetDeadline(time.Time{})
-	return nil
-}
-
 // disturbed says whether something came in on a connection that nobody has asked anything: what a member says there would be
 // taken for the answer of the next submission, and of one written behind its close nobody knows whether it ran.
 func (l *memberConn) disturbed() bool { return l.r.Waiting() || peek(l.conn) >= 0 }
@@ -273,23 +193,6 @@
 	return a.Take(typ, body)
 }
 
-// rejectedConn is an error answer in place of a welcome.
-type rejectedConn struct{ answer pgwire.Answer }
-
-func (t *rejectedConn) Error() string { return "rejected with " + t.answer.Code }
-
-func (ls *Pools) connectFailed(s *front.Submission, err error) {
-	if t, ok := err.(*rejectedConn); ok && t.answer.Code == pgwire.TooManyConnections {
-		ls.post(&front.Ended{S: s, Answer: t.answer})
-		return
-	}
-	if localFailure(err) {
-		ls.failed(s, front.Local, err)
-		return
-	}
-	ls.failed(s, front.Unconnected, err)
-}
-
 func (ls *Pools) failed(s *front.Submission, reach front.Reach, err error) {
 	ls.post(&front.Ended{S: s, Failure: &front.Failure{Reach: reach, Err: err}})
 }
