--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -114,7 +114,8 @@
 // absent is a client that has left, which nobody has noticed.
 type absent struct{ wires }
 
-func (absent) Departed() bool { return true }
+func (a absent) Presence() Presence { return a }
+func (absent) Departed() bool       { return true }
 
 func TestNothingBeginsForAClientThatHasLeftUnnoticed(t *testing.T) {
 	c, m, w := newFront(t)
--- a/front/send.go
+++ b/front/send.go
@@ -108,7 +108,9 @@
 		a.out = append(a.out, s)
 		s.right, s.clock = a.terms.right, c.clock
 		s.left = a.gone
-		s.client, _ = a.Client.(Presence)
+		if client, ok := a.Client.(Attended); ok {
+			s.client = client.Presence()
+		}
 		if ty := &a.terms.types[a.typ]; a.mayRun && ty.Effect == port.Referenced {
 			s.begin = a.ranSince + ty.Window
 			if s.begin < until {
--- a/front/takein.go
+++ b/front/takein.go
@@ -11,8 +11,11 @@
 // Client is where a final answer goes. Answer never blocks.
 type Client interface{ Answer(Response) }
 
-// Presence is a Client that can tell whether it has left, though nobody has noticed so far: a front that was held up finds what came
-// meanwhile in some order. Departed may be called from any goroutine and does not block.
+// Attended is a Client of which can be told whether it has left, though nobody has noticed so far: a front that was held up finds
+// what came meanwhile in some order.
+type Attended interface{ Presence() Presence }
+
+// Presence tells so. Departed may be called from any goroutine and does not block. Submissions keep it and outlive their request.
 type Presence interface{ Departed() bool }
 
 // Status is the sort of a final answer.
--- a/sockets/client.go
+++ b/sockets/client.go
@@ -7,7 +7,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"dapplerouter/front"
@@ -17,12 +16,12 @@
 // client is a client's connection, served by one goroutine: what it sends is read in server.go's stages, its requests are
 // read ahead and answered in their order in requests.go.
 type client struct {
-	sv      *Server
-	conn    *net.TCPConn
-	raw     syscall.RawConn
-	r       *pgwire.Reader
-	idle    atomic.Int64 // since when it has nothing to do, as the clock says, 0 while it has
-	evicted atomic.Bool  // makes way for another
+	sv       *Server
+	conn     *net.TCPConn
+	presence *presence
+	r        *pgwire.Reader
+	idle     atomic.Int64 // since when it has nothing to do, as the clock says, 0 while it has
+	evicted  atomic.Bool  // makes way for another
 
 	until    time.Time // by which it must have asked something
 	answered bool      // once at least
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -470,7 +470,7 @@
 	defer conn.Close()
 	raw, err := conn.SyscallConn()
 	require.NoError(t, err)
-	q := &request{client: &client{conn: conn, raw: raw}}
+	q := (&request{client: &client{conn: conn, presence: &presence{raw}}}).Presence()
 	_, err = c.Write(read("4000"))
 	require.NoError(t, err)
 	assert.False(t, q.Departed())
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -38,10 +38,13 @@
 	return raw.Read(hungUp)
 }
 
-// departed looks whether the other side of a connection has closed it, whatever it sent before and nobody has read.
-func departed(raw syscall.RawConn) bool {
+// presence tells whether the other side of a connection has closed it, whatever it sent before and nobody has read.
+type presence struct{ raw syscall.RawConn }
+
+// Departed implements front.Presence.
+func (p *presence) Departed() bool {
 	gone := true // where the descriptor is closed already
-	raw.Control(func(fd uintptr) { gone = hungUp(fd) })
+	p.raw.Control(func(fd uintptr) { gone = hungUp(fd) })
 	return gone
 }
 
--- a/sockets/requests.go
+++ b/sockets/requests.go
@@ -44,8 +44,8 @@
 	held int // bytes of the answers' room that it takes
 }
 
-// Departed tells whether the request's client has closed its connection.
-func (q *request) Departed() bool { return departed(q.client.raw) }
+// Presence tells whether the request's client has closed its connection. It outlives the request, and keeps nothing of it.
+func (q *request) Presence() front.Presence { return q.client.presence }
 
 // Answer passes the core's answer to the connection's goroutine and wakes it. Answers share a part of the memory until they are
 // written: a client may not read, or wait for an earlier one. One that finds no room loses its rows.
--- a/sockets/server.go
+++ b/sockets/server.go
@@ -208,7 +208,7 @@
 		sv.limiter.releaseClient()
 		return
 	}
-	c := &client{sv: sv, conn: conn, raw: raw, until: time.Now().Add(messageTimeout), r: sv.reader(conn, clientBuffer)}
+	c := &client{sv: sv, conn: conn, presence: &presence{raw}, until: time.Now().Add(messageTimeout), r: sv.reader(conn, clientBuffer)}
 	sv.mu.Lock()
 	sv.clients[c] = struct{}{}
 	sv.mu.Unlock()
