--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -277,7 +277,8 @@
 		"memory", m.Sys - m.HeapReleased, "collections", m.NumGC}
 }
 
-// programPages is room for the program's own pages, which the collector does not count: in a flood 10 MiB were resident beyond its limit.
+// programPages is room for the program's own pages, which the collector does not count: in a flood 10 MiB were resident beyond its
+// limit.
 const programPages = 12 << 20
 
 // collectorLimit is the collector's part of a front's memory, in bytes.
