--- a/front/drains.go
+++ b/front/drains.go
@@ -1,6 +1,10 @@
 package front
 
-import "slices"
+import (
+	"slices"
+
+	"dapplerouter/port"
+)
 
 // serves notes whether the list lets new work go to a member.
 func (c *Core) serves(member int, serving bool) {
@@ -22,10 +26,6 @@
 
 // unsent are the submissions of which nothing has gone out.
 func (c *Core) unsent() (all []*Submission) {
-	for i := range c.slab.slots {
-		if slot := &c.slab.slots[i]; slot.held {
-			all = append(all, slot.What.out...)
-		}
-	}
+	c.slab.Each(func(_ port.Ref, slot *Slot[*Arrival]) { all = append(all, slot.What.out...) })
 	return slices.DeleteFunc(all, func(s *Submission) bool { return s.done || s.stage.Load() != waiting })
 }
