--- a/sockets/system_calls_test.go
+++ b/sockets/system_calls_test.go
@@ -54,6 +54,41 @@
 	})
 }
 
+// A last try that has next to no time left ends at the deadline, whoever is to blame: it is not held against the member.
+func TestADeadlineAfterFailuresOfThisMachineIsNotHeldAgainstTheMember(t *testing.T) {
+	g := newRig(t, 40)
+	g.links.dial = 50 * time.Millisecond
+	var tries atomic.Int64
+	g.links.control = func(string, string, syscall.RawConn) error {
+		if tries.Add(1) == 1 {
+			time.Sleep(40 * time.Millisecond)
+			return os.NewSyscallError("connect", syscall.ENOBUFS)
+		}
+		time.Sleep(20 * time.Millisecond) // the machine is late as well: the deadline goes by before the connect
+		return nil
+	}
+	c := g.client()
+	c.say(read("4000")...)
+	assert.Equal(t, port.Void, (<-g.d.ended).Ending)
+	c.hear("EZ")
+}
+
+// A single failure here does not excuse a member that then has most of the time and does not answer.
+func TestAMemberThatDoesNotAnswerAfterOneFailureHereIsBlamed(t *testing.T) {
+	g := newRig(t, 40)
+	g.links.dial = 200 * time.Millisecond
+	var tries atomic.Int64
+	g.links.control = func(string, string, syscall.RawConn) error {
+		if tries.Add(1) == 1 {
+			return os.NewSyscallError("connect", syscall.ENOBUFS)
+		}
+		time.Sleep(220 * time.Millisecond)
+		return nil
+	}
+	g.client().say(read("4000")...)
+	assert.Equal(t, port.Unreachable, (<-g.d.ended).Ending)
+}
+
 // What says of the member that it is not there still does.
 func TestADialThatTheMemberDoesNotAnswerIsHeldAgainstIt(t *testing.T) {
 	for _, number := range []syscall.Errno{syscall.ECONNREFUSED, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET} {
