A dial's last try, late after failures here, tells nothing of the member

Cause: a dial that kept failing for want of this machine's own began its last try a moment before its limit; a late wake made that try end with the deadline's error, which counted as the member's silence. Change: such an ending is the earlier failure's when the try had less than half of the limit.

--- a/sockets/dial.go
+++ b/sockets/dial.go
@@ -27,23 +27,38 @@
 	}
 }
 
-// dialMember opens a connection until a moment at most. What fails for want of this machine's own is tried again.
+// dialMember opens a connection until a moment at most. What fails for want of this machine's own is tried again; a last try that the
+// deadline ends says something of the member only when it had most of the time.
 func (l *memberConn) dialMember(until time.Time) (*net.TCPConn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1, Control: l.ls.control}
+	var failedHere error
 	for {
+		left := time.Until(until)
 		c, err := d.DialContext(ctx, "tcp", l.address)
 		if err == nil {
 			return c.(*net.TCPConn), nil
 		}
-		if !localFailure(err) || !time.Now().Add(localPause).Before(until) {
+		if !localFailure(err) {
+			if failedHere != nil && dialTimedOut(err) && left < l.ls.dial/2 {
+				return nil, failedHere
+			}
+			return nil, err
+		}
+		failedHere = err
+		if !time.Now().Add(localPause).Before(until) {
 			return nil, err
 		}
 		time.Sleep(localPause)
 	}
 }
 
+// dialTimedOut tells whether the deadline of our own ended a dial: by the context, or by the wait for the connection.
+func dialTimedOut(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || timedOut(err)
+}
+
 // localFailure tells whether a dial failed for want of something of this machine, which says nothing of the member.
 func localFailure(err error) bool {
 	var number syscall.Errno
