Tests reserve the ports of the processes that they start

In between the kernel could give it to another test's server or connection; the front then tries to listen again and again, and the test speaks to the other one. Change: a bound socket that does not listen keeps the port (standin/loopback); the kernel passes over it and the front may bind it by its number, also after a restart.

--- a/cmd/dapplerouter/bench_test.go
+++ b/cmd/dapplerouter/bench_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -78,10 +77,7 @@
 			g := startGroup(b, 2)
 			list := g.List()
 			defer list.Close()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(b, err)
-			address := l.Addr().String()
-			l.Close()
+			address := reserveAddress(b)
 			text := fmt.Sprintf(told, list.Listener.Addr(), g.Listed())
 			text = strings.NewReplacer("127.0.0.1:0\"", address+"\"", `"memory_mb": 64`, `"memory_mb": 32`).Replace(text)
 			config, operator := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.sexp")
--- a/cmd/dapplerouter/classing_test.go
+++ b/cmd/dapplerouter/classing_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,7 +14,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -106,23 +104,13 @@
 	operator, err := operatorOf(file, start)
 	require.NoError(t, err)
 	i := &instance{list: list, stop: make(chan os.Signal, 1), ended: make(chan error, 1), t: t}
-	until := time.Now().Add(portPatience)
-	for {
-		err := i.serve(start, operator)
-		if err == nil {
-			return i
-		}
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
-			i.ended <- err // whoever ends the instance need not wait
-			require.NoError(t, err)
-		}
-		time.Sleep(50 * time.Millisecond)
+	if err := i.serve(start, operator); err != nil {
+		i.ended <- err // whoever ends the instance need not wait
+		require.NoError(t, err)
 	}
+	return i
 }
 
-// portPatience is how long an instance that is started anew waits for its port, which another process's connection may have got.
-const portPatience = 20 * time.Second
-
 // serve starts the instance and returns once it serves, or why it does not.
 func (i *instance) serve(start *site.Start, operator *operator) error {
 	ready := make(chan struct{})
--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dapplerouter/standin/loopback"
 	"dapplerouter/standin/store"
 )
 
@@ -54,16 +55,21 @@
 }
 
 func startTold(t *testing.T, discovery string, listed any, changes ...string) *process {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &process{t: t, address: l.Addr().String(), config: filepath.Join(t.TempDir(), "config.json")}
-	l.Close()
+	p := &process{t: t, address: reserveAddress(t), config: filepath.Join(t.TempDir(), "config.json")}
 	text := fmt.Appendf(nil, strings.NewReplacer(append(changes, "127.0.0.1:0", p.address)...).Replace(told), discovery, listed)
 	require.NoError(t, os.WriteFile(p.config, text, 0o600))
 	p.start()
 	return p
 }
 
+// reserveAddress is an address that a process of the test may listen on, again after a restart, and that nobody else is given.
+func reserveAddress(t testing.TB) string {
+	r, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(r.Release)
+	return r.Address
+}
+
 // runLine is how deploy/balancer.toml starts the program.
 func runLine(t *testing.T, program string) string {
 	text, err := os.ReadFile("../../deploy/balancer.toml")
--- a/cmd/dapplerouter/gateway_test.go
+++ b/cmd/dapplerouter/gateway_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -44,10 +43,7 @@
 	s := &sites{t: t, near: startGroup(t, 2), far: startGroup(t, 2)}
 	s.far.ID, s.far.Each = 1, 3*time.Millisecond
 	change(s)
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a port of its own, so that the far site can start again on it
-	require.NoError(t, err)
-	address := l.Addr().String()
-	l.Close()
+	address := reserveAddress(t) // so that the far site can start again on it
 	s.farFile = fmt.Sprintf(plainLink, "pokhara", "kathmandu", "listen", address, 0)
 	nearFile := fmt.Sprintf(plainLink, "kathmandu", "pokhara", "address", "HOP", 1)
 	if keys[0] != "" {
@@ -55,6 +51,7 @@
 		s.farFile = strings.Replace(s.farFile, "(plain loopback)", keys[1], 1)
 	}
 	s.there = startInstance(t, s.far, s.farFile)
+	var err error
 	s.hop, err = hop.New(address, 7)
 	require.NoError(t, err)
 	s.here = startInstance(t, s.near, strings.Replace(nearFile, "HOP", s.hop.Address(), 1))
--- a/cmd/dapplerouter/system_calls_test.go
+++ b/cmd/dapplerouter/system_calls_test.go
@@ -20,19 +20,12 @@
 
 // tell writes what the process is told, without starting it.
 func tell(t *testing.T, g *store.Group, discovery string) *process {
-	p := &process{t: t, address: freeAddress(t), config: t.TempDir() + "/config.json"}
+	p := &process{t: t, address: reserveAddress(t), config: t.TempDir() + "/config.json"}
 	text := fmt.Appendf(nil, strings.Replace(told, "127.0.0.1:0", p.address, 1), discovery, g.Listed())
 	require.NoError(t, os.WriteFile(p.config, text, 0o600))
 	return p
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // A front that cannot listen, or read what it is told, for a moment starts all the same.
 func TestAFrontStartsThoughASystemCallFailsForAMoment(t *testing.T) {
 	const moment = 700 * time.Millisecond
--- a/discovery/deadline_test.go
+++ b/discovery/deadline_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dapplerouter/port"
+	"dapplerouter/standin/loopback"
 )
 
 // told is by when a change counts as told, in heartbeats from when the service had it; toldMoved is the same from a new configuration.
@@ -165,10 +166,10 @@
 func TestAChangeIsHeardInTimeAfterALongOutage(t *testing.T) {
 	t.Parallel()
 	s := &changing{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	reserved, err := loopback.Reserve()
 	require.NoError(t, err)
-	address := l.Addr().String()
-	l.Close()
+	t.Cleanup(reserved.Release)
+	address := reserved.Address
 	c := New(address, 0)
 	c.heartbeat = 400 * time.Millisecond
 	ctx, end := context.WithCancel(t.Context())
