--- a/framing/keys_test.go
+++ b/framing/keys_test.go
@@ -65,3 +65,13 @@
 	Files{Certificate: "c"}.warn(time.Now().AddDate(0, 0, 3))
 	assert.Contains(t, said.String(), "a certificate ends soon")
 }
+
+// TERMS.md: "A machine's wall clock may be stepped, forward or back, by seconds or by an hour". Certificates are dated by it: what one
+// machine has just made holds on another whose clock is an hour behind, and seconds more.
+func TestANewCertificateHoldsWhereTheClockIsAnHourBehind(t *testing.T) {
+	_, certificate, err := NewKey("kathmandu", false, 30)
+	require.NoError(t, err)
+	own, err := Parse(certificate)
+	require.NoError(t, err)
+	assert.True(t, own[0].NotBefore.Before(time.Now().Add(-time.Hour-5*time.Second)), "from %v on", own[0].NotBefore)
+}
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -271,6 +271,22 @@
 	assert.LessOrEqual(t, len(g.server.rejected), maxRejecting+1, "they hold a bounded number of descriptors")
 }
 
+// What was read is owed an answer: so is a second request that came with the first of a newcomer for whom there is no room.
+func TestANewcomerWithoutRoomIsToldOfEachRequestThatCameWithIt(t *testing.T) {
+	g := newRig(t, 40)
+	g.room.mu.Lock()
+	g.room.mostClients, g.room.share, g.room.closing = 1, 1, 0
+	g.room.mu.Unlock()
+	g.client().say(read("4000")...)
+	<-g.d.begun
+	c := g.dial()
+	part := read("4000")[:9] // the beginning of one more, whose rest never comes
+	c.say(bytes.Join([][]byte{pgwire.Hello(nil, "portal", "crm"), read("4000"), read("3000"), part}, nil)...)
+	c.hear("RSSSSZEE")
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "it ends in an ordinary way")
+}
+
 // The process must not end over a newcomer's first request, nor over its final answer.
 func TestANewcomerOfAfterTheStopIsToldToGoElsewhere(t *testing.T) {
 	g := newRig(t, 40)
