A rejected newcomer is told of each request read; certificates bear an hour's step

Cause: behind the first request of a client for whom there is no room, whatever had come in with it was thrown away; certificates began one hour before they were made, so that a clock a little more than an hour behind refused them.

--- a/framing/keys.go
+++ b/framing/keys.go
@@ -43,11 +43,14 @@
 		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), nil
 }
 
+// clockTolerance is how far behind another machine's wall clock may be, which may be stepped by an hour, to take what was just made.
+const clockTolerance = 25 * time.Hour
+
 func template(site string, days int) *x509.Certificate {
 	serial, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
 	now := time.Now()
 	return &x509.Certificate{SerialNumber: serial, Subject: pkix.Name{CommonName: site}, DNSNames: []string{site},
-		NotBefore: now.Add(-time.Hour), NotAfter: now.AddDate(0, 0, days), KeyUsage: x509.KeyUsageDigitalSignature,
+		NotBefore: now.Add(-clockTolerance), NotAfter: now.AddDate(0, 0, days), KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
 }
 
--- a/sockets/look.go
+++ b/sockets/look.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// peek looks whether something has peek in, whatever the deadline: 1 for bytes, 0 for the end of the
+// peek looks whether something has come in, whatever the deadline: 1 for bytes, 0 for the end of the
 // connection, -1 for neither. Between a deadline and what follows it a busy machine lets time pass.
 func peek(conn *net.TCPConn) int {
 	raw, err := conn.SyscallConn()
@@ -17,11 +17,14 @@
 	n := 0
 	raw.Control(func(fd uintptr) {
 		var first [1]byte
-		got, _, failed := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch failed {
+		got, err := uninterrupted(func() (int, error) {
+			got, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return got, err
+		})
+		switch err {
 		case nil:
 			n = got
-		case syscall.EAGAIN, syscall.EINTR:
+		case syscall.EAGAIN:
 			n = -1
 		}
 	})
@@ -51,10 +54,15 @@
 // hungUp looks whether the other side has closed.
 func hungUp(fd uintptr) bool {
 	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := uninterrupted(func() (int, error) { return unix.Poll(p, 0) })
+	return err == nil && n > 0
+}
+
+// uninterrupted makes a system call until no signal interrupts it.
+func uninterrupted(call func() (int, error)) (n int, err error) {
 	for {
-		n, err := unix.Poll(p, 0)
-		if err != unix.EINTR {
-			return err == nil && n > 0
+		if n, err = call(); err != syscall.EINTR {
+			return n, err
 		}
 	}
 }
--- a/sockets/reject.go
+++ b/sockets/reject.go
@@ -14,7 +14,7 @@
 	at   time.Time
 }
 
-// reject serves a client for which there is no room: its first txn, which may have come with it, is told
+// reject serves a client for which there is no room: its first request, which may have come with it, is told
 // that trying again is harmless, by an error after which nobody writes. Only so many are being told so at a time; the
 // one that takes longest is cut off for the next, so that slow newcomers keep nobody waiting.
 func (sv *Server) reject(conn *net.TCPConn) {
@@ -40,14 +40,25 @@
 		if c.start() != nil {
 			return
 		}
-		conn.SetReadDeadline(time.Now().Add(sv.linger))
-		if typ, _, err := c.r.Next(); err == nil && typ == 'Q' {
-			c.write(pgwire.Error(nil, "FATAL", pgwire.TooManyConnections, "too many clients", ""))
-		}
+		c.rejectRequests()
 		sv.closeGracefully(conn)
 	}()
 }
 
+// rejectRequests answers the first request, and each other that came in with it: what has been read is owed an answer.
+func (c *client) rejectRequests() {
+	c.conn.SetReadDeadline(time.Now().Add(c.sv.linger))
+	for {
+		typ, _, err := c.r.Next()
+		if err != nil || typ != 'Q' {
+			return
+		}
+		if !c.write(pgwire.Error(nil, "FATAL", pgwire.TooManyConnections, "too many clients", "")) || !c.r.Waiting() {
+			return
+		}
+	}
+}
+
 // waitToReject waits for a place among those being rejected.
 func (sv *Server) waitToReject() {
 	select {
--- a/sockets/system_calls_test.go
+++ b/sockets/system_calls_test.go
@@ -146,3 +146,19 @@
 	server.Stop(l)
 	assert.NoError(t, <-served)
 }
+
+// A call that signals interrupt is made again; what it then brings, or fails with, is passed on.
+func TestAnInterruptedCallIsMadeAgain(t *testing.T) {
+	for _, last := range []error{nil, syscall.EAGAIN, syscall.ENOMEM} {
+		calls := 0
+		n, err := uninterrupted(func() (int, error) {
+			if calls++; calls <= 3 {
+				return -1, syscall.EINTR
+			}
+			return 7, last
+		})
+		assert.Equal(t, 4, calls)
+		assert.Equal(t, 7, n)
+		assert.Equal(t, last, err)
+	}
+}
