--- a/cmd/dapplerouter/wall_clock_test.go
+++ b/cmd/dapplerouter/wall_clock_test.go
@@ -174,3 +174,29 @@
 		})
 	}
 }
+
+// A front that starts just after a server did, with its clock ahead of theirs, gives that one a cold server's part from its first
+// request on, though nothing but reads comes.
+func TestASlowStartIsKeptByAFrontThatStartsDuringItWithItsClockAhead(t *testing.T) {
+	const cold = 10 * time.Second
+	for _, step := range []time.Duration{-time.Hour, -5 * time.Second, 0} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			g := startGroup(t, 3)
+			g.Wall.Store(int64(step))
+			g.Each = 2 * time.Millisecond
+			l := startList(t, g)
+			l.entry(g.Members[1], "since_ms", g.Now().UnixMilli())
+			p := startProcess(t, g, l.address(), "8000000000", `"Cold": 1000000000`, fmt.Sprintf(`"Cold": %d, "StartCapacity": 0.1, "FallMultiple": 1.5`, cold))
+			started := time.Now()
+			p.readers(6)
+			time.Sleep(2 * time.Second)
+			within := func(m int, to time.Duration) float64 { return sawWithin(g.Members[m].Seen(), started, started.Add(to)) }
+			for _, span := range []time.Duration{200 * time.Millisecond, time.Second} {
+				t.Logf("requests within %v: %v at the primary, %v at the one that started, %v at the warm one", span, within(0, span), within(1, span), within(2, span))
+			}
+			assert.Less(t, within(1, 200*time.Millisecond), 25.0, "a cold server gets its part by its progress: a tenth, and what chance adds")
+			assert.Less(t, within(1, time.Second), 0.1*within(2, time.Second))
+		})
+	}
+}
