A front asks a primary for the present at its start

Cause: a server's start is dated by its wall clock; a front whose own is ahead cannot tell it from an old one until a primary's answer has told of the present, and reads alone need not bring one. Change: while none has, each whole list with a dated start has one listed primary probed, where probes are allowed. Where probes are not allowed it stays as it was.

--- a/front/core.go
+++ b/front/core.go
@@ -86,8 +86,9 @@
 	unanswered int      // txns in hand without their final answer
 	older      int      // of these, on another version than the newest
 	alone      func()   // hears when there are none
-	lapsed     bool     // the right has run out, and what was in hand is ended
-	shut       bool     // no txn is taken any more
+	mayProbe   bool
+	lapsed     bool // the right has run out, and what was in hand is ended
+	shut       bool // no txn is taken any more
 	comeBack   time.Duration
 	entries    []port.Entry
 }
@@ -96,7 +97,7 @@
 // the one form that the users' protocol has.
 func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Pools, ask Directory, classing *Classing) *Core {
 	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), timeline: timeline{zero: born.Round(0)}, types: s.TxnTypes,
-		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout,
+		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout, mayProbe: s.Allowance.Probes,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
 	if classing != nil {
@@ -271,5 +272,6 @@
 	c.decider.List(now, l.Kind, l.List.Index, c.entries)
 	if l.Kind != port.Failed {
 		c.cancelDrained()
+		c.askForPresent()
 	}
 }
--- a/front/timeline.go
+++ b/front/timeline.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"time"
 
 	"dapplerouter/port"
@@ -74,6 +75,19 @@
 	return role == port.Primary || c.confirmed && position <= c.now+timelineSlack
 }
 
+// askForPresent probes a listed primary while no primary has told of the present: reads alone need not bring such an answer, and until
+// then a server that has just started may look as if it had started long ago.
+func (c *Core) askForPresent() {
+	if c.confirmed || !c.mayProbe {
+		return
+	}
+	dated := slices.ContainsFunc(c.entries, func(e port.Entry) bool { return e.HasStarted })
+	primary := slices.IndexFunc(c.entries, func(e port.Entry) bool { return e.Primary && e.State == port.Serving && !c.far[e.Member] })
+	if dated && primary >= 0 {
+		c.Probe(c.entries[primary].Member)
+	}
+}
+
 // place is where a member is reached, and when it started last.
 type place struct {
 	address string
