--- a/cmd/dapplerouter/large_list_test.go
+++ b/cmd/dapplerouter/large_list_test.go
@@ -1,31 +1,51 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"dapplerouter/pgwire"
 )
 
 // fill has the list tell of so many servers in all; those beside the group's own get no request here.
-func (l *list) fill(servers int) {
+func (l *list) fill(servers int) { l.fillAt(servers, usualGroup, 5432) }
+
+const usualGroup = 5 // servers of a group; the first is its primary
+
+// fillAt has them reached at a port, in groups of a size.
+func (l *list) fillAt(servers, size, port int) {
 	l.update(func() {
-		all := l.whole["endpoints"].([]any)
+		all, _ := l.whole["endpoints"].([]any)
 		for i := len(all); i < servers; i++ {
-			all = append(all, map[string]any{"name": fmt.Sprintf("s-%08x", i*7919), "address": fmt.Sprintf("127.9.%d.%d:5432", i>>8, i&255),
-				"zone": "a", "type": "m2", "group": 1 + i/5, "status": "up", "weight": 1.0, "since_ms": 0, "role": "replica"})
+			all = append(all, map[string]any{"name": fmt.Sprintf("s-%08x", i*7919), "address": fmt.Sprintf("127.9.%d.%d:%d", i>>8, i&255, port),
+				"zone": "a", "type": "m2", "group": i / size, "status": "up", "weight": 1.0, "since_ms": 0, "role": role(i, size)})
 		}
 		l.whole["endpoints"] = all
 	})
 }
 
+// role is that of the server of a number in a filled list.
+func role(i, size int) string {
+	if i%size == 0 {
+		return "primary"
+	}
+	return "replica"
+}
+
 // usage is what a front took over a run.
 type frontUsage struct {
 	cpu         time.Duration
@@ -98,3 +118,96 @@
 	assert.Less(t, float64(after.listBytes), 2*float64(before.listBytes)+64<<10+500_000*thousands, "bytes of lists")
 	assert.GreaterOrEqual(t, float64(after.served), 0.85*float64(before.served))
 }
+
+// anyServer answers as each server of a filled list, on all addresses of loopback, and counts the connections made to it.
+func anyServer(t *testing.T, groupSize int) (port int, connections *atomic.Int64) {
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	connections = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go answerAll(c, groupSize)
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).Port, connections
+}
+
+// answerAll answers each statement of a connection with one short row.
+func answerAll(c net.Conn, groupSize int) {
+	defer c.Close()
+	address := c.LocalAddr().(*net.TCPAddr).IP.To4()
+	name := role(int(address[2])<<8|int(address[3]), groupSize)
+	r := pgwire.NewReader(c, 4096, 1<<20)
+	if _, err := r.Startup(); err != nil {
+		return
+	}
+	c.Write(pgwire.Welcome(nil))
+	for {
+		if _, _, err := r.Next(); err != nil {
+			return
+		}
+		applied := strconv.FormatInt(time.Now().UnixMilli(), 10)
+		answer := bytes.Join([][]byte{
+			message('T', []byte("\x00\x01data\x00"+strings.Repeat("\x00", 9)+"\x11\xff\xff\xff\xff\xff\xff\x00\x01")),
+			message('D', []byte("\x00\x01\x00\x00\x00\x01x")),
+			message('S', []byte("role\x00"+name+"\x00")),
+			message('S', []byte("applied_ms\x00"+applied+"\x00")),
+			message('C', []byte("SELECT 1\x00")),
+			pgwire.Ready(nil)}, nil)
+		if _, err := c.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// runSpread has a front serve reads of all groups of a filled list, and counts the connections that it made.
+func runSpread(t *testing.T, groups, groupSize int, span time.Duration) (connections int64, served int) {
+	g := startGroup(t, 0)
+	port, made := anyServer(t, groupSize)
+	l := startList(t, g)
+	l.fillAt(groups*groupSize, groupSize, port)
+	whole, _, _ := l.now()
+	p := startTold(t, l.address(), json.RawMessage(whole), `"memory_mb": 64`, `"memory_mb": 192`)
+	var clients sync.WaitGroup
+	var answered atomic.Int64
+	until := time.Now().Add(span)
+	for i := range 4 {
+		c := dial(t, p.address)
+		clients.Go(func() {
+			random := rand.New(rand.NewPCG(7, uint64(i)))
+			for n := 0; time.Now().Before(until); n++ {
+				group := random.IntN(groups)
+				a, err := c.Query(fmt.Sprintf("SELECT 'x' /* id=c%d-%d,c=browse,d=900,cluster=%d */", i, n, group))
+				if err == nil && a.Code == "" {
+					answered.Add(1)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+	p.term()
+	return made.Load(), int(answered.Load())
+}
+
+// The same clause's connections made to stores, 2.5 times plus 40, with reads spread over all groups and sixteen times the servers in each.
+func TestGroupsOfManyServersCostFewMoreConnections(t *testing.T) {
+	t.Parallel()
+	const groups, span = 40, 20 * time.Second
+	var before, after int64
+	var servedBefore, servedAfter int
+	var both sync.WaitGroup
+	both.Go(func() { before, servedBefore = runSpread(t, groups, usualGroup, span) })
+	both.Go(func() { after, servedAfter = runSpread(t, groups, 16*usualGroup, span) })
+	both.Wait()
+	t.Logf("groups of %d: %d connections, %d served; of %d: %d connections, %d served",
+		usualGroup, before, servedBefore, 16*usualGroup, after, servedAfter)
+	assert.Less(t, after, 5*before/2+40)
+	assert.GreaterOrEqual(t, float64(servedAfter), 0.85*float64(servedBefore))
+}
