Reads prefer replicas to which a connection can be open

Cause: among replicas that cost alike reads rotated, so a front before groups of 80 opened a connection for nearly each request. Change: a member that has answered nothing for longer than an idle connection is kept counts 1.3 times; each front begins with another replica by its seed.

--- a/router/router.go
+++ b/router/router.go
@@ -516,23 +516,36 @@
 // --- Choice of a member for a read.
 
 type choice struct {
-	zone  int
-	check port.Check
-	hold  time.Duration
-	turn  int // rotates among equals
+	zone     int
+	linkIdle time.Duration // after which an idle connection is closed
+	check    port.Check
+	hold     time.Duration
+	turn     int // rotates among equals
 }
 
 const (
 	farther = 2.0 // what another zone counts for in the cost of a member: a price, not a ban
-	burden  = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
+	opening = 1.3 // what a member counts for to which no connection can be open: one has to be opened first
+
+	firstTurns = 1 << 16
+	burden     = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
 )
 
+// firstTurn lets each front begin with another member; the instance's own draws stay as they are.
+func firstTurn(seed uint64) int {
+	own := chance{seed: ^seed}
+	return int(own.draw() * firstTurns)
+}
+
 // cost compares members: strain there, by what we have out, by what part of the member is to be used.
 func (r *Router) cost(now time.Duration, m *member) float64 {
 	c := r.strainAt(now, m) * (1 + float64(m.out)) / r.warmth(now, m) / max(1-m.erring-m.losing, 1.0/20)
 	if m.zone != r.zone {
 		c *= farther
 	}
+	if now-m.heard > r.linkIdle {
+		c *= opening
+	}
 	return c
 }
 
@@ -1007,7 +1020,7 @@
 		gain:     1 / float64(max(1, at.Fronts)),
 		guards: guards{coldFrom: rules.ColdShare,
 			coldPart: 0.6 * rules.FallMultiple, warmIn: rules.Cold, fall: rules.Fall},
-		choice: choice{zone: at.Zone, check: copies.Check, hold: copies.Hold},
+		choice: choice{zone: at.Zone, turn: firstTurn(seed), linkIdle: allowed.LinkIdle, check: copies.Check, hold: copies.Hold},
 		lives: lives{types: types, marked: at.RetriesMarked, most: allowed.Submissions, revokes: allowed.Revokes,
 			comeBack: allowed.ComeBackMax / 2, again: againMost,
 			budgets: make([]time.Duration, len(types)), tries: make([]int, len(types))},
