--- /dev/null
+++ b/cmd/dapplerouter/clock_readings_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// wallClockReading is how Go code comes to a time without its monotonic reading, which a step of the wall clock moves.
+var wallClockReading = regexp.MustCompile(`time\.(Unix|UnixMilli|UnixMicro|Date|Parse|ParseInLocation)\(|\.(Unix|UnixMilli|UnixMicro|UnixNano)\(\)|\.Round\(0\)|\.UTC\(\)`)
+
+// datesInService are the places where packages that `run` starts have dates, and why a step there does no harm. A new one has to say so
+// here, or do without.
+var datesInService = map[string]string{
+	"front/core.go: timeline: timeline{zero: born.Round(0)}": "the guess that primaries' answers correct (front/timeline.go)",
+	"front/timeline.go: time.UnixMilli(ms).Sub(l.zero)":      "times that others tell, against that guess",
+	"front/route.go: at.UnixMilli()":                         "a position told to a far site's front; off in run",
+	"sockets/limiter.go: var past = time.Unix(1, 0)":         "a deadline that has passed by any clock",
+}
+
+// TERMS.md: "Deadlines, windows, waits and graces are spans of real time." No machine's clock is stepped here: in the packages of
+// service a time without its monotonic reading stands only where the table says why.
+func TestDatesStandOnlyWhereAStepDoesNoHarm(t *testing.T) {
+	found := map[string]bool{}
+	for _, dir := range strings.Fields("adapter discovery front pgwire port router site sockets") {
+		files, err := filepath.Glob(filepath.Join("../..", dir, "*.go"))
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for number, line := range strings.Split(string(text), "\n") {
+				if !wallClockReading.MatchString(line) {
+					continue
+				}
+				place := dateInService(dir+"/"+filepath.Base(file), line)
+				assert.NotEmpty(t, place, fmt.Sprintf("%s:%d reads a date: %s", file, number+1, strings.TrimSpace(line)))
+				found[place] = true
+			}
+		}
+	}
+	for place := range datesInService {
+		assert.True(t, found[place], "no longer there: %s", place)
+	}
+}
+
+// dateInService is the entry of the table that a line of a file stands under, "" for none.
+func dateInService(file, line string) string {
+	for place := range datesInService {
+		where, code, _ := strings.Cut(place, ": ")
+		if where == file && strings.Contains(line, code) {
+			return place
+		}
+	}
+	return ""
+}
