--- /dev/null
+++ b/router/freshness.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"time"
+
+	"dapplerouter/port"
+)
+
+// How far has a member applied the log? Inputs: positions in answers and reports. Invariant: a position once known stays valid
+// (BRIEF, a position never regresses); an estimate is never newer than now.
+
+// position is a member's, in the log.
+type position struct {
+	role  port.Role
+	pos   time.Duration // highest log position known; it stays valid
+	lag   time.Duration // how far it was behind
+	lagAt time.Duration // never: no position is known
+}
+
+var unknownPosition = position{pos: never, lagAt: never}
+
+// estimate is the position as far behind as it was recently, less as that grows old.
+func (r *Router) estimate(m *member, now time.Duration) time.Duration {
+	if m.role == port.Primary {
+		return now
+	}
+	f := r.fade(now - m.lagAt)
+	return now - time.Duration(float64(m.lag)*f/(f+1/priorWeight))
+}
+
+// observe takes a position as old as its report.
+func (p *position) observe(now, pos, age time.Duration) {
+	p.pos = max(p.pos, pos)
+	p.lag, p.lagAt = max(now-age-p.pos, 0), now
+}
+
+// reports are what members tell of themselves.
+type reports struct {
+	positionsByReport bool          // positions stand in reports alone
+	reportAge         time.Duration // how old those are
+	mayProbe          bool
+}
+
+// observePosition takes the position of an outcome, or of the report that rode on it.
+func (r *Router) observePosition(now time.Duration, m *member, o *port.Outcome) {
+	switch l := &o.Load; {
+	case o.HasPosition:
+		m.observe(now, o.Position, 0)
+	case r.positionsByReport && l.HasPosition: // a primary's position is the present: its report tells how old they are
+		if l.Role == port.Primary && m.role == port.Primary {
+			r.reportAge += (now - l.Position - r.reportAge) / 4
+		}
+		m.observe(now, l.Position, r.reportAge)
+	}
+}
--- /dev/null
+++ b/router/planning.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"time"
+
+	"dapplerouter/port"
+)
+
+// What should be out for a request now? Inputs: the request, its group, the answers of the other files. Invariant: a request that has
+// something out is left alone; one that is given up ends in the same batch (TERMS, a final answer at once).
+
+// plan decides what should be out for a request: nothing, if it is held or ends here.
+func (r *Router) plan(now time.Duration, t *request) {
+	if t.end != open || t.at != none {
+		return
+	}
+	ty := &r.types[t.Type]
+	if r.pastHope(now, t, ty) {
+		t.giveUp(ty)
+		return
+	}
+	g := r.group(t.Group)
+	to := r.destination(now, t, ty, g)
+	if to == none {
+		// A primary behind a cut way is there still, and no new one can come up here: waiting brings nothing.
+		if g.away && g.primary == none && (ty.Level >= port.Current || t.missed || len(g.members) == 1) {
+			t.giveUp(ty)
+		}
+		g.probeWanted = g.probeWanted || g.primary == none
+		return
+	}
+	if t.attempts > 0 && !(t.missed && to == g.primary) && !r.takeRetry() {
+		t.giveUp(ty)
+		return
+	}
+	t.want = to
+}
+
+// destination is the member that a request should go to now, none for none.
+func (r *Router) destination(now time.Duration, t *request, ty *port.TxnType, g *group) int {
+	blind := ty.Level == port.Write && g.primary == none && !r.mayProbe // a miss is the only way to ask
+	if blind || ty.Level != port.Write && ty.Level != port.Current {
+		return r.pick(now, t, ty)
+	}
+	if g.primary != none && r.admits(now, &r.members[g.primary], t) {
+		return g.primary
+	}
+	return none
+}
--- /dev/null
+++ b/router/probing.go
@@ -0,0 +1,82 @@
+package router
+
+import (
+	"time"
+
+	"dapplerouter/port"
+)
+
+// Whom is it worth to ask about itself? Inputs: what is held for want of knowledge, who is ejected. Invariant: probes go out for cause
+// only, one at a time to a member, and none where the site allows none (BRIEF; docs/design.md, probes).
+
+// probing is a member's.
+type probing struct {
+	probeOut bool
+	probedAt time.Duration
+}
+
+var neverProbed = probing{probedAt: never}
+
+// shortQueue is below two that a member holds: one at most, so no queue is there.
+const shortQueue = 1.5
+
+// Probed takes what a probe brought.
+func (r *Router) Probed(now time.Duration, i int, e port.Ending, _ time.Duration, l port.Load) {
+	m := &r.members[i]
+	m.probeOut = false
+	if e != port.Committed {
+		r.probeFailed(now, i, e)
+		return
+	}
+	if l.Held >= 0 && l.Held < shortQueue { // what does not come back is lost, not queued
+		m.quickAt = now
+	}
+	if l.HasPosition {
+		m.observe(now, l.Position, 0)
+	}
+	if l.Role != port.Unknown {
+		r.claims(now, i, l.Role, l.Position, l.HasPosition)
+	}
+	m.retryAt, m.answeredAt = min(m.retryAt, now), now
+	if !m.ejected {
+		m.failures = 0
+	}
+}
+
+// probeFailed ejects a member that cannot be reached; one that is full, or was not asked, is none.
+func (r *Router) probeFailed(now time.Duration, i int, e port.Ending) {
+	if e == port.Full || e == port.Void {
+		return
+	}
+	m := &r.members[i]
+	m.unreachableAt = now
+	if now-m.answeredAt > r.shortest {
+		r.eject(now, i)
+	}
+}
+
+// sendProbes sends them to groups of which something is wanted, ever more rarely to members that are ejected.
+func (r *Router) sendProbes(now time.Duration) {
+	for k := range r.groups {
+		g := &r.groups[k]
+		if !g.probeWanted && !g.mayHaveFailed { // most groups, of a list that may be long
+			continue
+		}
+		failed := false
+		for _, i := range g.members {
+			m := &r.members[i]
+			failed = failed || m.ejected
+			if g.probeWanted && now-m.probedAt >= 2*r.shortest || m.ejected && now-m.probedAt >= r.ejectionTime(m) {
+				r.probe(now, i)
+			}
+		}
+		g.probeWanted, g.mayHaveFailed = false, failed
+	}
+}
+
+func (r *Router) probe(now time.Duration, i int) {
+	if m := &r.members[i]; r.mayProbe && !m.draining && !m.probeOut {
+		m.probeOut, m.probedAt = true, now
+		r.host.Probe(i)
+	}
+}
--- a/router/redate.go
+++ b/router/redate.go
@@ -2,49 +2,58 @@
 
 import "time"
 
+// What becomes of times by others' clocks when these turn out to stand elsewhere? Input: by how much (front/timeline.go). Invariant:
+// what members have is never taken to be newer, what a read needs never to be older (TERMS, a wall clock may be stepped).
+
 // Redate moves what is known by others' clocks, once it turns out where these stand: log positions, and starts that the list told.
 // What was measured by this instance's own clock stays. Whether the clock of the start was wrong or another's was stepped since is
-// not known, so positions move only to where they ask for more: what members have is never taken to be newer, what a read needs never
-// to be older. No position lies in the future, so a primary's next claim still counts.
+// not known, so positions move only to where they ask for more. No position lies in the future, so a primary's next claim still counts.
 func (r *Router) Redate(now, by time.Duration) {
-	move := func(at *time.Duration, by time.Duration) {
-		if *at != never {
-			*at = min(*at+by, now)
-		}
-	}
-	has := func(at *time.Duration) { move(at, min(by, 0)) }
-	needs := func(at *time.Duration) { move(at, max(by, 0)) }
+	s := shift{now: now, by: by}
 	for i := range r.members {
 		m := &r.members[i]
-		has(&m.pos)
-		m.lag, m.lagAt = 0, never
+		m.redate(s)
 		if m.startListed {
-			r.restarted(now, m, m.started+by)
+			r.correctStart(now, m, m.started+by)
 		}
 	}
 	for i := range r.groups {
-		g := &r.groups[i]
-		has(&g.claim)
-		needs(&g.start)
-		needs(&g.floor.pos)
+		r.groups[i].redate(s)
 	}
 	for i := range r.places {
 		if r.places[i].key != 0 {
-			needs(&r.places[i].pos)
+			r.places[i].pos = s.needed(r.places[i].pos)
 		}
 	}
 	for i := range r.slab {
-		needs(&r.slab[i].needs)
+		r.slab[i].needs = s.needed(r.slab[i].needs)
 	}
 	r.reportAge = 0
 }
 
-// restarted corrects when a member started; its budget begins anew only where it was taken for a warm one.
-func (r *Router) restarted(now time.Duration, m *member, at time.Duration) {
-	if !m.cold && now-at < r.warmIn {
-		r.starts(now, m, at)
-		m.startListed = true
-		return
+// shift is by how much others' clocks stand elsewhere.
+type shift struct{ now, by time.Duration }
+
+// had is a position that a member has.
+func (s shift) had(at time.Duration) time.Duration { return s.moved(at, min(s.by, 0)) }
+
+// needed is a position that a read needs.
+func (s shift) needed(at time.Duration) time.Duration { return s.moved(at, max(s.by, 0)) }
+
+func (s shift) moved(at, by time.Duration) time.Duration {
+	if at == never {
+		return never
 	}
-	m.started = at
+	return min(at+by, s.now)
+}
+
+func (p *position) redate(s shift) {
+	p.pos = s.had(p.pos)
+	p.lag, p.lagAt = 0, never
+}
+
+func (g *group) redate(s shift) {
+	g.claimPosition = s.had(g.claimPosition)
+	g.termStart = s.needed(g.termStart)
+	g.floor.pos = s.needed(g.floor.pos)
 }
--- /dev/null
+++ b/router/request.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"time"
+
+	"dapplerouter/port"
+)
+
+// Where does a request stand? Inputs: its arrival, the endings of its attempts, its client's departure. Invariant: one attempt is out at
+// a time; each request ends once (rule: no request lost).
+
+type verdict uint8
+
+const (
+	open     verdict = iota
+	rejected         // to be answered so
+	failed           // to be answered so: it may have run
+	closed
+)
+
+// request is one in hand.
+type request struct {
+	port.Txn
+	begun      time.Duration
+	targetAt   time.Duration // when its target latency is over
+	deadline   time.Duration
+	rank       float64       // among what comes here, 0 the best
+	value      float64       // marked down for a retry
+	needs      time.Duration // position that a read needs; never for any
+	end        verdict
+	attempts   int  // so far
+	at, want   int  // member where it is out, where it should be
+	cancelling bool // cancelled, its ending awaited
+	held       bool
+	lastMember int  // member left last
+	missed     bool // turned away untouched: the primary is next
+	errors     int  // that attempts ended in
+	mayRun     bool // some attempt may have run:
+	ranSince   time.Duration
+	sentAt     time.Duration
+}
+
+// requestTable has all that are in hand.
+type requestTable struct {
+	types     []port.TxnType
+	mayCancel bool
+	slab      []request
+	held      []uint32 // to be planned: new, or without a place to go
+	cancelled []uint32 // to be emitted
+}
+
+// Begin takes a request.
+func (r *Router) Begin(now time.Duration, in port.Txn) {
+	for len(r.slab) <= int(in.Ref.Place) {
+		r.slab = append(r.slab, request{end: closed, at: none, want: none})
+	}
+	ty := &r.types[in.Type]
+	t := &r.slab[in.Ref.Place]
+	*t = request{Txn: in, begun: now, deadline: now + in.Budget, value: ty.Value, needs: never, at: none, want: none,
+		lastMember: none, held: t.held,
+		targetAt: now + min(ty.SLA+time.Duration(ty.Stretch*float64(in.Hint)), ty.Expiry)}
+	if ty.Level == port.Session {
+		t.needs = r.needs(now, &in, r.group(in.Group))
+	}
+	r.discountRetry(now, t)
+	t.rank = r.rankOf(t)
+	r.earnRetry()
+	r.enqueue(t)
+}
+
+// enqueue puts a request among the held, to be planned; cancel takes it from where it is out.
+func (r *requestTable) enqueue(t *request) {
+	if !t.held {
+		t.held = true
+		r.held = append(r.held, t.Ref.Place)
+	}
+}
+
+func (r *requestTable) cancel(t *request) {
+	if t.want = none; t.at != none && !t.cancelling && r.mayCancel {
+		r.cancelled = append(r.cancelled, t.Ref.Place)
+	}
+}
+
+// sentTo notes an attempt.
+func (t *request) sentTo(now time.Duration, member int) {
+	t.at, t.sentAt = member, now
+	t.attempts++
+}
+
+// Left ends a request whose client is gone. One that was out then is a sign of a queue, and came to nothing.
+func (r *Router) Left(now time.Duration, ref port.Ref) {
+	t := &r.slab[ref.Place]
+	if t.Ref != ref || t.end == closed {
+		return
+	}
+	t.end = closed
+	if t.at != none && !r.stalled(now) {
+		m := &r.members[t.at]
+		r.reduceLimit(m, failureReduction)
+		r.observeLoad(now, m, maxLoad)
+	}
+	r.cancel(t)
+}
+
+// Ended takes the ending of an attempt, also of one whose place in the slab has a new request by now.
+func (r *Router) Ended(now time.Duration, o port.Outcome) {
+	m := &r.members[o.Member]
+	m.ended(now)
+	t := &r.slab[o.Ref.Place]
+	mine, ty := t.Ref == o.Ref && t.at != none && o.Hop == t.attempts-1, none
+	if mine {
+		ty = t.Type
+	}
+	r.observeOutcome(now, o, ty)
+	if o.Role != port.Unknown {
+		r.claims(now, o.Member, o.Role, o.Position, o.HasPosition)
+	}
+	r.observePosition(now, m, &o)
+	if !mine {
+		return
+	}
+	t.attemptEnded(&o)
+	if o.Ending == port.Committed && r.types[ty].Level == port.Write && t.Session != 0 && o.HasPosition {
+		r.recordWrite(sessionKey(&t.Txn), r.group(t.Group), o.Position)
+	}
+	if o.Ending == port.Unreachable || o.Ending == port.Void {
+		r.refundRetry()
+	}
+	switch {
+	case o.Closed:
+		t.end = closed
+	case t.end == open:
+		r.enqueue(t)
+	}
+}
+
+// attemptEnded takes the ending of the attempt that is out.
+func (t *request) attemptEnded(o *port.Outcome) {
+	t.at, t.want, t.lastMember, t.cancelling = none, none, o.Member, false
+	if !o.Ending.NeverRan() && !t.mayRun {
+		t.mayRun, t.ranSince = true, t.sentAt
+	}
+	t.missed = t.missed || o.Ending == port.Missed
+	if o.Ending == port.Errored {
+		t.errors++
+	}
+}
--- a/router/scale_bench_test.go
+++ b/router/scale_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"dapplerouter/port"
 )
@@ -30,3 +31,28 @@
 		})
 	}
 }
+
+// What the module takes for a request of the ordinary path: its arrival, its attempt and its answer.
+func BenchmarkARequestOfTheOrdinaryPath(b *testing.B) {
+	q := quiet{}
+	p := littleSite()
+	r := New(&q, 7, p.at, p.types, nil, p.copies, p.rules, p.allowed, port.Tariff{})
+	var entries []port.Entry
+	for i := range 4 {
+		entries = append(entries, port.Entry{Member: i, Primary: i == 0})
+	}
+	r.List(0, port.Cached, 1, entries)
+	now, turn := time.Duration(0), uint32(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, ty := range []int{write, session, anyRead, bounded} {
+			now, turn = now+5*ms, turn+1
+			ref := port.Ref{Place: turn % 8, Turn: turn}
+			r.Begin(now, port.Txn{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
+			r.Settle(now)
+			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Committed, Closed: true, Latency: 20 * ms,
+				Role: port.Replica, Position: now, HasPosition: true})
+			r.Settle(now)
+		}
+	}
+}
