--- /dev/null
+++ b/gateway/link/crossings.go
@@ -0,0 +1,189 @@
+package link
+
+import (
+	"errors"
+
+	"dapplerouter/discovery"
+	"dapplerouter/front"
+	"dapplerouter/gateway"
+	"dapplerouter/pgwire"
+	"dapplerouter/port"
+)
+
+// What crosses a link, from here and from the peer.
+
+const headed = 5 // bytes before a message's body
+
+// Send takes a submission to the far site. It never blocks.
+func (l *Link) Send(s *front.Submission) {
+	w, probe := s.Way()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if probe {
+		l.ended = append(l.ended, l.probed(s))
+		l.work.Broadcast()
+		return
+	}
+	x := gateway.Crossing{ID: w.ID, Try: uint32(w.Try), Group: w.Group, Until: w.Until, Grant: uint32(w.Grant),
+		Write: w.Write, After: w.After, Message: s.Message()[headed:]}
+	l.subs[x.ID] = s
+	l.side.Cross(l.o.Clock.Now(), x)
+	l.carryOut()
+	l.work.Broadcast()
+}
+
+// probed answers a probe of the far site by how the link stands: for its groups the site is their primary.
+func (l *Link) probed(s *front.Submission) *front.Ended {
+	if l.side.State() != gateway.Up {
+		return &front.Ended{S: s, Failure: &front.Failure{Reach: front.Unconnected, Err: errDown}}
+	}
+	return &front.Ended{S: s, Answer: pgwire.OneValue([]byte("x1=1"))}
+}
+
+var errDown = errors.New("the link is down")
+
+// carryOut takes the core's wishes; it is called with the lock held. What is to run here is given back.
+func (l *Link) carryOut() []gateway.Start {
+	for _, e := range l.side.Ends() {
+		s := l.subs[e.ID]
+		if s == nil {
+			continue
+		}
+		delete(l.subs, e.ID)
+		l.ended = append(l.ended, ending(s, &e))
+		l.work.Broadcast()
+	}
+	return l.side.Starts()
+}
+
+// ending puts the end of a crossing into a front's words.
+func ending(s *front.Submission, e *gateway.End) *front.Ended {
+	switch f := e.Result; {
+	case f == nil && e.Full:
+		return &front.Ended{S: s, Answer: pgwire.Answer{Code: pgwire.TooManyConnections}}
+	case f == nil && e.Never:
+		return &front.Ended{S: s, Failure: &front.Failure{Reach: front.Unwritten, Err: errDown}}
+	case f == nil:
+		return &front.Ended{S: s, Failure: &front.Failure{Reach: front.Written, Err: errors.New("the link broke, and what became of it is not known")}}
+	case f.Word == gateway.Served:
+		a := pgwire.Answer{Rows: f.Data, Whole: true, Applied: f.Place, HasApplied: f.Place != 0}
+		if f.Role == 1 {
+			a.Role = "primary"
+		}
+		return &front.Ended{S: s, Answer: a, Crossed: true, Age: f.Age + e.Took, Aged: f.Aged}
+	case f.Word == gateway.Declined:
+		return &front.Ended{S: s, Answer: pgwire.Answer{Code: pgwire.TooManyConnections}}
+	case f.Word == gateway.Senseless:
+		return &front.Ended{S: s, Answer: pgwire.Answer{Code: f.Code, Message: f.Reason, Any: true}}
+	}
+	return &front.Ended{S: s, Answer: pgwire.Answer{Code: "XX000"}}
+}
+
+// tell passes endings to the front; it alone may block there.
+func (l *Link) tell() {
+	for {
+		l.mu.Lock()
+		for len(l.ended) == 0 && l.told == l.side.State() {
+			if l.ctx.Err() != nil {
+				l.mu.Unlock()
+				return
+			}
+			l.work.Wait()
+		}
+		all := l.ended
+		l.ended = nil
+		state := l.side.State()
+		turned := state != l.told
+		l.told = state
+		l.mu.Unlock()
+		if turned {
+			l.o.Post(front.Listed{Kind: port.Changes, List: discovery.List{Entries: Members(l.o.Peer, l.o.Groups, state)}})
+		}
+		for _, e := range all {
+			l.o.Post(e)
+		}
+	}
+}
+
+// runner is the client of a crossing of the peer, for our front.
+type runner struct {
+	l   *Link
+	run uint64
+}
+
+// runs notes the arrival of a run, nil for none any more, and gives what was noted; with the lock held.
+func (l *Link) runs(run uint64, a *front.Arrival) (before *front.Arrival) {
+	before = l.here[run]
+	if a == nil {
+		delete(l.here, run)
+	} else {
+		l.here[run] = a
+	}
+	return before
+}
+
+// begin starts a run, or calls one off.
+func (l *Link) begin(s gateway.Start) {
+	if s.Abort {
+		l.mu.Lock()
+		a := l.runs(s.Run, nil)
+		l.mu.Unlock()
+		if a != nil {
+			l.o.Post(a.Leave())
+		}
+		return
+	}
+	st, err := l.o.Parse(s.Data)
+	r := &runner{l, s.Run}
+	if err != nil || st.Empty {
+		code, what := pgwire.SyntaxError, "an empty statement"
+		var m *pgwire.Malformed
+		if errors.As(err, &m) {
+			code, what = m.Code, m.What
+		} else if err != nil {
+			what = err.Error()
+		}
+		r.Answer(front.Response{Status: front.Senseless, Code: code, Reason: what})
+		return
+	}
+	st.Wait, st.After = min(st.Wait, s.Wait), max(st.After, s.After)
+	a := front.NewArrival(r, st, l.o.Clock.Now())
+	a.Most = int(s.Grant)
+	l.mu.Lock()
+	l.runs(s.Run, a)
+	l.mu.Unlock()
+	l.o.Post(a)
+}
+
+// Answer takes our front's final answer on the core's goroutine; it never blocks.
+func (r *runner) Answer(f front.Response) {
+	l := r.l
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs(r.run, nil)
+	l.side.Concluded(l.o.Clock.Now(), r.run, frame(&f))
+	l.work.Broadcast()
+}
+
+// frame puts a final answer into a frame.
+func frame(f *front.Response) gateway.Frame {
+	switch f.Status {
+	case front.Served:
+		g := gateway.Frame{Word: gateway.Served, Data: f.Rows, Place: f.Place, Age: f.Age, Aged: f.Aged}
+		if f.Primary {
+			g.Role = 1
+		}
+		if len(g.Data) > gateway.LongestData { // it ran; the value does not fit the link
+			return gateway.Frame{Word: gateway.MayHaveRun, Code: pgwire.TooLarge}
+		}
+		return g
+	case front.Declined:
+		if f.MayRun {
+			return gateway.Frame{Word: gateway.MayHaveRun, Code: pgwire.TooManyConnections}
+		}
+		return gateway.Frame{Word: gateway.Declined, Come: f.Come}
+	case front.Senseless:
+		return gateway.Frame{Word: gateway.Senseless, Code: f.Code, Reason: f.Reason}
+	}
+	return gateway.Frame{Word: gateway.MayHaveRun, Code: pgwire.RolledBack}
+}
