--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -67,7 +67,7 @@
 	for _, f := range a.active {
 		f.awake = false
 		if a.fronts[f.id] == f {
-			a.guard(f.id, func() { f.decider.Settle(f.now()) })
+			a.guard(f.id, func() { f.decider.Reconcile(f.now()) })
 		}
 	}
 	a.active = a.active[:0]
@@ -101,7 +101,7 @@
 		a.fronts[e.Front] = f
 		a.guard(f.id, func() {
 			s := e.Site
-			f.decider = a.make(f, e.Seed, s.Topology, s.TxnTypes, s.Shares, s.Replication, s.Guardrails,
+			f.decider = a.make(f, e.Seed, s.Topology, s.RequestTypes, s.Shares, s.Replication, s.Guardrails,
 				s.Allowance, s.Tariff)
 		})
 	}
@@ -121,7 +121,7 @@
 	return nil
 }
 
-// instance is one instance: its ids and its txns in hand, each under the wire's id of it.
+// instance is one instance: its ids and its requests in hand, each under the wire's id of it.
 type instance struct {
 	a       *adapter
 	id      int
@@ -131,9 +131,9 @@
 	awake   bool
 
 	types, customers, zones, kinds *front.Index[string]
-	txnTypes                       []port.TxnType
+	requestTypes                   []port.RequestType
 	stores, groups                 *front.Index[int64]
-	txns                           map[string]port.Ref
+	requests                       map[string]port.Ref
 	doors                          front.Slab[string]
 	entries                        []port.Entry
 }
@@ -141,7 +141,7 @@
 func newInstance(a *adapter, id int, s *site.Site) *instance {
 	return &instance{a: a, id: id, start: a.clock, zero: time.Duration(s.Zero - a.clock),
 		kinds: front.NewIndex[string](), stores: front.NewIndex[int64](), groups: front.NewIndex[int64](),
-		txns: map[string]port.Ref{}, types: front.NewIndex(s.Types...), txnTypes: s.TxnTypes,
+		requests: map[string]port.Ref{}, types: front.NewIndex(s.Types...), requestTypes: s.RequestTypes,
 		customers: front.NewIndex(s.Customers...), zones: front.NewIndex(s.Zones...)}
 }
 
@@ -170,7 +170,7 @@
 	case wire.Order:
 		return f.order(now, e)
 	case wire.Resolved:
-		ref, ok := f.txns[string(e.Rid)]
+		ref, ok := f.requests[string(e.Rid)]
 		if !ok {
 			return fmt.Errorf("field Rid: %s was never submitted", e.Rid)
 		}
@@ -193,7 +193,7 @@
 		f.decider.Ended(now, o)
 		f.release(ref)
 	case wire.Aborted:
-		ref, ok := f.txns[string(e.Rid)]
+		ref, ok := f.requests[string(e.Rid)]
 		if d := f.doors.At(ref); ok && d != nil && !d.Closed {
 			d.Closed = true
 			f.decider.Left(now, ref)
@@ -235,7 +235,7 @@
 }
 
 func (f *instance) order(now time.Duration, e *wire.Event) error {
-	t := e.Txn
+	t := e.Request
 	var ok bool
 	if t.Type, ok = f.types.Find(string(e.Qos)); !ok {
 		return fmt.Errorf("field Qos: %q is no class", e.Qos)
@@ -250,22 +250,22 @@
 		t.Session = front.Session(e.User)
 	}
 	t.Group = f.groups.Number(e.Group)
-	t.Bound, t.Window = f.txnTypes[t.Type].Bound, f.txnTypes[t.Type].Window
-	if _, held := f.txns[string(e.Rid)]; held {
+	t.Bound, t.Window = f.requestTypes[t.Type].Bound, f.requestTypes[t.Type].Window
+	if _, held := f.requests[string(e.Rid)]; held {
 		return fmt.Errorf("field Rid: %s came twice", e.Rid)
 	}
 	rid := string(e.Rid)
 	t.Ref = f.doors.Open(rid)
-	f.txns[rid] = t.Ref
+	f.requests[rid] = t.Ref
 	f.decider.Begin(now, t)
 	return nil
 }
 
-// release gives a place back once its txn is answered and every submission has ended.
+// release gives a place back once its request is answered and every attempt has ended.
 func (f *instance) release(r port.Ref) {
 	if d := f.doors.At(r); d != nil {
 		if rid := d.What; f.doors.Release(r) {
-			delete(f.txns, rid)
+			delete(f.requests, rid)
 		}
 	}
 }
@@ -278,16 +278,16 @@
 	f.a.w.HandOff(f.id, d.What, f.stores.Key(member), int64(giveUpAfter))
 }
 
-func (f *instance) Revoke(r port.Ref, hop int) { f.a.w.Revoke(f.id, f.doors.Must(r).What, hop) }
+func (f *instance) Cancel(r port.Ref, hop int) { f.a.w.Cancel(f.id, f.doors.Must(r).What, hop) }
 
-func (f *instance) Decline(r port.Ref, comeBackIn time.Duration) {
+func (f *instance) Reject(r port.Ref, comeBackIn time.Duration) {
 	d := f.doors.Must(r)
-	f.a.w.Decline(f.id, d.What, int64(comeBackIn))
+	f.a.w.Reject(f.id, d.What, int64(comeBackIn))
 	d.Closed = true
 	f.release(r)
 }
 
-func (f *instance) RollBack(r port.Ref) {
+func (f *instance) Fail(r port.Ref) {
 	d := f.doors.Must(r)
 	f.a.w.Lose(f.id, d.What)
 	d.Closed = true
--- a/adapter/adapter_test.go
+++ b/adapter/adapter_test.go
@@ -11,7 +11,7 @@
 	"dapplerouter/port"
 )
 
-// echo sends every txn to member 0 at once and panics when woken.
+// echo sends every request to member 0 at once and panics when woken.
 type echo struct {
 	port.Host
 	entries int
@@ -19,17 +19,17 @@
 
 func (e *echo) Target(port.Ref) (time.Duration, bool)                          { return 0, false }
 func (e *echo) List(_ time.Duration, _ port.ListKind, _ int64, l []port.Entry) { e.entries = len(l) }
-func (e *echo) Begin(_ time.Duration, t port.Txn)                              { e.Submit(t.Ref, 0, 0) }
+func (e *echo) Begin(_ time.Duration, t port.Request)                          { e.Submit(t.Ref, 0, 0) }
 func (e *echo) Ended(time.Duration, port.Outcome)                              {}
 func (e *echo) Left(time.Duration, port.Ref)                                   {}
 func (e *echo) Redate(time.Duration, time.Duration)                            {}
 func (e *echo) Heard(time.Duration, int, []byte)                               {}
 func (e *echo) Woken(time.Duration)                                            { panic("woken") }
-func (e *echo) Settle(time.Duration)                                           {}
+func (e *echo) Reconcile(time.Duration)                                        {}
 func (e *echo) Probed(time.Duration, int, port.Ending, time.Duration, port.Load) {
 }
 
-func made(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType, _ []port.Customer, _ port.Replication,
+func made(h port.Host, _ uint64, _ port.Topology, _ []port.RequestType, _ []port.Customer, _ port.Replication,
 	_ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
 	return &echo{Host: h}
 }
--- a/cmd/dapplerlab/main.go
+++ b/cmd/dapplerlab/main.go
@@ -165,8 +165,8 @@
 		for _, g := range v.Gaps {
 			gaps = append(gaps, map[string]any{"duty": g.Duty, "ms": g.For.Milliseconds(), "why": g.Because})
 		}
-		json.NewEncoder(os.Stdout).Encode(map[string]any{"format": 1, "script": s.Name, "seed": seed, "held": held, "broke": v.Broke, "txns": v.Txns,
-			"committed": v.Committed, "declined": v.Declined, "rolled_back": v.RolledBack, "unanswered": v.Unanswered, "gaps": gaps, "list_calls": v.Calls, "probes": v.Probes, "watches": v.Watches, "memory_kib": v.Memory, "cpu_us": v.CPU.Microseconds(),
+		json.NewEncoder(os.Stdout).Encode(map[string]any{"format": 1, "script": s.Name, "seed": seed, "held": held, "broke": v.Broke, "txns": v.Requests,
+			"committed": v.Succeeded, "declined": v.Rejected, "rolled_back": v.RolledBack, "unanswered": v.Unanswered, "gaps": gaps, "list_calls": v.Calls, "probes": v.Probes, "watches": v.Watches, "memory_kib": v.Memory, "cpu_us": v.CPU.Microseconds(),
 			"p50_us": v.Percentile(50).Microseconds(), "p99_us": v.Percentile(99).Microseconds()})
 	case c.Quiet && held:
 		fmt.Printf("%s, seed %d: held\n", s.Name, seed)
--- a/cmd/dapplerouter/auditcalls.go
+++ b/cmd/dapplerouter/auditcalls.go
@@ -16,7 +16,7 @@
 // fleetAudit reads logs of audits, wherever they lie: no front is asked.
 type fleetAudit struct {
 	At       auditAt       `cmd:"" help:"Say which front acted on which version at a moment."`
-	Txn      auditTxn      `cmd:"" help:"Say which front took a txn, when, and on which version."`
+	Request  auditRequest  `cmd:"" aliases:"txn" help:"Say which front took a request, when, and on which version."`
 	Front    auditFront    `cmd:"" help:"Say what one front acted on, over time."`
 	Versions auditVersions `cmd:"" help:"Say of each version when it was in use, by how many fronts, and what was served on it."`
 	Verify   auditVerify   `cmd:"" help:"Look whether the logs are whole and hang together."`
@@ -71,7 +71,7 @@
 	for _, n := range w {
 		total += n
 	}
-	return fmt.Sprintf("%d\t%d\t%d\t%d", total, w[front.Served], w[front.Declined], w[front.Undone]+w[front.Senseless]+w[front.Abandoned])
+	return fmt.Sprintf("%d\t%d\t%d\t%d", total, w[front.Served], w[front.Rejected], w[front.Failed]+w[front.Senseless]+w[front.Abandoned])
 }
 
 // uses prints times of use.
@@ -174,13 +174,13 @@
 	return done
 }
 
-type auditTxn struct {
-	ID string `arg:"" help:"The txn's id, as its client gave it."`
+type auditRequest struct {
+	ID string `arg:"" help:"The request's id, as its client gave it."`
 	folders
 }
 
-// txnSeen is a span that took a txn.
-type txnSeen struct {
+// txnSeen is a span that took a request.
+type requestSeen struct {
 	Front       string `json:"front"`
 	Incarnation uint64 `json:"incarnation"`
 	Span        uint32 `json:"span"`
@@ -188,10 +188,10 @@
 	From        int64  `json:"from"`
 	Until       int64  `json:"until"`
 	Index       uint64 `json:"index"`
-	Txns        int    `json:"txns"`
+	Requests    int    `json:"txns"`
 }
 
-func (c *auditTxn) run() int {
+func (c *auditRequest) run() int {
 	l, err := c.logs()
 	var hits []disk.Hit
 	if err == nil {
@@ -215,11 +215,11 @@
 			if json.Unmarshal([]byte(text), &x) != nil || x.What != audit.InSpan || x.IDs != h.IDs+1 {
 				continue
 			}
-			s := txnSeen{x.Front, x.Incarnation, x.Span, x.Version, x.From, x.Until, x.Index, x.Txns}
+			s := requestSeen{x.Front, x.Incarnation, x.Span, x.Version, x.From, x.Until, x.Index, x.Requests}
 			if c.JSON {
 				json.NewEncoder(os.Stdout).Encode(s)
 			} else {
-				fmt.Fprintf(t, "%s\t%010x\t%d\t%s\t%s\t%d\t%d\n", s.Front, s.Incarnation, s.Version, moment(s.From), moment(s.Until), s.Span, s.Txns)
+				fmt.Fprintf(t, "%s\t%010x\t%d\t%s\t%s\t%d\t%d\n", s.Front, s.Incarnation, s.Version, moment(s.From), moment(s.Until), s.Span, s.Requests)
 			}
 		}
 	}
--- a/cmd/dapplerouter/bench_test.go
+++ b/cmd/dapplerouter/bench_test.go
@@ -45,7 +45,7 @@
 	return no.Load()
 }
 
-// BenchmarkFront tells what a txn costs in CPU, that of clients and stand-ins included: the difference between the two
+// BenchmarkFront tells what a request costs in CPU, that of clients and stand-ins included: the difference between the two
 // is what the form costs.
 func BenchmarkFront(b *testing.B) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -59,7 +59,7 @@
 				return fmt.Sprintf("SELECT data FROM facts WHERE code = 'k%d' /* id=%d,c=browse,d=8000,cluster=0 */", n%100, n)
 			})
 			b.StopTimer()
-			b.ReportMetric(float64(cpu()-before)/float64(b.N)/1e3, "cpu-us/txn")
+			b.ReportMetric(float64(cpu()-before)/float64(b.N)/1e3, "cpu-us/request")
 			b.ReportMetric(float64(no), "refused")
 		})
 	}
@@ -126,7 +126,7 @@
 			user, _ := strconv.Atoi(f[13])
 			system, _ := strconv.Atoi(f[14])
 			b.ReportMetric(float64(most)/1024, "MB-own")
-			b.ReportMetric(float64(user+system)*1e4/float64(b.N), "front-cpu-us/txn")
+			b.ReportMetric(float64(user+system)*1e4/float64(b.N), "front-cpu-us/request")
 			b.ReportMetric(float64(no), "refused")
 		})
 	}
--- a/cmd/dapplerouter/classing_test.go
+++ b/cmd/dapplerouter/classing_test.go
@@ -42,7 +42,7 @@
    "RetryAfter": true, "MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false}
  }}`
 
-// aim is the SLA time of every type, in nanoseconds.
+// aim is the target latency of every type, in nanoseconds.
 var aim = "2000000000"
 
 // descriptors is how many a front may hold.
@@ -200,7 +200,7 @@
 		}
 	}
 	assert.Equal(t, 1, seen)
-	assert.Equal(t, 1, g.Committed("lost"))
+	assert.Equal(t, 1, g.Succeeded("lost"))
 }
 
 func TestAnySimpleStatementIsServedAndItsRowsComeWhole(t *testing.T) {
@@ -224,7 +224,7 @@
 		{"SELECT set_config('a', 'b', false)", "0A000", "leaves something on the connection"},
 		{"CREATE TEMP TABLE x AS SELECT 1", "0A000", "not served here"},
 		{"SELECT 'é\xff'", "22021", "a byte that is no UTF-8 at byte 10"},
-		{"SELECT data FROM facts", "22023", "a read of this txn type belongs to a session"},
+		{"SELECT data FROM facts", "22023", "a read of this request type belongs to a session"},
 	} {
 		more := ""
 		if bad.code == "22023" {
@@ -381,7 +381,7 @@
 		"(classing (types (a (above 3s) (below 200ms))))":                  "f:1:21: a fits no statement; above must be less than below",
 		"(classing (types (a (class read))\n(b (class read) (tables t))))": "f:2:1: b can never fit: a at f:1:18 takes all that it would; put the narrower one first",
 		"(classing (cache 16MiB))":                                         "f:1:1: a cache of 16777216 bytes is more than a quarter of the 33554432 told; make the cache smaller",
-		"(classing (types (a (class read))))":                              "f:1:18: a is no txn type of this site; its types are []",
+		"(classing (types (a (class read))))":                              "f:1:18: a is no request type of this site; its types are []",
 		"(classing (undeclared-writes once))":                              "f:1:30: undeclared-writes has no value once; known are once-only, referenced, repeatable",
 		"(classing (cache 8)\n (types (a (below 200))))":                   "f:1:18: 8 has no unit; 8MiB was likely meant\nf:2:19: 200 has no unit; 200ms was likely meant",
 	} {
--- a/cmd/dapplerouter/endings_test.go
+++ b/cmd/dapplerouter/endings_test.go
@@ -131,14 +131,14 @@
 	return time.Since(from)
 }
 
-// unanswered are the ids of txns whose connection ended without an answer.
+// unanswered are the ids of requests whose connection ended without an answer.
 type unanswered struct {
 	mu  sync.Mutex
 	ids map[string]bool
 	all int
 }
 
-// again is a client that sends its next txn as soon as it has an answer, on new connections too, until nobody listens.
+// again is a client that sends its next request as soon as it has an answer, on new connections too, until nobody listens.
 func (u *unanswered) again(address, name string) {
 	for n := 0; ; {
 		c, err := store.Dial(address)
@@ -163,7 +163,7 @@
 	}
 }
 
-// Of the operators' days with restarts nearly every one lost a txn: the front waited for its clients to pause, which these
+// Of the operators' days with restarts nearly every one lost a request: the front waited for its clients to pause, which these
 // never do, until it was ended by force.
 func TestATermLosesNoTxnOfClientsThatComeAgainAtOnce(t *testing.T) {
 	t.Parallel()
@@ -181,12 +181,12 @@
 	assert.Less(t, took, 1700*time.Millisecond, "the moment from which it may be ended by force")
 	for _, m := range g.Members {
 		for _, s := range m.Seen() {
-			assert.False(t, u.ids[s.ID], "txn %s was sent on and never answered", s.ID)
+			assert.False(t, u.ids[s.ID], "request %s was sent on and never answered", s.ID)
 		}
 	}
 }
 
-// A member that says nothing keeps a txn out for its whole time, which may be longer than whoever stops the front waits.
+// A member that says nothing keeps a request out for its whole time, which may be longer than whoever stops the front waits.
 func TestATermAnswersWhatIsOutAtASilentMember(t *testing.T) {
 	t.Parallel()
 	g := startGroup(t, 1)
@@ -211,7 +211,7 @@
 	assert.Less(t, took, 4300*time.Millisecond)
 }
 
-// A front ended by force takes its txns with it: their clients see the end, nothing of them is done again, and the next one serves.
+// A front ended by force takes its requests with it: their clients see the end, nothing of them is done again, and the next one serves.
 func TestAKillWithTxnsInFlightDoublesNothing(t *testing.T) {
 	t.Parallel()
 	g := startGroup(t, 1)
@@ -243,9 +243,9 @@
 		require.NoError(t, err)
 		assert.Empty(t, a.Code, "%+v", a)
 	}
-	assert.Equal(t, []int{1, 1}, []int{g.Committed("before"), g.Committed("after-w")})
+	assert.Equal(t, []int{1, 1}, []int{g.Succeeded("before"), g.Succeeded("after-w")})
 	for i := range 5 {
-		assert.Zero(t, g.Committed(fmt.Sprint("w", i)), "a silent member has it or nobody, and it is not sent again")
+		assert.Zero(t, g.Succeeded(fmt.Sprint("w", i)), "a silent member has it or nobody, and it is not sent again")
 	}
 }
 
--- a/cmd/dapplerouter/gateway_bench_test.go
+++ b/cmd/dapplerouter/gateway_bench_test.go
@@ -20,11 +20,11 @@
 	return float64(all[min(len(all)-1, int(q*float64(len(all))))]) / float64(time.Millisecond)
 }
 
-// BenchmarkAcross tells what a txn takes across a hop of 5 ms each way: through the gateway's link, and as the baseline by
-// a connection of its own for each txn through the same hop to the far front. 16 clients, each asking once answered.
+// BenchmarkAcross tells what a request takes across a hop of 5 ms each way: through the gateway's link, and as the baseline by
+// a connection of its own for each request through the same hop to the far front. 16 clients, each asking once answered.
 func BenchmarkAcross(b *testing.B) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	for _, way := range []string{"link", "connection-a-txn"} {
+	for _, way := range []string{"link", "connection-a-request"} {
 		for _, delay := range []time.Duration{0, 5 * time.Millisecond} {
 			b.Run(fmt.Sprintf("%s/%v", way, delay), func(b *testing.B) {
 				s := startSites(b, [2]string{})
@@ -84,16 +84,16 @@
 				}
 				b.ReportMetric(quantile(took, 0.5), "p50-ms")
 				b.ReportMetric(quantile(took, 0.99), "p99-ms")
-				b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "txn/s")
-				b.ReportMetric(float64(used.Passed[0]+used.Passed[1]-before[0]-before[1])/float64(b.N), "bytes/txn")
-				b.ReportMetric(float64(cpu()-beforeCPU)/float64(b.N)/1e3, "cpu-us/txn")
+				b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "request/s")
+				b.ReportMetric(float64(used.Passed[0]+used.Passed[1]-before[0]-before[1])/float64(b.N), "bytes/request")
+				b.ReportMetric(float64(cpu()-beforeCPU)/float64(b.N)/1e3, "cpu-us/request")
 				b.ReportMetric(float64(no.Load()), "not-served")
 			})
 		}
 	}
 }
 
-// BenchmarkReturn tells how long after the hop's return nine in ten txns are served again, and how the heap stands while the
+// BenchmarkReturn tells how long after the hop's return nine in ten requests are served again, and how the heap stands while the
 // hop stalls for 10 s under load. One run is one measurement: -benchtime 1x.
 func BenchmarkReturn(b *testing.B) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/cmd/dapplerouter/gateway_test.go
+++ b/cmd/dapplerouter/gateway_test.go
@@ -98,7 +98,7 @@
 			a, err := c.Query(book(id, g))
 			require.NoError(t, err)
 			require.Equal(t, [][]string{{id}}, a.Rows, "%+v", a)
-			assert.Equal(t, 1, group.Committed(id))
+			assert.Equal(t, 1, group.Succeeded(id))
 		}
 	}
 	c := dial(t, s.here.address)
@@ -151,10 +151,10 @@
 
 // tally is what clients heard.
 type tally struct {
-	served, declined, undone, other, wrong atomic.Int64
+	served, rejected, failed, other, wrong atomic.Int64
 }
 
-// clients ask a site for txns of a group at the other, n in all; each waits for its answer.
+// clients ask a site for requests of a group at the other, n in all; each waits for its answer.
 func (s *sites) clients(count int, n int64, statement func(id string, group int) string, name string) (*tally, *sync.Map) {
 	var (
 		next atomic.Int64
@@ -178,10 +178,10 @@
 					c = nil
 					continue
 				case a.Code == "53300":
-					out.declined.Add(1)
+					out.rejected.Add(1)
 					time.Sleep(2 * time.Millisecond)
 				case a.Code == "40000":
-					out.undone.Add(1)
+					out.failed.Add(1)
 				case a.Code != "":
 					out.other.Add(1)
 				case len(a.Rows) != 1 || a.Rows[0][0] != id:
@@ -210,7 +210,7 @@
 		heard := 0
 		said.Range(func(k, code any) bool {
 			heard++
-			id, did := k.(string), s.far.Committed(k.(string))
+			id, did := k.(string), s.far.Succeeded(k.(string))
 			assert.LessOrEqual(t, did, 1, "%s took effect %d times", id, did)
 			if code == "" {
 				assert.Equal(t, 1, did, "%s was served", id)
@@ -223,7 +223,7 @@
 		assert.EqualValues(t, n, heard, "each has its answer")
 		assert.Zero(t, out.wrong.Load(), "no answer is another's, none is missing")
 		assert.Zero(t, out.other.Load())
-		t.Logf("%s: %d served, %d declined, %d rolled back", name, out.served.Load(), out.declined.Load(), out.undone.Load())
+		t.Logf("%s: %d served, %d declined, %d rolled back", name, out.served.Load(), out.rejected.Load(), out.failed.Load())
 		assert.Greater(t, out.served.Load(), n/10)
 	}
 	for name, statement := range map[string]func(string, int) string{"book": book, "pay": pay} {
@@ -250,7 +250,7 @@
 		out, said := s.clients(8, 1500, pay, "p")
 		assert.Zero(t, out.wrong.Load())
 		said.Range(func(k, code any) bool {
-			did := s.far.Committed(k.(string))
+			did := s.far.Succeeded(k.(string))
 			assert.LessOrEqual(t, did, 1)
 			if code == "53300" {
 				assert.Zero(t, did, "%s was declined", k)
@@ -404,7 +404,7 @@
 	}
 }
 
-// A client that goes away while its txn is across calls it off there too: nothing of it stays in hand at either site.
+// A client that goes away while its request is across calls it off there too: nothing of it stays in hand at either site.
 func TestAClientThatLeavesWhileItsTxnIsAcrossCallsItOffThere(t *testing.T) {
 	s := startSites(t, [2]string{})
 	arrived := make(chan struct{}, 1)
@@ -460,7 +460,7 @@
 				id := fmt.Sprintf("b%d.%d", k, i)
 				a, err := c.Query(pay(id, 1))
 				c.Close()
-				if err != nil { // the connection was closed before the txn was taken: the client's to send again, under a new id here
+				if err != nil { // the connection was closed before the request was taken: the client's to send again, under a new id here
 					continue
 				}
 				heard.Add(1)
@@ -486,13 +486,13 @@
 	all.Wait()
 	s.up()
 	for _, id := range ids {
-		assert.LessOrEqual(t, s.far.Committed(id), 1, id)
+		assert.LessOrEqual(t, s.far.Succeeded(id), 1, id)
 	}
 	assert.Zero(t, wrong.Load())
 	assert.Greater(t, heard.Load(), int64(50))
 }
 
-// A copy of the far group stands here. While the link is down it answers what it may; the rest is declined at once, and
+// A copy of the far group stands here. While the link is down it answers what it may; the rest is rejected at once, and
 // nobody here is taken for a primary.
 func TestWhileTheLinkIsDownALocalCopyAnswersWhatItMay(t *testing.T) {
 	s := startSitesWith(t, [2]string{}, func(s *sites) { s.near.Guests = s.far.Members[1:] })
@@ -510,7 +510,7 @@
 		require.NoError(t, err)
 		assert.Equal(t, "53300", a.Code)
 		assert.Less(t, time.Since(began), 500*time.Millisecond)
-		assert.Zero(t, s.far.Committed(fmt.Sprintf("lw%d", i)))
+		assert.Zero(t, s.far.Succeeded(fmt.Sprintf("lw%d", i)))
 	}
 	assert.Equal(t, before, len(s.far.Members[0].Seen()), "the primary at the other site")
 	for _, seen := range s.far.Members[1].Seen() {
--- a/cmd/dapplerouter/limits_bench_test.go
+++ b/cmd/dapplerouter/limits_bench_test.go
@@ -10,7 +10,7 @@
 	"dapplerouter/standin/store"
 )
 
-// BenchmarkCrowd has clients that ask again once answered before one stand-in member without a limit, an SLA time of 250 ms:
+// BenchmarkCrowd has clients that ask again once answered before one stand-in member without a limit, a target latency of 250 ms:
 // nobody should be refused, and more clients should never bring less service. -benchtime 20000x, say.
 func BenchmarkCrowd(b *testing.B) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -30,7 +30,7 @@
 					return fmt.Sprintf("SELECT data FROM facts WHERE code = 'k%d' /* id=%d,c=browse,d=1000,cluster=0 */", n%100, n)
 				})
 				b.StopTimer()
-				b.ReportMetric(float64(int64(b.N)-no)/b.Elapsed().Seconds(), "txn/s")
+				b.ReportMetric(float64(int64(b.N)-no)/b.Elapsed().Seconds(), "request/s")
 				b.ReportMetric(float64(no), "refused")
 			})
 		}
--- a/cmd/dapplerouter/main.go
+++ b/cmd/dapplerouter/main.go
@@ -1,5 +1,5 @@
 // Command dapplerouter is a front, and the operator's command line around it. Without a command it serves: it takes
-// txns from clients and passes each to the member that the decision module names.
+// requests from clients and passes each to the member that the decision module names.
 package main
 
 import (
@@ -27,7 +27,7 @@
 	Keys     keysCalls    `cmd:"" help:"Make and look at the keys of a gateway's link."`
 	Fleet    fleetCalls   `cmd:"" help:"Look at a fleet of fronts and its duties, and change them."`
 	Check    checkCall    `cmd:"" help:"Check an operator's file."`
-	Classify classifyCall `cmd:"" help:"Say of statements what they do, what they may cost and which txn type they are."`
+	Classify classifyCall `cmd:"" help:"Say of statements what they do, what they may cost and which request type they are."`
 	Version  versionCall  `cmd:"" help:"Say which version this is."`
 }
 
--- a/cmd/dapplerouter/permute_test.go
+++ b/cmd/dapplerouter/permute_test.go
@@ -37,7 +37,7 @@
 	s.said = append(s.said, fmt.Sprintf("%v answer %v %q %v", s.now, f.Status, f.Code, f.Come))
 }
 
-func (s *stage) Send(member int, sub *front.Submission) {
+func (s *stage) Send(member int, sub *front.Attempt) {
 	if !sub.Begin(func() { s.said = append(s.said, fmt.Sprintf("%v cut at %d", s.now, member)) }) {
 		return
 	}
@@ -61,7 +61,7 @@
 	s.due[at] = append(s.due[at], e)
 }
 
-// play takes the same txns through a front whose settings name types and customers in an order, and writes down what it did.
+// play takes the same requests through a front whose settings name types and customers in an order, and writes down what it did.
 func play(t *testing.T, types, customers []int) []string {
 	var file map[string]any
 	require.NoError(t, json.Unmarshal(fmt.Appendf(nil, told, "127.0.0.1:1", `{"index":1,"snapshot":true,"endpoints":[]}`), &file))
@@ -122,7 +122,7 @@
 	return s.said
 }
 
-// Types and customers are found by name: in whatever order the settings have them, the same is done for the same txn.
+// Types and customers are found by name: in whatever order the settings have them, the same is done for the same request.
 func TestTheOrderOfTypesAndCustomersDecidesNothing(t *testing.T) {
 	want := play(t, []int{0, 1, 2, 3, 4}, []int{0, 1, 2})
 	require.Greater(t, len(want), 1000)
--- a/cmd/dapplerouter/serve.go
+++ b/cmd/dapplerouter/serve.go
@@ -149,8 +149,8 @@
 	}
 	seen(front.Listed{Kind: port.Cached, List: told.Known})
 	longest := time.Duration(0)
-	for _, ty := range told.Site.TxnTypes {
-		longest = max(longest, ty.Expiry)
+	for _, ty := range told.Site.RequestTypes {
+		longest = max(longest, ty.Deadline)
 	}
 	server := sockets.NewServer(post, room, clock, longest, told.Memory)
 	if fellows != nil {
--- a/cmd/dapplerouter/soak_test.go
+++ b/cmd/dapplerouter/soak_test.go
@@ -268,7 +268,7 @@
 				assert.Less(s.t, x.At.Sub(r.left), departureSlack+late, "%s was sent for a client that had left", id)
 			}
 		}
-		committed := s.g.Committed(id)
+		committed := s.g.Succeeded(id)
 		switch {
 		case !r.answered.IsZero():
 			assert.Less(s.t, r.answered.Sub(r.at), r.wait+500*time.Millisecond+late, "%s was answered too late: %q", id, r.code)
--- a/fleet/agent/auditor.go
+++ b/fleet/agent/auditor.go
@@ -134,7 +134,7 @@
 
 func (w *auditor) spanLine(s *audit.Span) (*audit.Line, []byte) {
 	l := &audit.Line{What: audit.InSpan, Span: s.Number, From: w.agent.wallMicros(s.From), Until: w.agent.wallMicros(s.Until), Version: s.Version, List: s.List[:],
-		Standby: s.Standby, Txns: len(s.IDs)}
+		Standby: s.Standby, Requests: len(s.IDs)}
 	if s.Right > 0 {
 		l.Right = w.agent.wallMicros(s.Right)
 	}
--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -24,14 +24,14 @@
 	probeTimeout time.Duration                            // after which the core ends a probe by itself
 
 	mu            sync.Mutex
-	cache         *fleet.ProbeCache[*front.Submission]
+	cache         *fleet.ProbeCache[*front.Attempt]
 	addresses     []string // by the core's index of servers
 	servers       map[string]probedServer
 	groups        map[int64]bool
 	ownLeases     map[string]bool   // that this front holds
 	leaseholders  map[string]string // other fronts, by lease
 	isolated      bool
-	pendingProbes map[*front.Submission]probedServer // own probes as the leaseholder, not answered yet
+	pendingProbes map[*front.Attempt]probedServer // own probes as the leaseholder, not answered yet
 }
 
 // probedServer is a server as the endpoint list names it.
@@ -45,8 +45,8 @@
 // NewProber makes a Prober for a fleet's lease duration; probeTimeout is how long the core waits for a probe.
 func NewProber(leaseDuration, probeTimeout time.Duration) *Prober {
 	return &Prober{probeTimeout: probeTimeout, After: func(d time.Duration, call func()) { time.AfterFunc(d, call) },
-		cache: fleet.NewProbeCache[*front.Submission](leaseDuration, probeTimeout/2), servers: map[string]probedServer{}, groups: map[int64]bool{},
-		ownLeases: map[string]bool{}, leaseholders: map[string]string{}, isolated: true, pendingProbes: map[*front.Submission]probedServer{}}
+		cache: fleet.NewProbeCache[*front.Attempt](leaseDuration, probeTimeout/2), servers: map[string]probedServer{}, groups: map[int64]bool{},
+		ownLeases: map[string]bool{}, leaseholders: map[string]string{}, isolated: true, pendingProbes: map[*front.Attempt]probedServer{}}
 }
 
 // Place implements front.Links.
@@ -61,7 +61,7 @@
 }
 
 // Send implements front.Links.
-func (s *Prober) Send(server int, sub *front.Submission) {
+func (s *Prober) Send(server int, sub *front.Attempt) {
 	if _, probe := sub.Way(); !probe {
 		s.Pools.Send(server, sub)
 		return
@@ -158,7 +158,7 @@
 }
 
 // publishResult broadcasts that a probe is pending, and how it ended, each once.
-func (s *Prober) publishResult(sub *front.Submission, l fleet.ProbeResult) {
+func (s *Prober) publishResult(sub *front.Attempt, l fleet.ProbeResult) {
 	s.mu.Lock()
 	m, ok := s.pendingProbes[sub]
 	if !l.Pending {
@@ -207,7 +207,7 @@
 }
 
 // endOf is a result as the end of a probe: without position, role or load, whatever the prober received.
-func endOf(sub *front.Submission, l fleet.ProbeResult) *front.Ended {
+func endOf(sub *front.Attempt, l fleet.ProbeResult) *front.Ended {
 	switch {
 	case l.Healthy:
 		return &front.Ended{S: sub, Answer: pgwire.OneValue(nil)}
--- a/fleet/audit/ask.go
+++ b/fleet/audit/ask.go
@@ -51,7 +51,7 @@
 					in.Until, in.Open = p.At, false
 				}
 				in = nil
-			case InSpan: // it may come behind the adoption that ended it: its txns were in hand still
+			case InSpan: // it may come behind the adoption that ended it: its requests were in hand still
 				for i := len(out) - 1; i >= 0 && out[i].Front == j.Front; i-- {
 					if u := &out[i]; u.Incarnation == p.Incarnation && u.Version == p.Version {
 						for _, ty := range p.Ended {
--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -62,7 +62,7 @@
 		if i == 3 {
 			put(&Line{What: Adopted, Version: 1, Meaning: "m1"}, nil)
 		}
-		put(&Line{What: InSpan, Span: s.Number, From: int64(i) * 10_000, Until: int64(i+1) * 10_000, Version: uint64(min(i/3, 1)), Txns: 4, IDsHash: hash,
+		put(&Line{What: InSpan, Span: s.Number, From: int64(i) * 10_000, Until: int64(i+1) * 10_000, Version: uint64(min(i/3, 1)), Requests: 4, IDsHash: hash,
 			Right: int64(i+1)*10_000 + 500, List: []int64{3, 3}, Ended: [][]uint32{{3, 1, 0, 0, 0}}}, idx)
 		if i%3 == 2 {
 			seg++
@@ -90,7 +90,7 @@
 	require.Len(t, vs, 2)
 	assert.Equal(t, 2, vs[1].Fronts)
 	assert.Equal(t, "m1", vs[1].Meaning)
-	assert.EqualValues(t, 2*4*3, vs[0].Ended[front.Served]+vs[0].Ended[front.Declined])
+	assert.EqualValues(t, 2*4*3, vs[0].Ended[front.Served]+vs[0].Ended[front.Rejected])
 }
 
 // Wrongs of twelve kinds and more, planted one at a time: each is named at its place.
@@ -155,8 +155,8 @@
 			b[headSize+2] ^= 1
 			m.ids["n1.00000001"] = b
 		}, "n1.00000001:2: wrong: the index of span 1 is not what was written"},
-		"an index taken away": {func(m memory) { delete(m.ids, "n2.00000001") }, "n2.00000001:2: wrong: the index of its txns is missing"},
-		"an index cut short":  {func(m memory) { m.ids["n1.00000001"] = m.ids["n1.00000001"][:60] }, "the index has not the txns of span 2"},
+		"an index taken away": {func(m memory) { delete(m.ids, "n2.00000001") }, "n2.00000001:2: wrong: the index of its requests is missing"},
+		"an index cut short":  {func(m memory) { m.ids["n1.00000001"] = m.ids["n1.00000001"][:60] }, "the index has not the requests of span 2"},
 		"spans that overlap":  {func(m memory) { relink(m, "n1", func(l *Line) { l.From -= 300 * int64(l.Span/5) }) }, "span 5 begins 300 µs before the end of the one before it"},
 		"a time left out": {func(m memory) {
 			relink(m, "n1", func(l *Line) {
@@ -179,13 +179,13 @@
 				}
 			})
 		}, "span 2 acts on version 4, and the front tells of no adoption of it"},
-		"txns that never ended": {func(m memory) {
+		"requests that never ended": {func(m memory) {
 			relink(m, "n1", func(l *Line) {
 				if l.Span == 2 {
 					l.Ended[0][0]--
 				}
 			})
-		}, "span 2 took 4 txns, and 3 ended"},
+		}, "span 2 took 4 requests, and 3 ended"},
 		"a clock set back": {func(m memory) {
 			relink(m, "n1", func(l *Line) {
 				if l.Span > 4 {
@@ -265,8 +265,8 @@
 	one := b.Taken(11*ms, []byte("a"), 0)
 	b.Adopted(20*ms, 2)
 	two := b.Taken(21*ms, []byte("b"), 1)
-	b.Ended(30*ms, two, 1, front.Declined)
-	assert.Len(t, out, 1, "the span of version 0 waits for its txn")
+	b.Ended(30*ms, two, 1, front.Rejected)
+	assert.Len(t, out, 1, "the span of version 0 waits for its request")
 	assert.True(t, out[0].Standby)
 	b.Ended(40*ms, one, 0, front.Served)
 	require.Len(t, out, 2)
@@ -276,7 +276,7 @@
 	require.Len(t, out, 3)
 	assert.Equal(t, 100*ms, out[2].Until)
 	assert.EqualValues(t, 2, out[2].Version)
-	assert.EqualValues(t, 1, out[2].Ended[1][front.Declined])
+	assert.EqualValues(t, 1, out[2].Ended[1][front.Rejected])
 	b.Close(500 * ms)
 	require.Len(t, out, 4)
 	assert.True(t, out[3].Standby)
@@ -305,11 +305,11 @@
 	})
 }
 
-// BenchmarkTxn tells what the audit costs a txn in the core.
+// BenchmarkTxn tells what the audit costs a request in the core.
 func BenchmarkTxn(b *testing.B) {
 	book := NewBook(6, true, 0, func(Span) {})
 	book.Right(0, time.Hour, false)
-	id := []byte("a-txn-id-of-24-characters")
+	id := []byte("a-request-id-of-24-characters")
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
--- a/fleet/audit/book.go
+++ b/fleet/audit/book.go
@@ -1,7 +1,7 @@
 // Package audit tells which front acted on which version, when, and what it did meanwhile. It is a core: no I/O, no clock, no
 // goroutine; files are kept by fleet/disk.
 //
-// A Book belongs to a front's core and hears of each txn: it counts them in spans, in each of which the front acted on one
+// A Book belongs to a front's core and hears of each request: it counts them in spans, in each of which the front acted on one
 // version of the operator's rules and of the list. A Chain makes lines of what happened, each bound to the one before by a
 // hash. Lines are read back by Read, weighed by Verify and asked by the queries.
 package audit
@@ -14,10 +14,10 @@
 )
 
 const (
-	// Longest is how long a span lasts at the most, while txns come: a front that dies loses what it counted in the one in hand.
+	// Longest is how long a span lasts at the most, while requests come: a front that dies loses what it counted in the one in hand.
 	Longest   = 30 * time.Second
-	mostIDs   = 32 << 10 // txns of a span
-	mostSpans = 64       // that wait for their last txns; behind it a list's changes widen the span in hand
+	mostIDs   = 32 << 10 // requests of a span
+	mostSpans = 64       // that wait for their last requests; behind it a list's changes widen the span in hand
 )
 
 // Span is a time in which a front acted on one version, with what it did. Times are the core's clock.
@@ -28,30 +28,30 @@
 	List        [2]int64              // the list's versions, first and last
 	Standby     bool                  // the front had no right to act, and took nothing
 	Right       time.Duration         // until when it might act, as of the span's end; 0 where it needs none
-	Ended       [][front.Words]uint32 // by txn type
-	IDs         []uint64              // of the txns taken, as Hash gives them, in the order in which they came
+	Ended       [][front.Words]uint32 // by request type
+	IDs         []uint64              // of the requests taken, as Hash gives them, in the order in which they came
 	open        int
 	closed      bool
 }
 
-// Book counts txns. Its calls are those of front.Auditor, from the core's goroutine; Sums may be called from anywhere.
+// Book counts requests. Its calls are those of front.Auditor, from the core's goroutine; Sums may be called from anywhere.
 type Book struct {
 	types int
 	sink  func(Span)
-	spans []*Span // the last is the one in hand; the others wait for their txns
+	spans []*Span // the last is the one in hand; the others wait for their requests
 	sums  []sum
 	first Span // how the first one begins
 }
 
 type sum struct{ ended, served atomic.Uint64 }
 
-// NewBook makes a Book for so many txn types; sink takes spans whose txns have all ended and must not block, nil for none.
+// NewBook makes a Book for so many request types; sink takes spans whose requests have all ended and must not block, nil for none.
 // A front that needs a right stands by until it has one; version is what it begins with.
 func NewBook(types int, rights bool, version uint64, sink func(Span)) *Book {
 	return &Book{types: types, sink: sink, sums: make([]sum, types), first: Span{Standby: rights, Version: version}}
 }
 
-// Hash is how a txn's id is kept: FNV-1a of 64 bits, of which the index holds 40.
+// Hash is how a request's id is kept: FNV-1a of 64 bits, of which the index holds 40.
 func Hash(id []byte) uint64 {
 	h := uint64(14695981039346656037)
 	for _, c := range id {
@@ -84,7 +84,7 @@
 	return next
 }
 
-// done hands on spans that are closed and whose txns have all ended, in their order.
+// done hands on spans that are closed and whose requests have all ended, in their order.
 func (b *Book) done() {
 	for len(b.spans) > 1 && b.spans[0].open == 0 {
 		if b.sink != nil {
@@ -95,7 +95,7 @@
 	}
 }
 
-// Taken notes a txn that was taken, and gives its span.
+// Taken notes a request that was taken, and gives its span.
 func (b *Book) Taken(at time.Duration, id []byte, _ int) uint32 {
 	s := b.now(at)
 	if b.sink != nil {
@@ -108,7 +108,7 @@
 	return s.Number
 }
 
-// Ended notes a txn's end.
+// Ended notes a request's end.
 func (b *Book) Ended(_ time.Duration, span uint32, typ int, w front.Status) {
 	if typ < len(b.sums) {
 		b.sums[typ].ended.Add(1)
@@ -176,7 +176,7 @@
 	}
 }
 
-// Close closes the span in hand, with what its txns have come to.
+// Close closes the span in hand, with what its requests have come to.
 func (b *Book) Close(at time.Duration) {
 	b.turn(at)
 	for _, s := range b.spans[:len(b.spans)-1] {
@@ -185,7 +185,7 @@
 	b.done()
 }
 
-// Sums are how many txns of each type ended, and how many of them were committed, since the version was adopted.
+// Sums are how many requests of each type ended, and how many of them were committed, since the version was adopted.
 func (b *Book) Sums(each func(typ int, ended, served uint64)) {
 	for i := range b.sums {
 		served := b.sums[i].served.Load() // first: it is never more than ended
--- a/fleet/audit/line.go
+++ b/fleet/audit/line.go
@@ -15,7 +15,7 @@
 const (
 	Opened  = "opened"  // a process begins: Program, Kinds, Clock
 	Closed  = "closed"  // it ends as it should
-	InSpan  = "span"    // From, Until, Version, List, Ended; the ids of its txns stand in the index
+	InSpan  = "span"    // From, Until, Version, List, Ended; the ids of its requests stand in the index
 	Adopted = "adopted" // Version, Meaning
 	Refused = "refused" // Version can't be used: Why
 	Held    = "held"    // Duty in Term
@@ -39,7 +39,7 @@
 	Version     uint64     `json:"version,omitempty"`
 	Meaning     string     `json:"meaning,omitempty"`
 	Program     string     `json:"program,omitempty"`
-	Kinds       []string   `json:"kinds,omitempty"` // txn types, in the order of Ended
+	Kinds       []string   `json:"kinds,omitempty"` // request types, in the order of Ended
 	Clock       int64      `json:"clock,omitempty"` // by how much the wall clock may be wrong, microseconds, as the operator told
 	Span        uint32     `json:"span,omitempty"`
 	From        int64      `json:"from,omitempty"`
@@ -47,8 +47,8 @@
 	Right       int64      `json:"right,omitempty"`   // until when the front might act, as of the span's end; 0 where it needs none
 	Standby     bool       `json:"standby,omitempty"` // a span without a right: nothing was taken in it
 	List        []int64    `json:"list,omitempty"`
-	Ended       [][]uint32 `json:"ended,omitempty"` // by txn type: committed, declined, rolled back, senseless, abandoned
-	Txns        int        `json:"txns,omitempty"`
+	Ended       [][]uint32 `json:"ended,omitempty"` // by request type: committed, rejected, rolled back, senseless, abandoned
+	Requests    int        `json:"txns,omitempty"`
 	IDs         int64      `json:"ids,omitempty"` // where the index has them, plus one
 	IDsHash     string     `json:"ids_hash,omitempty"`
 	Duty        string     `json:"duty,omitempty"`
@@ -101,8 +101,8 @@
 	return hex.EncodeToString(sum[:12])
 }
 
-// The index: for each span a head and the hashes of its txns' ids, 40 bits each, sorted, so that one read finds out whether
-// an id is there. Of a span of n txns an id that is not there looks as if with chance n in 2^40.
+// The index: for each span a head and the hashes of its requests' ids, 40 bits each, sorted, so that one read finds out whether
+// an id is there. Of a span of n requests an id that is not there looks as if with chance n in 2^40.
 const (
 	idBytes  = 5
 	headSize = 16
--- a/fleet/audit/size_bench_test.go
+++ b/fleet/audit/size_bench_test.go
@@ -19,7 +19,7 @@
 				book := NewBook(2, false, 3, func(s Span) {
 					index, hash := Index(&s)
 					l := &Line{What: InSpan, At: s.Until.Microseconds(), Front: "f001", Incarnation: 7, Index: 100, Span: s.Number, From: s.From.Microseconds(),
-						Until: s.Until.Microseconds(), Txns: len(s.IDs), IDs: int64(ids) + 1, IDsHash: hash, Version: s.Version, List: s.List[:]}
+						Until: s.Until.Microseconds(), Requests: len(s.IDs), IDs: int64(ids) + 1, IDsHash: hash, Version: s.Version, List: s.List[:]}
 					for _, e := range s.Ended {
 						l.Ended = append(l.Ended, e[:])
 					}
@@ -38,7 +38,7 @@
 				day := float64(24*time.Hour) / float64(long) / 1e6
 				b.ReportMetric(float64(lines)*day, "lines-MB/day")
 				b.ReportMetric(float64(ids)*day, "index-MB/day")
-				b.ReportMetric(float64(ids)/float64(n), "index-B/txn")
+				b.ReportMetric(float64(ids)/float64(n), "index-B/request")
 			}
 		})
 	}
--- a/fleet/audit/verify.go
+++ b/fleet/audit/verify.go
@@ -146,7 +146,7 @@
 			r.wrong("the line is of front %s", l.Front)
 			continue
 		}
-		if l.IDs > 0 || l.Txns > 0 {
+		if l.IDs > 0 || l.Requests > 0 {
 			idsAt = r.ids(&l, ids, idsErr, idsAt)
 		}
 		p := Placed{Line: l, Segment: name, At1: r.line}
@@ -191,7 +191,7 @@
 
 func (r *reader) ids(l *Line, ids []byte, idsErr error, at int64) int64 {
 	if idsErr != nil {
-		r.wrong("the index of its txns is missing")
+		r.wrong("the index of its requests is missing")
 		return at
 	}
 	off := l.IDs - 1
@@ -200,8 +200,8 @@
 		span, n, ok = Head(ids[off:])
 	}
 	end := off + Size(n)
-	if !ok || span != l.Span || n != l.Txns || end > int64(len(ids)) {
-		r.wrong("the index has not the txns of span %d", l.Span)
+	if !ok || span != l.Span || n != l.Requests || end > int64(len(ids)) {
+		r.wrong("the index has not the requests of span %d", l.Span)
 		return at
 	}
 	sum := sha256.Sum256(ids[off:end])
@@ -284,8 +284,8 @@
 	} else if r.until > 0 && l.From > r.until+1 && !r.lost {
 		r.wrong("between spans %d and %d %d µs are not told, and no gap is", r.span, l.Span, l.From-r.until)
 	}
-	if l.Standby && l.Txns > 0 {
-		r.wrong("span %d is one of standing by, and %d txns were taken in it", l.Span, l.Txns)
+	if l.Standby && l.Requests > 0 {
+		r.wrong("span %d is one of standing by, and %d requests were taken in it", l.Span, l.Requests)
 	}
 	if !l.Standby && l.Right > 0 && l.Until > l.Right+rightSlack {
 		r.wrong("span %d acts on version %d until %d, and its right ended at %d", l.Span, l.Version, l.Until, l.Right)
@@ -293,8 +293,8 @@
 	if r.took != nil && !r.took[l.Version] {
 		r.wrong("span %d acts on version %d, and the front tells of no adoption of it", l.Span, l.Version)
 	}
-	if sum := ended(l); sum != l.Txns && l.Txns > 0 {
-		r.wrong("span %d took %d txns, and %d ended", l.Span, l.Txns, sum)
+	if sum := ended(l); sum != l.Requests && l.Requests > 0 {
+		r.wrong("span %d took %d requests, and %d ended", l.Span, l.Requests, sum)
 	}
 	r.span, r.until, r.lost = l.Span, l.Until, false
 }
--- a/fleet/disk/find_bench_test.go
+++ b/fleet/disk/find_bench_test.go
@@ -11,7 +11,7 @@
 	"dapplerouter/fleet/audit"
 )
 
-// BenchmarkFind tells how long it takes to find a txn in the logs of FIND_FRONTS fronts of a day: a span each 30 s, of 10 txns a
+// BenchmarkFind tells how long it takes to find a request in the logs of FIND_FRONTS fronts of a day: a span each 30 s, of 10 requests a
 // second. It writes 1.3 GB for 300 fronts, so it wants a folder: FIND_DIR.
 func BenchmarkFind(b *testing.B) {
 	dir := os.Getenv("FIND_DIR")
@@ -44,7 +44,7 @@
 				}
 				b, hash := audit.Index(&s)
 				at := int64(number) * (30 * time.Second).Microseconds()
-				l := &audit.Line{What: audit.InSpan, At: at, Front: name, Incarnation: 7, Index: 100, Span: number, From: at, Until: at + 30_000_000, Txns: 300,
+				l := &audit.Line{What: audit.InSpan, At: at, Front: name, Incarnation: 7, Index: 100, Span: number, From: at, Until: at + 30_000_000, Requests: 300,
 					IDs: int64(len(ids)) + 1, IDsHash: hash, Version: 3, List: []int64{10, 10}, Ended: [][]uint32{{300, 0, 0, 0, 0}, {0, 0, 0, 0, 0}, {0, 0, 0, 0, 0}}}
 				ids = append(ids, b...)
 				text = append(text, c.Append(l)...)
--- a/fleet/disk/logs.go
+++ b/fleet/disk/logs.go
@@ -74,14 +74,14 @@
 	return os.ReadFile(filepath.Join(l.at[name], name+audit.IDsEnd))
 }
 
-// Hit is a span that took a txn of an id.
+// Hit is a span that took a request of an id.
 type Hit struct {
 	Segment string
 	Span    uint32
 	IDs     int64 // where the span stands in the index
 }
 
-// Find looks for a txn's id in all indexes, by as many at once as there are processors. A span of n txns that did not take it
+// Find looks for a request's id in all indexes, by as many at once as there are processors. A span of n requests that did not take it
 // is named by mistake with chance n in 2^40.
 func (l *Logs) Find(id string) (hits []Hit, err error) {
 	want := audit.Hash([]byte(id))
--- a/fleet/disk/segments.go
+++ b/fleet/disk/segments.go
@@ -91,7 +91,7 @@
 		}
 		s.chain.N, s.chain.Value = l.N, l.Chain
 		if l.IDs > 0 {
-			ids = l.IDs - 1 + audit.Size(l.Txns)
+			ids = l.IDs - 1 + audit.Size(l.Requests)
 		}
 		good += n + 1
 	}
--- a/fleet/disk/segments_test.go
+++ b/fleet/disk/segments_test.go
@@ -20,7 +20,7 @@
 	}
 	ids, hash := audit.Index(&s)
 	return &audit.Line{What: audit.InSpan, Front: "n1", Incarnation: 7, Index: 3, At: int64(i) * 1000, Span: uint32(i), From: int64(i) * 1000, Until: int64(i+1) * 1000,
-		Txns: 5, Ended: [][]uint32{{5, 0, 0, 0, 0}}, IDsHash: hash}, ids
+		Requests: 5, Ended: [][]uint32{{5, 0, 0, 0, 0}}, IDsHash: hash}, ids
 }
 
 func begun(t *testing.T, dir string, size, budget int64) *Segments {
--- a/fleet/replicated_state.go
+++ b/fleet/replicated_state.go
@@ -30,7 +30,7 @@
 	Losses      []Loss
 }
 
-// Loss is how often a front recently lost a lease, by expiry or without progress.
+// Loss is how often a front recently lost a lease, by deadline or without progress.
 type Loss struct {
 	//lint:ignore U1000 package msgpack reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
--- a/fleet/rollout/rollout_test.go
+++ b/fleet/rollout/rollout_test.go
@@ -58,7 +58,7 @@
 		n, cost := play(2, 400, base, 2)
 		assert.LessOrEqual(t, n[Alike], 400*3/100, "twice as bad at %v, called alike %d times of 400", base, n[Alike])
 		assert.Greater(t, n[Worse], 400*95/100)
-		t.Logf("at %v of failures, twice as bad: found behind %.0f failed txns of the new side", base, cost)
+		t.Logf("at %v of failures, twice as bad: found behind %.0f failed requests of the new side", base, cost)
 	}
 	n, cost := play(3, 400, 0.001, 100)
 	assert.Equal(t, 400, n[Worse])
--- a/fleet/rollout/trial.go
+++ b/fleet/rollout/trial.go
@@ -85,9 +85,9 @@
 	for i, w := range t.kinds {
 		for _, x := range w.weights {
 			if x >= up {
-				what := "of all txns"
+				what := "of all requests"
 				if i > 0 {
-					what = fmt.Sprintf("of txn type %d", i-1)
+					what = fmt.Sprintf("of request type %d", i-1)
 				}
 				return Worse, fmt.Sprintf("%s, %d of %d failed on the new version and %d of %d on the old", what, w.fails[0], w.ended[0], w.fails[1], w.ended[1])
 			}
--- a/fleet/zones/evidence.go
+++ b/fleet/zones/evidence.go
@@ -1,7 +1,7 @@
 // Package zones decides, for a whole fleet, when a failing zone is left, how far, and at what pace it is returned to. It is a
 // core: no I/O, no clock, no goroutine. Every front tells what it saw of each zone in a digest; the holder of the duty weighs
 // them (Weigher), moves each zone's standing (Warden) and plans how much the others can bear (Plan). What it decides stands in the
-// record with an epoch and a deadline; a front reads its own share from there (Share), and which member takes a txn stays the
+// record with an epoch and a deadline; a front reads its own share from there (Share), and which member takes a request stays the
 // module's choice.
 //
 // Invariants, asserted by its tests:
@@ -31,7 +31,7 @@
 	//lint:ignore U1000 package msgpack reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Good    uint32 // submissions that the member answered, whatever it said of the statement
+	Good    uint32 // attempts that the member answered, whatever it said of the statement
 	Failed  uint32 // that timed out, broke, or ended in an error
 	Refused uint32 // links that did not come up
 	Slow    uint32 // of the good ones, those that took several times as long as is usual here
@@ -90,7 +90,7 @@
 // slowBy is how many times the usual latency counts as slow.
 const slowBy = 4
 
-// Answered notes a submission to a zone that its member answered.
+// Answered notes an attempt to a zone that its member answered.
 func (s *Seer) Answered(zone int, took time.Duration) {
 	t, x := &s.seen[zone], took.Seconds()
 	t.Good++
@@ -143,7 +143,7 @@
 }
 
 const (
-	few      = 5    // submissions below which a front's word on a zone says nothing
+	few      = 5    // attempts below which a front's word on a zone says nothing
 	doubtful = 0.25 // badness above the usual from which on a zone is doubted
 	trim     = 5    // a fifth of the fronts at each end is cut off
 )
--- a/fleet/zones/plan.go
+++ b/fleet/zones/plan.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/gonum/optimize/convex/lp"
 )
 
-// Load is what one zone's members of a group carry of a txn type.
+// Load is what one zone's members of a group carry of a request type.
 type Load struct {
 	Group   int64
 	Zone    string
@@ -40,9 +40,9 @@
 type Plan struct {
 	Zone     string
 	Share    float64            // of its movable work that the others can take, 0 to 1
-	By       map[string]float64 // the same by txn type, highest value first where it is not all
+	By       map[string]float64 // the same by request type, highest value first where it is not all
 	Moves    []Moved
-	Declined map[string]float64 // by type: work that is better declined at once than late everywhere
+	Rejected map[string]float64 // by type: work that is better rejected at once than late everywhere
 	Binds    []string           // limits that bind: group and zone whose members are full by it
 }
 
@@ -50,7 +50,7 @@
 // group's work goes to its own members only. It is a linear program; where there is nowhere to go the share is 0, and the zone is
 // stayed in.
 func Leave(zone string, loads []Load, rooms []Room, gone map[string]bool) (*Plan, error) {
-	p := &Plan{Zone: zone, By: map[string]float64{}, Declined: map[string]float64{}}
+	p := &Plan{Zone: zone, By: map[string]float64{}, Rejected: map[string]float64{}}
 	groups := map[int64]bool{}
 	for _, l := range loads {
 		groups[l.Group] = true
@@ -65,7 +65,7 @@
 	for t, n := range movable {
 		p.By[t] = moved[t] / n
 		if left := n - moved[t]; left > tiny {
-			p.Declined[t] = left
+			p.Rejected[t] = left
 		}
 		all, took = all+n, took+moved[t]
 	}
--- a/fleet/zones/warden.go
+++ b/fleet/zones/warden.go
@@ -145,7 +145,7 @@
 
 // Returned is what fronts tell of a zone that is being returned to, over all fronts, since the last look.
 type Returned struct {
-	Asked, Good, Strained float64 // submissions there; those that came good; those that came late or were refused
+	Asked, Good, Strained float64 // attempts there; those that came good; those that came late or were refused
 }
 
 // WardenOptions are what a Warden is made of.
--- a/front/admit.go
+++ b/front/admit.go
@@ -2,10 +2,10 @@
 
 import "dapplerouter/port"
 
-// admit gives a txn its place and tells the module. Its time runs from its last byte, so what it has
+// admit gives a request its place and tells the module. Its time runs from its last byte, so what it has
 // waited since is off its budget.
-func (c *Core) admit(a *Arrival, t port.Txn) {
-	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Expiry) // nobody holds a place for longer than its type may
+func (c *Core) admit(a *Arrival, t port.Request) {
+	a.expiry = a.At + min(a.Statement.Wait, c.types[t.Type].Deadline) // nobody holds a place for longer than its type may
 	a.ref = c.slab.Open(a)
 	a.typ = t.Type
 	if c.bound.Audit != nil {
--- a/front/classing.go
+++ b/front/classing.go
@@ -11,12 +11,12 @@
 	"dapplerouter/site"
 )
 
-// classes is what a core knows of classing, where the operator's file turns it on: which txn type a rule names,
+// classes is what a core knows of classing, where the operator's file turns it on: which request type a rule names,
 // and the type under which a write of a reading type goes to the module.
 type classes struct {
 	by         *shape.Classing
 	types      []int // by rule
-	undeclared []int // by txn type: the same but writing, itself where it writes anyway
+	undeclared []int // by request type: the same but writing, itself where it writes anyway
 
 	found, byRule, noRule int
 	undeclaredWrites      int // under a type that reads
@@ -25,19 +25,19 @@
 // Classing is what the operator's settings made.
 type Classing struct {
 	*shape.Classing
-	Undeclared port.Effect // of a write whose txn type reads
+	Undeclared port.Effect // of a write whose request type reads
 }
 
-// CheckClassing finds what the settings say against a site's txn types. The error is conf.Faults.
+// CheckClassing finds what the settings say against a site's request types. The error is conf.Faults.
 func CheckClassing(s *shape.Settings, at *site.Site) error {
 	var faults conf.Faults
 	for i, r := range s.Rules {
 		t := slices.Index(at.Types, r.Type)
 		switch {
 		case t < 0:
-			faults = append(faults, conf.Fault{Place: s.Places[i], What: r.Type + " is no txn type of this site",
+			faults = append(faults, conf.Fault{Place: s.Places[i], What: r.Type + " is no request type of this site",
 				Remedy: fmt.Sprint("its types are ", at.Types)})
-		case r.Class == shape.Write && at.TxnTypes[t].Level != port.Write:
+		case r.Class == shape.Write && at.RequestTypes[t].Level != port.Write:
 			faults = append(faults, conf.Fault{Place: s.Places[i], What: r.Type + " reads, and the rule is for writes",
 				Remedy: "name a type that writes, or take (class write) away"})
 		}
@@ -51,7 +51,7 @@
 // withUndeclared adds to the types, for each that reads, one like it that writes with the effect that the operator
 // gave to writes that their type does not tell of. So the module decides these as it does all others: to the
 // primary only, and again only as far as the effect allows.
-func (k *classes) withUndeclared(types []port.TxnType, effect port.Effect) []port.TxnType {
+func (k *classes) withUndeclared(types []port.RequestType, effect port.Effect) []port.RequestType {
 	all := slices.Clone(types)
 	for i, ty := range types {
 		k.undeclared = append(k.undeclared, i)
@@ -68,21 +68,21 @@
 	return all
 }
 
-// class gives an arrival that was classed its txn type, or says why it has none.
-func (a *Arrival) class(c *Core, t *port.Txn) (refusal string) {
+// class gives an arrival that was classed its request type, or says why it has none.
+func (a *Arrival) class(c *Core, t *port.Request) (refusal string) {
 	s, k := &a.Statement, c.classes
 	k.found++
 	t.Hint = k.by.Estimate(s.Shape, &s.Facts)
 	if len(s.Type) > 0 {
 		var ok bool
 		if t.Type, ok = c.typeIDs.Find(string(s.Type)); !ok {
-			return "c names no txn type of this site"
+			return "c names no request type of this site"
 		}
 	} else {
 		rule := k.by.Rule(s.Shape, t.Hint)
 		if rule < 0 {
 			k.noRule++
-			return "the comment names no txn type, and no rule of the operator's file fits the statement"
+			return "the comment names no request type, and no rule of the operator's file fits the statement"
 		}
 		k.byRule++
 		t.Type = k.types[rule]
@@ -96,13 +96,13 @@
 	ty := &c.types[t.Type]
 	t.Write = ty.Level == port.Write // a read under a writing type runs where its type says
 	if ty.Level == port.Session && len(s.Key) == 0 {
-		return "a read of this txn type belongs to a session: s=NAME in the comment, or a quoted key"
+		return "a read of this request type belongs to a session: s=NAME in the comment, or a quoted key"
 	}
 	return ""
 }
 
 // learns tells what a statement took at a member.
-func (c *Core) learns(s *Submission) {
+func (c *Core) learns(s *Attempt) {
 	if d := c.slab.At(s.ref); c.classes != nil && d != nil && d.What.Statement.Shape != nil {
 		st := &d.What.Statement
 		c.classes.by.Learn(st.Shape, &st.Facts, c.now-s.sent)
--- a/front/core.go
+++ b/front/core.go
@@ -1,7 +1,7 @@
 // Package front is the core between the sockets and the module. It does no I/O: events come in by a
 // channel, wishes go out by calls that never block. One goroutine owns the module and every table here.
 //
-// A txn passes stages, a file each: take in, admit, route, send, relay, metrics. None of them decides.
+// A request passes stages, a file each: take in, admit, route, send, relay, metrics. None of them decides.
 package front
 
 import (
@@ -17,7 +17,7 @@
 )
 
 // New makes the Decider of an instance.
-type New func(h port.Host, seed uint64, at port.Topology, types []port.TxnType, customers []port.Customer,
+type New func(h port.Host, seed uint64, at port.Topology, types []port.RequestType, customers []port.Customer,
 	copies port.Replication, rules port.Guardrails, allowed port.Allowance, costs port.Tariff) port.Decider
 
 // Event is something that came in; the types stand with the stages that take them.
@@ -25,10 +25,10 @@
 	take(c *Core, now time.Duration)
 }
 
-// Pools carries submissions to members. No call blocks.
+// Pools carries attempts to members. No call blocks.
 type Pools interface {
 	Place(member int, address string, age time.Duration) // since its last start
-	Send(member int, s *Submission)
+	Send(member int, s *Attempt)
 	Forget(member int)
 }
 
@@ -62,8 +62,8 @@
 	serving []bool               // by member: the list lets new work go there
 	clock   func() time.Duration // nil where a host steps the core
 
-	types      []port.TxnType
-	most       int           // submissions a txn
+	types      []port.RequestType
+	most       int           // attempts a request
 	patience   time.Duration // for a probe
 	typeIDs    *Index[string]
 	customers  *Index[string]
@@ -72,7 +72,7 @@
 	members    *Index[string]
 	groups     *Index[int64]
 	slab       Slab[*Arrival]
-	ids        map[string]struct{} // of the txns in hand
+	ids        map[string]struct{} // of the requests in hand
 	alarms     alarms
 	later      []Event // came of the batch in hand; they open the next one
 	metrics    Metrics
@@ -82,13 +82,13 @@
 	classes    *classes          // nil where statements are not classed
 	bound      Bound
 	terms      *terms   // in force
-	past       []*terms // of which txns are in hand still
-	unanswered int      // txns in hand without their final answer
+	past       []*terms // of which requests are in hand still
+	unanswered int      // requests in hand without their final answer
 	older      int      // of these, on another version than the newest
 	alone      func()   // hears when there are none
 	mayProbe   bool
 	lapsed     bool // the right has run out, and what was in hand is ended
-	shut       bool // no txn is taken any more
+	shut       bool // no request is taken any more
 	comeBack   time.Duration
 	entries    []port.Entry
 }
@@ -96,8 +96,8 @@
 // NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
 // the one form that the users' protocol has.
 func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Pools, ask Directory, classing *Classing) *Core {
-	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), timeline: timeline{zero: born.Round(0)}, types: s.TxnTypes,
-		most: s.Allowance.Submissions, patience: s.Allowance.DialTimeout, mayProbe: s.Allowance.Probes,
+	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), timeline: timeline{zero: born.Round(0)}, types: s.RequestTypes,
+		most: s.Allowance.Attempts, patience: s.Allowance.DialTimeout, mayProbe: s.Allowance.Probes,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
 	if classing != nil {
@@ -191,15 +191,15 @@
 			c.expire(a.s)
 		}
 	}
-	c.decider.Settle(now)
+	c.decider.Reconcile(now)
 }
 
-// alarm falls due for a submission, or without one for the module.
+// alarm falls due for an attempt, or without one for the module.
 type alarm struct {
 	at      time.Duration
-	s       *Submission
+	s       *Attempt
 	right   bool // the core's own right may have run out
-	unbegun bool // it matters only where nothing of the submission went out
+	unbegun bool // it matters only where nothing of the attempt went out
 }
 
 type alarms []alarm
--- a/front/drains.go
+++ b/front/drains.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// unsent are the submissions of which nothing has gone out.
-func (c *Core) unsent() (all []*Submission) {
+// unsent are the attempts of which nothing has gone out.
+func (c *Core) unsent() (all []*Attempt) {
 	c.slab.Each(func(_ port.Ref, slot *Slot[*Arrival]) { all = append(all, slot.What.out...) })
-	return slices.DeleteFunc(all, func(s *Submission) bool { return s.done || s.stage.Load() != waiting })
+	return slices.DeleteFunc(all, func(s *Attempt) bool { return s.done || s.stage.Load() != waiting })
 }
--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -16,7 +16,7 @@
 
 const order = "INSERT INTO facts (code, data) VALUES ('k', '') /* id=1,c=order,k=5c,d=900,cluster=9 */"
 
-// repeated brings a referenced txn to where its repeat waits for a connection: the first was out from 10 ms on and may have run.
+// repeated brings a referenced request to where its repeat waits for a connection: the first was out from 10 ms on and may have run.
 func repeated(t *testing.T) (*Core, *module, *wires) {
 	c, m, w := newFront(t)
 	c.types[1].Effect, c.types[1].Window = port.Referenced, 300*ms
@@ -101,7 +101,7 @@
 	for _, f := range w.final {
 		words = append(words, f.Status)
 	}
-	assert.Equal(t, []Status{Declined, Undone, Declined, Declined}, words,
+	assert.Equal(t, []Status{Rejected, Failed, Rejected, Rejected}, words,
 		"a read; a write that may have run; one that cannot have; one that came behind")
 	assert.Equal(t, 2, w.cuts)
 	assert.Len(t, m.begun, 3)
@@ -135,7 +135,7 @@
 	out(t, c, m, w)
 	for now, want := range map[time.Duration]string{10 * ms: "d=81,", 60 * ms: "d=36,", 90 * ms: "d=9,", 100 * ms: "d=1,"} {
 		c.clock = func() time.Duration { return now }
-		s := &Submission{query: w.sent[0].query, until: w.sent[0].until, clock: c.clock}
+		s := &Attempt{query: w.sent[0].query, until: w.sent[0].until, clock: c.clock}
 		s.query.Message = slices.Clone(s.query.Message)
 		assert.Contains(t, string(s.Message()), want)
 	}
--- a/front/far_test.go
+++ b/front/far_test.go
@@ -11,7 +11,7 @@
 	"dapplerouter/port"
 )
 
-// far makes member 0 stand for another site, behind a site that allows so many submissions.
+// far makes member 0 stand for another site, behind a site that allows so many attempts.
 func far(t *testing.T, most int) (*Core, *module, *wires) {
 	c, m, w := newFront(t)
 	c.most = most
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -20,7 +20,7 @@
 // module is a Decider that writes down what it hears and does as it is told.
 type module struct {
 	port.Host
-	begun   []port.Txn
+	begun   []port.Request
 	ended   []port.Outcome
 	probed  []port.Load
 	left    []port.Ref
@@ -33,7 +33,7 @@
 func (m *module) List(_ time.Duration, _ port.ListKind, _ int64, e []port.Entry) {
 	m.listed = append(m.listed, e...)
 }
-func (m *module) Begin(_ time.Duration, t port.Txn)     { m.begun = append(m.begun, t) }
+func (m *module) Begin(_ time.Duration, t port.Request) { m.begun = append(m.begun, t) }
 func (m *module) Ended(_ time.Duration, o port.Outcome) { m.ended = append(m.ended, o) }
 func (m *module) Left(_ time.Duration, r port.Ref)      { m.left = append(m.left, r) }
 func (m *module) Redate(_, by time.Duration)            { m.redated += by }
@@ -43,7 +43,7 @@
 	m.probed = append(m.probed, l)
 }
 func (m *module) Target(port.Ref) (time.Duration, bool) { return 0, false }
-func (m *module) Settle(time.Duration) {
+func (m *module) Reconcile(time.Duration) {
 	m.settled++
 	if w := m.wish; w != nil {
 		m.wish = nil
@@ -53,14 +53,14 @@
 
 // wires is the other side of the core: what is sent, cut and answered.
 type wires struct {
-	sent   []*Submission
+	sent   []*Attempt
 	cuts   int
 	forgot []int
 	final  []Response
 }
 
 func (w *wires) Place(int, string, time.Duration) {}
-func (w *wires) Send(_ int, s *Submission)        { w.sent = append(w.sent, s) }
+func (w *wires) Send(_ int, s *Attempt)           { w.sent = append(w.sent, s) }
 func (w *wires) Forget(i int)                     { w.forgot = append(w.forgot, i) }
 func (w *wires) Answer(f Response)                { w.final = append(w.final, f) }
 func (w *wires) Watch(bool)                       {}
@@ -72,9 +72,9 @@
 func newFront(t *testing.T) (*Core, *module, *wires) {
 	w, m := &wires{}, &module{}
 	s := &site.Site{Types: []string{"browse", "order"}, Zones: []string{"a"}, Customers: []string{"acme"},
-		TxnTypes:  []port.TxnType{{Level: port.Session, Expiry: time.Second}, {Level: port.Write, Expiry: time.Second}},
-		Allowance: port.Allowance{Submissions: 2, DialTimeout: 250 * ms}}
-	c := NewCore(born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType, _ []port.Customer,
+		RequestTypes: []port.RequestType{{Level: port.Session, Deadline: time.Second}, {Level: port.Write, Deadline: time.Second}},
+		Allowance:    port.Allowance{Attempts: 2, DialTimeout: 250 * ms}}
+	c := NewCore(born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.RequestType, _ []port.Customer,
 		_ port.Replication, _ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
 		m.Host = h
 		return m
@@ -97,7 +97,7 @@
 
 const browse = "SELECT data FROM facts WHERE code = 'k' /* id=1,c=browse,t=acme,d=100,cluster=9 */"
 
-// out brings a txn to where its first submission is out.
+// out brings a request to where its first attempt is out.
 func out(t *testing.T, c *Core, m *module, w *wires) *Arrival {
 	a := arrive(t, c, w, browse)
 	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
@@ -122,7 +122,7 @@
 	c.batch(30 * ms)
 	assert.Equal(t, []Response{{Status: Served, Rows: []byte("rows"), Place: 1_000_030, Age: 20 * ms, Aged: true}}, w.final)
 	o := m.ended[0]
-	assert.Equal(t, port.Committed, o.Ending)
+	assert.Equal(t, port.Succeeded, o.Ending)
 	assert.True(t, o.Closed && o.HasPosition && o.Role == port.Replica)
 	assert.Equal(t, 30*ms, o.Position, "Unix milliseconds become a span since the start")
 	assert.Equal(t, 20*ms, o.Latency)
@@ -135,7 +135,7 @@
 		failure *Failure
 		want    port.Ending
 	}{
-		{row(), nil, port.Committed},
+		{row(), nil, port.Succeeded},
 		{pgwire.Answer{Code: "25006"}, nil, port.Missed},
 		{pgwire.Answer{Code: "72000"}, nil, port.Missed},
 		{pgwire.Answer{Code: "53300"}, nil, port.Full},
@@ -151,7 +151,7 @@
 		c.Post(&Ended{S: w.sent[0], Answer: x.answer, Failure: x.failure})
 		c.batch(20 * ms)
 		assert.Equal(t, x.want, m.ended[0].Ending)
-		assert.Equal(t, x.want == port.Committed, len(w.final) == 1)
+		assert.Equal(t, x.want == port.Succeeded, len(w.final) == 1)
 	}
 }
 
@@ -161,12 +161,12 @@
 	w.begin(t, 0)
 	c.batch(99 * ms)
 	assert.Zero(t, w.cuts)
-	m.wish = func(m *module) { m.RollBack(m.begun[0].Ref) }
+	m.wish = func(m *module) { m.Fail(m.begun[0].Ref) }
 	c.batch(100 * ms)
 	assert.Equal(t, 1, w.cuts)
 	assert.Equal(t, port.TimedOut, m.ended[0].Ending)
 	assert.False(t, m.ended[0].Closed, "the module still owes the answer")
-	assert.Equal(t, []Response{{Status: Undone}}, w.final)
+	assert.Equal(t, []Response{{Status: Failed}}, w.final)
 	c.Post(&Ended{S: w.sent[0], Answer: row()})
 	c.batch(101 * ms)
 	assert.Len(t, m.ended, 1, "an answer that crosses the cut is nobody's")
@@ -176,17 +176,17 @@
 func TestARevokeWhileStillDiallingEndsAsNeverSent(t *testing.T) {
 	c, m, w := newFront(t)
 	out(t, c, m, w)
-	m.wish = func(m *module) { m.Revoke(m.begun[0].Ref, 0) }
+	m.wish = func(m *module) { m.Cancel(m.begun[0].Ref, 0) }
 	c.batch(20 * ms)
 	assert.False(t, w.sent[0].Begin(func() {}), "nothing may go out any more")
 	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 30*ms) }
 	c.batch(20 * ms)
 	assert.Equal(t, port.Void, m.ended[0].Ending)
 	w.begin(t, 1)
-	m.wish = func(m *module) { m.Revoke(m.begun[0].Ref, 1) }
+	m.wish = func(m *module) { m.Cancel(m.begun[0].Ref, 1) }
 	c.batch(30 * ms)
 	c.batch(30 * ms)
-	assert.Equal(t, port.Withdrawn, m.ended[1].Ending, "that one was on its way")
+	assert.Equal(t, port.Cancelled, m.ended[1].Ending, "that one was on its way")
 	assert.Equal(t, 1, w.cuts)
 	m.wish = func(m *module) { m.Submit(m.begun[0].Ref, 0, 0) }
 	c.batch(40 * ms)
@@ -200,7 +200,7 @@
 	a := out(t, c, m, w)
 	w.begin(t, 0)
 	c.Post(Gone{a})
-	m.wish = func(m *module) { m.Revoke(m.begun[0].Ref, 0) }
+	m.wish = func(m *module) { m.Cancel(m.begun[0].Ref, 0) }
 	c.batch(20 * ms)
 	assert.Equal(t, []port.Ref{m.begun[0].Ref}, m.left)
 	c.batch(20 * ms)
@@ -213,9 +213,9 @@
 	c, m, w := newFront(t)
 	out(t, c, m, w)
 	w.begin(t, 0)
-	m.wish = func(m *module) { m.Decline(m.begun[0].Ref, 40*ms) }
+	m.wish = func(m *module) { m.Reject(m.begun[0].Ref, 40*ms) }
 	c.batch(20 * ms)
-	assert.Equal(t, []Response{{Status: Declined, Come: 40 * ms}}, w.final)
+	assert.Equal(t, []Response{{Status: Rejected, Come: 40 * ms}}, w.final)
 	arrive(t, c, w, strings.Replace(browse, "id=1", "id=2", 1))
 	c.batch(30 * ms)
 	assert.NotEqual(t, m.begun[0].Ref.Place, m.begun[1].Ref.Place)
@@ -224,7 +224,7 @@
 	c.batch(40 * ms)
 	assert.Equal(t, m.begun[0].Ref.Place, m.begun[2].Ref.Place)
 	assert.NotEqual(t, m.begun[0].Ref.Turn, m.begun[2].Ref.Turn)
-	assert.Len(t, w.final, 1, "the answer came too late for its txn and is not the new one's")
+	assert.Len(t, w.final, 1, "the answer came too late for its request and is not the new one's")
 }
 
 func TestAStatementThatNamesNothingKnownGoesNowhere(t *testing.T) {
--- a/front/ids.go
+++ b/front/ids.go
@@ -64,11 +64,11 @@
 	return h.Sum64() | 1
 }
 
-// Slot is the host's side of a txn in hand.
+// Slot is the host's side of a request in hand.
 type Slot[T any] struct {
 	What   T
-	Out    int  // submissions without an ending
-	Hops   int  // submissions so far
+	Out    int  // attempts without an ending
+	Hops   int  // attempts so far
 	Closed bool // finally answered
 	held   bool
 	turn   uint32
@@ -81,7 +81,7 @@
 	held  int
 }
 
-// Open takes a place for a txn.
+// Open takes a place for a request.
 func (d *Slab[T]) Open(what T) port.Ref {
 	var place uint32
 	if n := len(d.free); n > 0 {
@@ -96,7 +96,7 @@
 	return port.Ref{Place: place, Turn: turn}
 }
 
-// At finds the slot of a txn in hand, or nil; the zero Ref is never in hand.
+// At finds the slot of a request in hand, or nil; the zero Ref is never in hand.
 func (d *Slab[T]) At(r port.Ref) *Slot[T] {
 	if int(r.Place) >= len(d.slots) {
 		return nil
@@ -116,16 +116,16 @@
 	}
 }
 
-// Must finds the slot of a txn that the module names.
+// Must finds the slot of a request that the module names.
 func (d *Slab[T]) Must(r port.Ref) *Slot[T] {
 	o := d.At(r)
 	if o == nil {
-		panic(fmt.Sprintf("txn %d.%d is not in hand", r.Place, r.Turn))
+		panic(fmt.Sprintf("request %d.%d is not in hand", r.Place, r.Turn))
 	}
 	return o
 }
 
-// Release gives a place back once its txn is answered and every submission has ended, and says whether it did.
+// Release gives a place back once its request is answered and every attempt has ended, and says whether it did.
 func (d *Slab[T]) Release(r port.Ref) bool {
 	o := d.At(r)
 	if o == nil || !o.Closed || o.Out > 0 {
@@ -138,5 +138,5 @@
 	return true
 }
 
-// Held is the number of txns in hand.
+// Held is the number of requests in hand.
 func (d *Slab[T]) Held() int { return d.held }
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -10,8 +10,8 @@
 
 // Metrics counts what passed, for the log.
 type Metrics struct {
-	taken, served, declined, undone, left, senseless int
-	submissions, probes, spoilt                      int
+	taken, served, rejected, failed, left, senseless int
+	attempts, probes, spoilt                         int
 	endings                                          [port.Missed + 1]int
 	lateMost, tookMost                               time.Duration
 	failing                                          []bool // by member: what was last heard of it
@@ -27,7 +27,7 @@
 	switch e {
 	case port.Unreachable, port.Broken, port.TimedOut:
 		bad = true
-	case port.Withdrawn, port.Void:
+	case port.Cancelled, port.Void:
 		return
 	}
 	if b.failing[member] == bad {
@@ -45,7 +45,7 @@
 func (b *Metrics) took(d time.Duration)  { b.tookMost = max(b.tookMost, d) }
 
 // ended tells the module an ending and gives the place back if it was the last.
-func (c *Core) ended(s *Submission, o port.Outcome, why error) {
+func (c *Core) ended(s *Attempt, o port.Outcome, why error) {
 	if s.probe && s.turn != c.turns[s.member] { // sent on the fleet's word: the module did not wait for it with the place
 		return
 	}
@@ -61,7 +61,7 @@
 	if !a.mayRun && !o.Ending.NeverRan() {
 		a.mayRun, a.ranSince = true, s.sent
 	}
-	a.out = slices.DeleteFunc(a.out, func(o *Submission) bool { return o == s })
+	a.out = slices.DeleteFunc(a.out, func(o *Attempt) bool { return o == s })
 	o.Ref, o.Hop, o.Member, o.Closed, o.Latency = s.ref, s.hop, s.member, d.Closed, c.now-s.sent
 	c.decider.Ended(c.now, o)
 	c.slab.Release(s.ref)
@@ -82,10 +82,10 @@
 	switch f.Status {
 	case Served:
 		c.metrics.served++
-	case Declined:
-		c.metrics.declined++
-	case Undone:
-		c.metrics.undone++
+	case Rejected:
+		c.metrics.rejected++
+	case Failed:
+		c.metrics.failed++
 	case Senseless:
 		c.metrics.senseless++
 	}
@@ -102,7 +102,7 @@
 	}
 }
 
-// close ends a slot's txn for its client; its id may come again.
+// close ends a slot's request for its client; its id may come again.
 func (c *Core) close(d *Slot[*Arrival]) {
 	d.Closed = true
 	delete(c.ids, string(d.What.Statement.ID))
@@ -135,11 +135,11 @@
 func (r Report) take(c *Core, _ time.Duration) {
 	b := &c.metrics
 	e := &b.endings
-	slog.Info("totals", append([]any{"taken", b.taken, "committed", b.served, "declined", b.declined,
-		"rolled_back", b.undone, "left", b.left, "senseless", b.senseless, "in_hand", c.slab.Held(),
-		"submissions", b.submissions, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt,
+	slog.Info("totals", append([]any{"taken", b.taken, "committed", b.served, "declined", b.rejected,
+		"rolled_back", b.failed, "left", b.left, "senseless", b.senseless, "in_hand", c.slab.Held(),
+		"submissions", b.attempts, "probes", b.probes, "errored", e[port.Errored], "spoilt", b.spoilt,
 		"full", e[port.Full], "timed_out", e[port.TimedOut], "unreachable", e[port.Unreachable], "broken", e[port.Broken],
-		"withdrawn", e[port.Withdrawn], "missed", e[port.Missed], "alarm_late", b.lateMost,
+		"withdrawn", e[port.Cancelled], "missed", e[port.Missed], "alarm_late", b.lateMost,
 		"batch_took", b.tookMost}, append(c.classReport(), r.Extra...)...)...)
 	b.lateMost, b.tookMost = 0, 0
 }
--- a/front/relay.go
+++ b/front/relay.go
@@ -11,7 +11,7 @@
 	"dapplerouter/site"
 )
 
-// Reach says how far a submission had come when its connection failed.
+// Reach says how far an attempt had come when its connection failed.
 type Reach uint8
 
 const (
@@ -22,7 +22,7 @@
 	Spoilt                   // and the member answered, but what came cannot be read
 )
 
-// Failure is a connection's failure under a submission.
+// Failure is a connection's failure under an attempt.
 type Failure struct {
 	Reach Reach
 	Err   error
@@ -34,9 +34,9 @@
 
 func (f *Failure) Unwrap() error { return f.Err }
 
-// Ended brings what came of a submission: a member's answer, or the failure of the connection.
+// Ended brings what came of an attempt: a member's answer, or the failure of the connection.
 type Ended struct {
-	S       *Submission
+	S       *Attempt
 	Answer  pgwire.Answer
 	Failure *Failure
 
@@ -62,7 +62,7 @@
 			c.moved(c.timeline.present(a.Applied, e.S.sent, c.now))
 		}
 		report := a.Load
-		if e.S.probe && o.Ending == port.Committed {
+		if e.S.probe && o.Ending == port.Succeeded {
 			report = a.Value()
 		}
 		o.Load = c.report(report, e.S.sent)
@@ -72,11 +72,11 @@
 	}
 	if d := c.slab.At(e.S.ref); d != nil {
 		ty := &d.What.terms.types[d.What.typ]
-		if o.Ending == port.Committed && e.Crossed && ty.Level == port.Bounded && (!e.Aged || e.Age > ty.Bound) {
+		if o.Ending == port.Succeeded && e.Crossed && ty.Level == port.Bounded && (!e.Aged || e.Age > ty.Bound) {
 			o.Ending, o.HasPosition = port.Missed, false // a read that is older than its bound by now is nobody's answer
 		}
 		switch {
-		case o.Ending == port.Committed:
+		case o.Ending == port.Succeeded:
 			c.learns(e.S)
 			c.answer(d, c.served(e, &o))
 		case e.Answer.Senseless(): // as it would be anywhere: other members are spared it
@@ -98,7 +98,7 @@
 }
 
 // served is the final answer of what a member committed, with how old its data may be for a further site: since the
-// submission went out, and what the member was behind when it answered. Only clocks of one site are compared.
+// attempt went out, and what the member was behind when it answered. Only clocks of one site are compared.
 func (c *Core) served(e *Ended, o *port.Outcome) Response {
 	f := Response{Status: Served, Rows: e.Answer.Rows, Primary: o.Role == port.Primary}
 	if e.Answer.HasApplied {
@@ -137,7 +137,7 @@
 	case a.Code != "":
 		return port.Errored
 	case a.Whole:
-		return port.Committed
+		return port.Succeeded
 	}
 	return port.Errored // an answer without a row: it may have run
 }
--- a/front/route.go
+++ b/front/route.go
@@ -11,7 +11,7 @@
 // Submit and the rest are the module's wishes; each is carried out as it stands.
 func (c *Core) Submit(r port.Ref, member int, giveUpAfter time.Duration) {
 	d := c.slab.Must(r)
-	s := &Submission{ref: r, member: member, hop: d.Hops, sent: c.now}
+	s := &Attempt{ref: r, member: member, hop: d.Hops, sent: c.now}
 	d.Out++
 	d.Hops++
 	until := d.What.expiry
@@ -23,7 +23,7 @@
 	if a.Most > 0 {
 		most = min(most, a.Most)
 	}
-	if far { // it may make several submissions there: half of what is left, so that a further try has some too
+	if far { // it may make several attempts there: half of what is left, so that a further try has some too
 		grant = max(1, (most-a.spent)/2)
 	}
 	a.spent += grant
@@ -43,26 +43,26 @@
 	c.send(s, until)
 }
 
-// Revoke takes one submission back.
-func (c *Core) Revoke(r port.Ref, hop int) {
+// Cancel takes one attempt back.
+func (c *Core) Cancel(r port.Ref, hop int) {
 	for _, s := range c.slab.Must(r).What.out {
 		if s.hop == hop && !s.done {
 			ending := port.Void
 			if s.cancel() {
-				ending = port.Withdrawn
+				ending = port.Cancelled
 			}
 			c.later = append(c.later, settled{s, ending})
 		}
 	}
 }
 
-// Decline and RollBack are final answers.
-func (c *Core) Decline(r port.Ref, comeBackIn time.Duration) {
+// Reject and Fail are final answers.
+func (c *Core) Reject(r port.Ref, comeBackIn time.Duration) {
 	a := c.slab.Must(r).What
-	c.conclude(r, Response{Status: Declined, Come: comeBackIn, MayRun: a.mayRun && c.types[a.typ].Effect != port.Repeatable})
+	c.conclude(r, Response{Status: Rejected, Come: comeBackIn, MayRun: a.mayRun && c.types[a.typ].Effect != port.Repeatable})
 }
 
-func (c *Core) RollBack(r port.Ref) { c.conclude(r, Response{Status: Undone}) }
+func (c *Core) Fail(r port.Ref) { c.conclude(r, Response{Status: Failed}) }
 
 // Probe asks a member for its report.
 func (c *Core) Probe(member int) {
--- a/front/send.go
+++ b/front/send.go
@@ -10,8 +10,8 @@
 	"dapplerouter/site"
 )
 
-// Submission is one sending to a member, of a txn or of a probe.
-type Submission struct {
+// Attempt is one sending to a member, of a request or of a probe.
+type Attempt struct {
 	query pgwire.TimedQuery
 	until time.Duration // when it is given up
 
@@ -22,8 +22,8 @@
 	probe  bool
 	turn   uint32 // of a probe: of its member's place
 	way    Way
-	right  *Right               // to what its txn was taken on; nil where none is needed
-	left   *atomic.Bool         // of its txn: the client has left; nil for a probe
+	right  *Right               // to what its request was taken on; nil where none is needed
+	left   *atomic.Bool         // of its request: the client has left; nil for a probe
 	client Presence             // who can tell so before that was noticed; nil where nobody can
 	begin  time.Duration        // from then on nothing of it may go out; 0 for no limit
 	clock  func() time.Duration // by which that is; nil where the core is stepped
@@ -32,19 +32,19 @@
 	stage  atomic.Int32
 }
 
-// Way is what another site has to know of a submission.
+// Way is what another site has to know of an attempt.
 type Way struct {
-	ID    uint64 // of the txn, here
+	ID    uint64 // of the request, here
 	Try   int
 	Group int64
 	Until time.Duration // when it is given up
-	Grant int           // submissions that it may make there
+	Grant int           // attempts that it may make there
 	Write bool
 	After int64 // position that a read must see there, Unix milliseconds; 0 for none
 }
 
 // Way tells it; a probe has none.
-func (s *Submission) Way() (w Way, probe bool) { return s.way, s.probe }
+func (s *Attempt) Way() (w Way, probe bool) { return s.way, s.probe }
 
 const (
 	waiting int32 = iota
@@ -52,10 +52,10 @@
 	dropped
 )
 
-// Begin is called before the first byte goes out. Where it says no, the core gave the submission up and
+// Begin is called before the first byte goes out. Where it says no, the core gave the attempt up and
 // nothing may be sent; afterwards the core ends it by cut, which must close the connection to the member's
 // eyes before it returns, without blocking.
-func (s *Submission) Begin(cut func()) bool {
+func (s *Attempt) Begin(cut func()) bool {
 	if s.right != nil && !s.right.Lasts() { // the core ends it as soon as it looks
 		return false
 	}
@@ -69,14 +69,14 @@
 	return s.stage.CompareAndSwap(waiting, going)
 }
 
-// NewProbe is a submission of a message that asks a member about itself and tells no deadline.
-func NewProbe(message []byte) *Submission {
-	return &Submission{probe: true, query: pgwire.TimedQuery{Message: message}}
+// NewProbe is an attempt of a message that asks a member about itself and tells no deadline.
+func NewProbe(message []byte) *Attempt {
+	return &Attempt{probe: true, query: pgwire.TimedQuery{Message: message}}
 }
 
 // Message is what goes out at this moment. A statement tells its member how long its sender will wait from now on: a connection
 // may have come up late, or the front may have been held up, since the attempt was decided on. Only who sends it calls this, once.
-func (s *Submission) Message() []byte {
+func (s *Attempt) Message() []byte {
 	if s.probe || s.clock == nil {
 		return s.query.Message
 	}
@@ -92,7 +92,7 @@
 )
 
 // mustBeginBy is the moment from which on nothing of it may go out.
-func (s *Submission) mustBeginBy() time.Duration {
+func (s *Attempt) mustBeginBy() time.Duration {
 	if s.begin > 0 {
 		return min(s.begin, s.until)
 	}
@@ -101,8 +101,8 @@
 
 var probeMessage = pgwire.Query(nil, "SHOW load")
 
-// send hands a submission to the links and sets the time at which it is given up.
-func (c *Core) send(s *Submission, until time.Duration) {
+// send hands an attempt to the links and sets the time at which it is given up.
+func (c *Core) send(s *Attempt, until time.Duration) {
 	if d := c.slab.At(s.ref); d != nil {
 		a := d.What
 		a.out = append(a.out, s)
@@ -120,13 +120,13 @@
 	}
 	s.until = until
 	heap.Push(&c.alarms, alarm{at: until, s: s})
-	c.metrics.submissions++
+	c.metrics.attempts++
 	c.pools.Send(s.member, s)
 }
 
-// cancel gives a submission up: afterwards nothing of it goes out, and what went out is cut off. It says
+// cancel gives an attempt up: afterwards nothing of it goes out, and what went out is cut off. It says
 // whether something had.
-func (s *Submission) cancel() (sent bool) {
+func (s *Attempt) cancel() (sent bool) {
 	s.done = true
 	if s.stage.CompareAndSwap(waiting, dropped) {
 		return false
@@ -137,7 +137,7 @@
 
 // cancelUnsent ends what has not begun to go out. A connection may come up late: what waits for it must not go out behind the end
 // of the window in which the member's group drops a repeat, nor for a client that has left.
-func (c *Core) cancelUnsent(s *Submission) {
+func (c *Core) cancelUnsent(s *Attempt) {
 	if !s.done && s.stage.CompareAndSwap(waiting, dropped) {
 		s.done = true
 		c.ended(s, port.Outcome{Ending: port.Void, Load: site.NoReport}, nil)
@@ -145,7 +145,7 @@
 }
 
 // expire ends what nobody answered in time.
-func (c *Core) expire(s *Submission) {
+func (c *Core) expire(s *Attempt) {
 	if !s.done {
 		s.cancel()
 		c.ended(s, port.Outcome{Ending: port.TimedOut, Load: site.NoReport}, nil)
@@ -154,7 +154,7 @@
 
 // settled is an ending that comes of the module's own wish; it is told in the next batch.
 type settled struct {
-	s      *Submission
+	s      *Attempt
 	ending port.Ending
 }
 
--- a/front/takein.go
+++ b/front/takein.go
@@ -15,7 +15,7 @@
 // what came meanwhile in some order.
 type Attended interface{ Presence() Presence }
 
-// Presence tells so. Departed may be called from any goroutine and does not block. Submissions keep it and outlive their request.
+// Presence tells so. Departed may be called from any goroutine and does not block. Attempts keep it and outlive their request.
 type Presence interface{ Departed() bool }
 
 // Status is the sort of a final answer.
@@ -23,22 +23,22 @@
 
 const (
 	Served Status = iota
-	Declined
-	Undone
+	Rejected
+	Failed
 	Senseless // the statement cannot be served: nothing was sent anywhere
 	Abandoned // no answer: the client left before. For the audit only
 	Words     // how many there are
 )
 
-// Response is the one answer of a txn.
+// Response is the one answer of a request.
 type Response struct {
 	Status Status
 	Rows   []byte        // Served: messages as the member gave them
-	Come   time.Duration // Declined: when to come again, 0 for not named
+	Come   time.Duration // Rejected: when to come again, 0 for not named
 	Code   string        // Senseless
 	Reason string
 
-	MayRun  bool          // Declined: trying again is harmless, but something of it may have run
+	MayRun  bool          // Rejected: trying again is harmless, but something of it may have run
 	Primary bool          // Served: by a primary
 	Place   int64         // Served: the position told, Unix milliseconds, 0 for none
 	Age     time.Duration // Served: how old the data may have been when the answer came
@@ -50,14 +50,14 @@
 	Client    Client
 	Statement pgwire.Statement
 	At        time.Duration
-	Most      int // submissions, where fewer than the site allows; 0: as the site does
+	Most      int // attempts, where fewer than the site allows; 0: as the site does
 	ref       port.Ref
 	expiry    time.Duration
-	out       []*Submission // without an ending
-	spent     int           // submissions made and granted to another site
+	out       []*Attempt    // without an ending
+	spent     int           // attempts made and granted to another site
 	mayRun    bool          // something of it may have run:
 	ranSince  time.Duration // what went out then
-	gone      *atomic.Bool  // the client has left; by itself, since submissions keep it and outlive their request
+	gone      *atomic.Bool  // the client has left; by itself, since attempts keep it and outlive their request
 	typ       int
 	terms     *terms // that were in force when it was taken
 	span      uint32 // the audit's
@@ -71,7 +71,7 @@
 // Gone tells that the client of an arrival went away.
 type Gone struct{ Arrival *Arrival }
 
-// Leave is what tells it: from here on nothing of the txn begins to go out, however busy the core is.
+// Leave is what tells it: from here on nothing of the request begins to go out, however busy the core is.
 func (a *Arrival) Leave() Gone {
 	a.gone.Store(true)
 	return Gone{a}
@@ -80,13 +80,13 @@
 // take turns names into indices; what names nothing known is answered at once.
 func (a *Arrival) take(c *Core, now time.Duration) {
 	if c.lapsed || c.shut {
-		c.metrics.declined++
-		a.Client.Answer(Response{Status: Declined, Come: c.comeBack})
+		c.metrics.rejected++
+		a.Client.Answer(Response{Status: Rejected, Come: c.comeBack})
 		return
 	}
 	a.terms = c.terms
 	s := &a.Statement
-	t := port.Txn{Customer: port.None, Retry: s.Retry, Write: s.Write}
+	t := port.Request{Customer: port.None, Retry: s.Retry, Write: s.Write}
 	var ok bool
 	if s.Shape != nil {
 		if why := a.class(c, &t); why != "" {
@@ -94,12 +94,12 @@
 			return
 		}
 	} else if t.Type, ok = c.typeIDs.Find(string(s.Type)); !ok {
-		a.refuse(c, "c names no txn type of this site")
+		a.refuse(c, "c names no request type of this site")
 		return
 	}
 	ty := &c.types[t.Type]
 	if s.Shape == nil && s.Write != (ty.Level == port.Write) {
-		a.refuse(c, "the statement does not fit its txn type")
+		a.refuse(c, "the statement does not fit its request type")
 		return
 	}
 	if len(s.Customer) > 0 && c.customers.Len() > 0 {
@@ -109,7 +109,7 @@
 		}
 	}
 	if _, taken := c.ids[string(s.ID)]; taken {
-		a.refuse(c, "id names a txn in hand")
+		a.refuse(c, "id names a request in hand")
 		return
 	}
 	if t.Group, ok = c.groups.Find(s.Group); !ok {
@@ -128,8 +128,8 @@
 		t.TokenAge = max(1, now-c.since(s.After))
 	}
 	if now >= a.At+s.Wait { // it waited for so long behind others of its connection, or for the core
-		c.metrics.declined++
-		a.Client.Answer(Response{Status: Declined})
+		c.metrics.rejected++
+		a.Client.Answer(Response{Status: Rejected})
 		return
 	}
 	c.admit(a, t)
--- a/front/terms.go
+++ b/front/terms.go
@@ -15,10 +15,10 @@
 type Bound struct {
 	Clock  func() time.Duration // the core's, for whoever is about to write; nil where no right is needed
 	Audit  Auditor
-	Stands func(standing bool) // the front takes no txns from now on, or takes them again; it must not block
+	Stands func(standing bool) // the front takes no requests from now on, or takes them again; it must not block
 }
 
-// Auditor hears of each txn, from the core's goroutine: it must neither block nor allocate. Ended comes once for each Taken.
+// Auditor hears of each request, from the core's goroutine: it must neither block nor allocate. Ended comes once for each Taken.
 type Auditor interface {
 	Taken(now time.Duration, id []byte, typ int) (span uint32)
 	Ended(now time.Duration, span uint32, typ int, w Status)
@@ -55,11 +55,11 @@
 	c.terms.right = c.newRight()
 }
 
-// terms are the bounds and windows of types by index, and the groups given up, of one version. They never change: a txn keeps
+// terms are the bounds and windows of types by index, and the groups given up, of one version. They never change: a request keeps
 // those that it was taken on.
 type terms struct {
 	version uint64
-	types   []port.TxnType
+	types   []port.RequestType
 	givenUp map[int64]struct{}
 	right   *Right // to act on it; nil where none is needed
 }
@@ -70,8 +70,8 @@
 // Lapsed tells the same way whether the core stands by without a right.
 func (c *Core) Lapsed() bool { return c.lapsed }
 
-// Adopt is an event that puts a version's rules in force for all txns that come from now on; those in hand keep theirs.
-// Done hears the moment, from the core's goroutine; Alone hears, at that moment or later, that no txn is in hand any more
+// Adopt is an event that puts a version's rules in force for all requests that come from now on; those in hand keep theirs.
+// Done hears the moment, from the core's goroutine; Alone hears, at that moment or later, that no request is in hand any more
 // that was taken on another version: from then on the front acts on this one alone.
 type Adopt struct {
 	Version uint64
@@ -84,8 +84,8 @@
 func (e Adopt) take(c *Core, now time.Duration) {
 	t := &terms{version: e.Version, types: c.types, givenUp: map[int64]struct{}{}, right: c.newRight()}
 	if r := e.Rules; r != nil {
-		t.types = append([]port.TxnType{}, c.types...)
-		put := func(name string, set func(*port.TxnType)) {
+		t.types = append([]port.RequestType{}, c.types...)
+		put := func(name string, set func(*port.RequestType)) {
 			if i, ok := c.typeIDs.Find(name); ok {
 				set(&t.types[i])
 				if c.classes != nil && c.classes.undeclared[i] != i { // a write of a reading type, by another index
@@ -94,16 +94,16 @@
 			}
 		}
 		for name, d := range r.Bounds {
-			put(name, func(ty *port.TxnType) { ty.Bound = min(ty.Bound, d) })
+			put(name, func(ty *port.RequestType) { ty.Bound = min(ty.Bound, d) })
 		}
 		for name, d := range r.Windows {
-			put(name, func(ty *port.TxnType) { ty.Window = min(ty.Window, d) })
+			put(name, func(ty *port.RequestType) { ty.Window = min(ty.Window, d) })
 		}
 		for _, g := range r.GivenUp {
 			t.givenUp[g] = struct{}{}
 		}
 	}
-	if c.unanswered > c.older { // txns of the version before go on under its right
+	if c.unanswered > c.older { // requests of the version before go on under its right
 		c.past = append(c.past, c.terms)
 	}
 	c.terms = t
@@ -124,7 +124,7 @@
 	c.onlyNewest()
 }
 
-// onlyNewest tells, once, when no txn of an older version is in hand any more.
+// onlyNewest tells, once, when no request of an older version is in hand any more.
 func (c *Core) onlyNewest() {
 	if c.older == 0 {
 		c.past = nil
@@ -136,7 +136,7 @@
 	}
 }
 
-// Right is until when a front may act on what it has. Behind it no submission begins, whoever is about to write it: the
+// Right is until when a front may act on what it has. Behind it no attempt begins, whoever is about to write it: the
 // front may have stood still since the core looked. The core alone renews it.
 type Right struct {
 	now   func() time.Duration
@@ -163,7 +163,7 @@
 	return NewRight(c.bound.Clock)
 }
 
-// over tells whether it has run out, or a submission found it so.
+// over tells whether it has run out, or an attempt found it so.
 func (r *Right) over(now time.Duration) bool { return int64(now) >= r.until.Load() || r.ended.Load() }
 
 // Renew is an event that lets the core act on a version until a moment of its clock. One that comes behind the end of the last
@@ -226,17 +226,17 @@
 
 func (c *Core) stands(on bool) {
 	if on {
-		slog.Warn("the right to act has run out: no txns are taken until it is renewed")
+		slog.Warn("the right to act has run out: no requests are taken until it is renewed")
 	} else {
-		slog.Info("txns are taken: there is a right to act")
+		slog.Info("requests are taken: there is a right to act")
 	}
 	if c.bound.Stands != nil {
 		c.bound.Stands(on)
 	}
 }
 
-// lapse ends all that is in hand on a version whose right has run out: each txn gets its final answer at once, and nothing more goes
-// out for it. A txn of which something may have run promises nothing; of the others trying again is harmless.
+// lapse ends all that is in hand on a version whose right has run out: each request gets its final answer at once, and nothing more goes
+// out for it. A request of which something may have run promises nothing; of the others trying again is harmless.
 func (c *Core) lapse(now time.Duration) {
 	gone := false
 	for _, t := range c.past {
@@ -256,7 +256,7 @@
 	c.endAll(now, func(t *terms) bool { return t.right.over(now) })
 }
 
-// Shutdown is an event that ends all that is in hand: whoever waits for it will be gone soon. No txn is taken behind it.
+// Shutdown is an event that ends all that is in hand: whoever waits for it will be gone soon. No request is taken behind it.
 type Shutdown struct{}
 
 func (Shutdown) take(c *Core, now time.Duration) {
@@ -264,26 +264,26 @@
 	c.endAll(now, func(*terms) bool { return true })
 }
 
-// endAll gives each txn in hand on some terms its final answer, and takes back what is out for it.
+// endAll gives each request in hand on some terms its final answer, and takes back what is out for it.
 func (c *Core) endAll(now time.Duration, on func(*terms) bool) {
 	c.slab.Each(func(ref port.Ref, d *Slot[*Arrival]) {
 		if d.Closed || !on(d.What.terms) {
 			return
 		}
 		a := d.What
-		outs := append([]*Submission{}, a.out...)
+		outs := append([]*Attempt{}, a.out...)
 		endings := make([]port.Ending, len(outs))
 		for i, s := range outs {
 			if !s.done {
 				endings[i] = port.Void
 				if s.cancel() {
-					endings[i], a.mayRun = port.Withdrawn, true
+					endings[i], a.mayRun = port.Cancelled, true
 				}
 			}
 		}
-		f := Response{Status: Declined, Come: c.comeBack, MayRun: a.mayRun}
+		f := Response{Status: Rejected, Come: c.comeBack, MayRun: a.mayRun}
 		if a.mayRun && c.types[a.typ].Effect != port.Repeatable {
-			f = Response{Status: Undone}
+			f = Response{Status: Failed}
 		}
 		c.answer(d, f)
 		if len(outs) == 0 {
@@ -291,7 +291,7 @@
 			c.slab.Release(ref)
 		}
 		for i, s := range outs {
-			if endings[i] != port.Committed { // it was out until now
+			if endings[i] != port.Succeeded { // it was out until now
 				c.ended(s, port.Outcome{Ending: endings[i], Load: site.NoReport}, nil)
 			}
 		}
--- a/front/terms_test.go
+++ b/front/terms_test.go
@@ -62,8 +62,8 @@
 	alone := 0
 	c.Post(Adopt{Version: 2, Alone: func() { alone++ }})
 	c.batch(35 * ms)
-	assert.Zero(t, alone, "txns of before are in hand")
-	m.wish = func(m *module) { m.RollBack(m.begun[0].Ref); m.Decline(m.begun[1].Ref, 0) }
+	assert.Zero(t, alone, "requests of before are in hand")
+	m.wish = func(m *module) { m.Fail(m.begun[0].Ref); m.Reject(m.begun[1].Ref, 0) }
 	c.batch(36 * ms)
 	assert.Equal(t, 1, alone)
 	w.final = nil
@@ -87,16 +87,16 @@
 	*now = 100 * ms
 	c.batch(100 * ms)
 	require.Len(t, w.final, 1, "at once")
-	assert.Equal(t, Declined, w.final[0].Status, "a read may be asked again")
+	assert.Equal(t, Rejected, w.final[0].Status, "a read may be asked again")
 	assert.Equal(t, 1, w.cuts)
-	assert.Equal(t, port.Withdrawn, m.ended[0].Ending)
+	assert.Equal(t, port.Cancelled, m.ended[0].Ending)
 	assert.True(t, m.ended[0].Closed)
 	assert.Zero(t, c.slab.Held())
 	arrive(t, c, w, browse)
 	c.batch(110 * ms)
-	assert.Len(t, m.begun, 1, "no new txn is taken")
+	assert.Len(t, m.begun, 1, "no new request is taken")
 	require.Len(t, w.final, 2)
-	assert.Equal(t, Declined, w.final[1].Status)
+	assert.Equal(t, Rejected, w.final[1].Status)
 	c.Post(Renew{Until: 300 * ms})
 	c.batch(120 * ms)
 	arrive(t, c, w, browse)
@@ -118,8 +118,8 @@
 		}
 		c.batch(150 * ms)
 		require.Len(t, w.final, 1)
-		assert.Equal(t, map[bool]Status{true: Undone, false: Declined}[begun], w.final[0].Status)
-		assert.Equal(t, map[bool]port.Ending{true: port.Withdrawn, false: port.Void}[begun], m.ended[0].Ending)
+		assert.Equal(t, map[bool]Status{true: Failed, false: Rejected}[begun], w.final[0].Status)
+		assert.Equal(t, map[bool]port.Ending{true: port.Cancelled, false: port.Void}[begun], m.ended[0].Ending)
 		assert.False(t, !begun && w.sent[0].Begin(func() {}), "nothing goes out afterwards")
 	}
 }
@@ -134,7 +134,7 @@
 	c.Post(Renew{Until: 70 * time.Second})
 	c.batch(60 * time.Second)
 	require.Len(t, w.final, 1)
-	assert.Equal(t, Declined, w.final[0].Status)
+	assert.Equal(t, Rejected, w.final[0].Status)
 	assert.Equal(t, port.Void, m.ended[0].Ending)
 	assert.False(t, w.sent[0].Begin(func() {}), "not under the new right either")
 	arrive(t, c, w, browse)
@@ -149,13 +149,13 @@
 	c.Post(Gone{a})
 	c.batch(20 * ms)
 	arrive(t, c, w, "SELECT data FROM facts WHERE code = 'k' /* id=2,c=browse,t=acme,d=100,cluster=9 */")
-	m.wish = func(m *module) { m.RollBack(m.begun[1].Ref) }
+	m.wish = func(m *module) { m.Fail(m.begun[1].Ref) }
 	c.batch(30 * ms)
 	c.batch(200 * ms)
 	assert.Equal(t, 2, l.taken)
 	assert.Equal(t, 2, l.ended)
 	assert.Equal(t, 1, l.words[Abandoned])
-	assert.Equal(t, 1, l.words[Undone])
+	assert.Equal(t, 1, l.words[Failed])
 }
 
 // What was taken on the version before goes on under that version's right, and ends with it, though the front serves on.
--- a/gateway/crossings.go
+++ b/gateway/crossings.go
@@ -25,7 +25,7 @@
 	doubted time.Duration // since when nothing is known
 }
 
-// name is a txn of the peer's, as one of its starts names it.
+// name is a request of the peer's, as one of its starts names it.
 type name struct{ epoch, id uint64 }
 
 // Cross takes a crossing. Where the link is not up, or too much is in hand, it ends at once: nothing ran.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,15 +1,15 @@
 // Package gateway is the core of a link between two sites: what crosses, what became of it, and what may be said of
 // that after the link broke. It has no I/O, no clock and no goroutine: events come in by calls with the time since the
-// start, wishes are taken out by Frame, Ends and Starts. It chooses no member and never sends a txn again:
+// start, wishes are taken out by Frame, Ends and Starts. It chooses no member and never sends a request again:
 // that is the module's, which sees the far site as one more member of each far group.
 //
-// A crossing is one submission to the far site, named by its txn here and its try. Its invariants, asserted by the
+// A crossing is one attempt to the far site, named by its request here and its try. Its invariants, asserted by the
 // model in the tests over every loss and crash at each step of small cases:
 //
 //  1. Each crossing that came in ends exactly once, and never after it was given up.
 //  2. One that ends as Never has not run at the far site and never will: no frame of it can be taken there any more.
 //  3. One that ends with a result has that result of the far site's own run, of this very try.
-//  4. A run that was served is not started again under its txn while its outcome is kept.
+//  4. A run that was served is not started again under its request while its outcome is kept.
 //  5. What is held is bounded: crossings in hand, bytes on the way, outcomes kept.
 //
 // What makes Never provable: connections of one instance are numbered; an instance takes frames only from the peer's
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -100,7 +100,7 @@
 	x.Try = 1
 	s.Cross(0, x)
 	require.Len(t, said(s, 0), 2, "the call-off, and the newer try")
-	require.NoError(t, s.Take(0, &Frame{Kind: Result, ID: 5, Try: 0, Word: Declined}))
+	require.NoError(t, s.Take(0, &Frame{Kind: Result, ID: 5, Try: 0, Word: Rejected}))
 	assert.Empty(t, s.Ends(), "that it never ran is said of the first try only")
 	require.NoError(t, s.Take(0, &Frame{Kind: Result, ID: 5, Try: 1, Word: Served, Data: []byte("r")}))
 	assert.Len(t, s.Ends(), 1)
@@ -134,7 +134,7 @@
 func TestOutcomesAreBoundedAndNoneIsForgottenInItsWindow(t *testing.T) {
 	s := far(t, 1)
 	row := make([]byte, LongestData)
-	declined := 0
+	rejected := 0
 	for i := range uint64(12) {
 		require.NoError(t, s.Take(0, cross(i, 0, i+1)))
 		for _, st := range s.Starts() {
@@ -142,12 +142,12 @@
 		}
 	}
 	for _, r := range s.runs {
-		if r.outcome.Word == Declined {
-			declined++
+		if r.outcome.Word == Rejected {
+			rejected++
 		}
 	}
 	assert.LessOrEqual(t, s.bytes, small.Kept+LongestData)
-	assert.Positive(t, declined, "rather none is taken in than one forgotten too early")
+	assert.Positive(t, rejected, "rather none is taken in than one forgotten too early")
 	s.Tick(small.Retain + ms)
 	assert.Empty(t, s.runs)
 }
--- a/gateway/link/connections.go
+++ b/gateway/link/connections.go
@@ -237,7 +237,7 @@
 	l.carryOut()
 }
 
-// cut is the front's word that nobody waits for a submission any more. It never blocks.
+// cut is the front's word that nobody waits for an attempt any more. It never blocks.
 func (l *Link) cut(id uint64, try uint32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/link/crossings.go
+++ b/gateway/link/crossings.go
@@ -14,8 +14,8 @@
 
 const headed = 5 // bytes before a message's body
 
-// Send takes a submission to the far site. It never blocks.
-func (l *Link) Send(s *front.Submission) {
+// Send takes an attempt to the far site. It never blocks.
+func (l *Link) Send(s *front.Attempt) {
 	w, probe := s.Way()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -33,7 +33,7 @@
 }
 
 // probed answers a probe of the far site by how the link stands: for its groups the site is their primary.
-func (l *Link) probed(s *front.Submission) *front.Ended {
+func (l *Link) probed(s *front.Attempt) *front.Ended {
 	if l.side.State() != gateway.Up {
 		return &front.Ended{S: s, Failure: &front.Failure{Reach: front.Unconnected, Err: errDown}}
 	}
@@ -57,7 +57,7 @@
 }
 
 // ending puts the end of a crossing into a front's words.
-func ending(s *front.Submission, e *gateway.End) *front.Ended {
+func ending(s *front.Attempt, e *gateway.End) *front.Ended {
 	switch f := e.Result; {
 	case f == nil && e.Full:
 		return &front.Ended{S: s, Answer: pgwire.Answer{Code: pgwire.TooManyConnections}}
@@ -71,7 +71,7 @@
 			a.Role = "primary"
 		}
 		return &front.Ended{S: s, Answer: a, Crossed: true, Age: f.Age + e.Took, Aged: f.Aged}
-	case f.Word == gateway.Declined:
+	case f.Word == gateway.Rejected:
 		return &front.Ended{S: s, Answer: pgwire.Answer{Code: pgwire.TooManyConnections}}
 	case f.Word == gateway.Senseless:
 		return &front.Ended{S: s, Answer: pgwire.Answer{Code: f.Code, Message: f.Reason, Any: true}}
@@ -177,11 +177,11 @@
 			return gateway.Frame{Word: gateway.MayHaveRun, Code: pgwire.TooLarge}
 		}
 		return g
-	case front.Declined:
+	case front.Rejected:
 		if f.MayRun {
 			return gateway.Frame{Word: gateway.MayHaveRun, Code: pgwire.TooManyConnections}
 		}
-		return gateway.Frame{Word: gateway.Declined, Come: f.Come}
+		return gateway.Frame{Word: gateway.Rejected, Come: f.Come}
 	case front.Senseless:
 		return gateway.Frame{Word: gateway.Senseless, Code: f.Code, Reason: f.Reason}
 	}
--- a/gateway/link/links.go
+++ b/gateway/link/links.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func (ls *Links) Send(member int, s *front.Submission) {
+func (ls *Links) Send(member int, s *front.Attempt) {
 	if member < len(ls.far) && ls.far[member] {
 		ls.Far.Send(s)
 		return
--- a/gateway/messages.go
+++ b/gateway/messages.go
@@ -40,7 +40,7 @@
 
 const (
 	Served     Word = iota + 1
-	Declined        // nothing ran
+	Rejected        // nothing ran
 	MayHaveRun      // it failed there, or is not known there any more
 	Senseless       // its Code says why; nothing ran
 )
@@ -51,19 +51,19 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // fields by place, not by name
 
 	Kind   Kind
-	ID     uint64 // of the txn, its sender's own
+	ID     uint64 // of the request, its sender's own
 	Try    uint32
 	Serial uint64 // Cross, Ask: of the crossing, rising over all of its sender's
 	Group  int64
 	Wait   time.Duration // Cross: how long its sender will wait
-	Grant  uint32        // Cross: submissions that it may make there
+	Grant  uint32        // Cross: attempts that it may make there
 	Write  bool          // Cross
 	After  int64         // Cross: position of the log that a read must see, Unix milliseconds; 0 for none
 	Data   []byte        // Cross: the statement; Result: the rows
 	Word   Word
 	Code   string
 	Reason string
-	Come   time.Duration // Result, declined: when to come again
+	Come   time.Duration // Result, rejected: when to come again
 	Role   uint8         // Result: of who answered, 1 primary, 2 replica
 	Place  int64         // Result: the position told, Unix milliseconds of the members' log; 0 for none
 	Age    time.Duration // Result: how old the answer may have been when it left
@@ -84,12 +84,12 @@
 
 const frameCost = 64 // bytes that a frame counts for beside its data
 
-// Crossing is a submission to the far site.
+// Crossing is an attempt to the far site.
 type Crossing struct {
 	ID      uint64
 	Try     uint32
 	Group   int64
-	Until   time.Duration // when its txn gives it up; nothing is held longer
+	Until   time.Duration // when its request gives it up; nothing is held longer
 	Grant   uint32
 	Write   bool
 	After   int64 // position that a read must see, 0 for none
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -21,7 +21,7 @@
 
 // job is a run at the far site's stores; it outlives the far instance.
 type job struct {
-	txn       uint64
+	request   uint64
 	run       uint64
 	epoch     uint64
 	committed bool
@@ -29,7 +29,7 @@
 }
 
 // world is two instances, the connections between them, and the stores behind the far one. The near one plays the
-// module of once-only txns: it sends again only what is proven not to have run.
+// module of once-only requests: it sends again only what is proven not to have run.
 type world struct {
 	now        time.Duration
 	near, far  *Side
@@ -38,8 +38,8 @@
 	epoch      uint64
 	jobs       []*job
 	effects    map[uint64]int
-	ended      map[uint64]int // by txn: final answers
-	declined   map[uint64]bool
+	ended      map[uint64]int // by request: final answers
+	rejected   map[uint64]bool
 	tries      map[uint64]uint32
 	next       uint64
 	breaks     int
@@ -49,7 +49,7 @@
 
 func newWorld() *world {
 	return &world{near: New(small, 1), far: New(small, 100), epoch: 100, effects: map[uint64]int{}, ended: map[uint64]int{},
-		declined: map[uint64]bool{}, tries: map[uint64]uint32{}}
+		rejected: map[uint64]bool{}, tries: map[uint64]uint32{}}
 }
 
 func (w *world) fail(format string, args ...any) {
@@ -70,7 +70,7 @@
 			if s.Abort {
 				continue // what went out to a store may commit all the same
 			}
-			w.jobs = append(w.jobs, &job{txn: uint64(s.Data[0]), run: s.Run, epoch: w.epoch})
+			w.jobs = append(w.jobs, &job{request: uint64(s.Data[0]), run: s.Run, epoch: w.epoch})
 		}
 		for _, e := range w.near.Ends() {
 			again = true
@@ -83,8 +83,8 @@
 	switch {
 	case e.Never:
 		for _, j := range w.jobs {
-			if j.txn == e.ID && !(e.Result != nil) {
-				w.fail("txn %d ended as never run, and ran", e.ID)
+			if j.request == e.ID && !(e.Result != nil) {
+				w.fail("request %d ended as never run, and ran", e.ID)
 			}
 		}
 		w.tries[e.ID]++
@@ -93,17 +93,17 @@
 			return
 		}
 		w.ended[e.ID]++
-		w.declined[e.ID] = true
+		w.rejected[e.ID] = true
 	case e.Result != nil && e.Result.Word == Served:
 		if w.effects[e.ID] != 1 {
-			w.fail("txn %d served with %d effects", e.ID, w.effects[e.ID])
+			w.fail("request %d served with %d effects", e.ID, w.effects[e.ID])
 		}
 		w.ended[e.ID]++
 	default:
 		w.ended[e.ID]++ // rolled back
 	}
 	if w.ended[e.ID] > 1 {
-		w.fail("txn %d ended twice", e.ID)
+		w.fail("request %d ended twice", e.ID)
 	}
 }
 
@@ -115,10 +115,10 @@
 const steps = 9
 
 // step does the k-th thing that may happen; false where it can't now.
-func (w *world) step(k int, txns, breaks, restarts int) bool {
+func (w *world) step(k int, requests, breaks, restarts int) bool {
 	switch k {
 	case 0:
-		if int(w.next) >= txns {
+		if int(w.next) >= requests {
 			return false
 		}
 		w.next++
@@ -170,12 +170,12 @@
 		for _, j := range w.jobs {
 			if !j.committed && !j.dead {
 				j.committed = true
-				w.effects[j.txn]++
-				if w.declined[j.txn] {
-					w.fail("txn %d was declined, and took effect", j.txn)
+				w.effects[j.request]++
+				if w.rejected[j.request] {
+					w.fail("request %d was declined, and took effect", j.request)
 				}
-				if w.effects[j.txn] > 1 {
-					w.fail("txn %d took effect twice", j.txn)
+				if w.effects[j.request] > 1 {
+					w.fail("request %d took effect twice", j.request)
 				}
 				w.pump()
 				return true
@@ -219,7 +219,7 @@
 	}
 	for id := uint64(1); id <= w.next; id++ {
 		if w.ended[id] != 1 {
-			w.fail("txn %d ended %d times", id, w.ended[id])
+			w.fail("request %d ended %d times", id, w.ended[id])
 		}
 	}
 }
@@ -247,16 +247,16 @@
 		fmt.Fprint(&b, s.state, lines, s.forgotten, len(s.results), len(s.control))
 	}
 	for _, j := range w.jobs {
-		fmt.Fprint(&b, j.txn, j.committed, j.dead, j.epoch == w.epoch)
+		fmt.Fprint(&b, j.request, j.committed, j.dead, j.epoch == w.epoch)
 	}
 	return b.String()
 }
 
-func replay(path []byte, txns, breaks, restarts int) (*world, bool) {
+func replay(path []byte, requests, breaks, restarts int) (*world, bool) {
 	w := newWorld()
 	w.step(5, 0, 0, 0)
 	for _, k := range path {
-		if !w.step(int(k), txns, breaks, restarts) {
+		if !w.step(int(k), requests, breaks, restarts) {
 			return w, false
 		}
 	}
@@ -264,7 +264,7 @@
 }
 
 // explore walks every order of what may happen, up to a depth, each world once.
-func explore(t *testing.T, depth, txns, breaks, restarts, most int) (worlds int) {
+func explore(t *testing.T, depth, requests, breaks, restarts, most int) (worlds int) {
 	seen := map[string]bool{}
 	level := [][]byte{nil}
 	for d := 0; d < depth && len(level) > 0; d++ {
@@ -272,7 +272,7 @@
 		for _, path := range level {
 			for k := range steps + 1 {
 				to := append(append([]byte{}, path...), byte(k))
-				w, ok := replay(to, txns, breaks, restarts)
+				w, ok := replay(to, requests, breaks, restarts)
 				if !ok {
 					continue
 				}
@@ -299,9 +299,9 @@
 	if testing.Short() {
 		most = 5_000
 	}
-	for _, c := range []struct{ txns, breaks, restarts int }{{1, 2, 1}, {2, 1, 1}, {2, 2, 0}, {3, 1, 0}} {
-		n := explore(t, depth, c.txns, c.breaks, c.restarts, most)
-		t.Logf("%d txns, %d breaks, %d restarts: %d worlds", c.txns, c.breaks, c.restarts, n)
+	for _, c := range []struct{ requests, breaks, restarts int }{{1, 2, 1}, {2, 1, 1}, {2, 2, 0}, {3, 1, 0}} {
+		n := explore(t, depth, c.requests, c.breaks, c.restarts, most)
+		t.Logf("%d requests, %d breaks, %d restarts: %d worlds", c.requests, c.breaks, c.restarts, n)
 	}
 }
 
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -48,7 +48,7 @@
 			s.end(x, End{Took: now - x.sentAt})
 			return nil
 		}
-		s.end(x, End{Result: f, Took: now - x.sentAt, Never: f.Word == Declined})
+		s.end(x, End{Result: f, Took: now - x.sentAt, Never: f.Word == Rejected})
 	case Still:
 		if x := s.ours[f.ID]; x != nil && x.Try == f.Try && x.stage == asked {
 			x.stage = sent
@@ -95,7 +95,7 @@
 	}
 }
 
-// run takes a crossing of the peer: it starts, or joins a run of its txn, or has its outcome told again.
+// run takes a crossing of the peer: it starts, or joins a run of its request, or has its outcome told again.
 func (s *Side) run(now time.Duration, f *Frame) error {
 	switch {
 	case f.Serial == 0 || f.Wait <= 0 || f.Grant == 0 || len(f.Data) == 0:
@@ -125,7 +125,7 @@
 	s.runs[n], s.going[r.number] = r, r
 	if len(s.going) > s.set.Crossings || s.bytes+LongestData > s.set.Kept && !s.sweep(now, LongestData) {
 		s.Counts.Refused++
-		s.Concluded(now, r.number, Frame{Word: Declined})
+		s.Concluded(now, r.number, Frame{Word: Rejected})
 		return nil
 	}
 	s.starts = append(s.starts, Start{Run: r.number, Group: f.Group, Wait: f.Wait, Grant: f.Grant, After: f.After, Data: f.Data})
--- a/lab/model/chaos.go
+++ b/lab/model/chaos.go
@@ -51,7 +51,7 @@
 }
 
 // Rest mends everything and lets the town come to rest; then it says what is not as it must be: a roll that is neither all
-// new nor all old, a front on another version, a txn without its one answer.
+// new nor all old, a front on another version, a request without its one answer.
 func (t *Town) Rest(within time.Duration) []string {
 	t.Heal()
 	for _, h := range t.Hosts {
@@ -72,7 +72,7 @@
 		}
 		return true
 	}
-	for end, since := t.Now+within, t.Now; t.Now < end && len(t.Wrong) == 0 && t.Now < since+t.O.Expiry+2*t.Pace.LeaseDuration; {
+	for end, since := t.Now+within, t.Now; t.Now < end && len(t.Wrong) == 0 && t.Now < since+t.O.Deadline+2*t.Pace.LeaseDuration; {
 		t.Run(250 * time.Millisecond)
 		if !quiet() { // a wish of before may begin another roll
 			since = t.Now
@@ -88,12 +88,12 @@
 			t.Wrong = append(t.Wrong, fmt.Sprintf("%s acts on %d, lapsed %v, alone %v", f.Name, f.Core.Version(), f.Core.Lapsed(), f.host.Node.Isolated()))
 		}
 	}
-	for _, x := range t.Txns {
+	for _, x := range t.Requests {
 		f := t.Fronts[t.at(x.Front)]
 		switch {
 		case x.Finals > 1:
 			t.Wrong = append(t.Wrong, fmt.Sprintf("%s of %s was answered %d times", x.ID, x.Front, x.Finals))
-		case x.Finals == 0 && x.At >= f.startedAt && x.At < t.Now-t.O.Expiry-time.Second:
+		case x.Finals == 0 && x.At >= f.startedAt && x.At < t.Now-t.O.Deadline-time.Second:
 			t.Wrong = append(t.Wrong, fmt.Sprintf("%s of %s got no answer", x.ID, x.Front))
 		}
 		for _, m := range t.Members {
--- a/lab/model/member.go
+++ b/lab/model/member.go
@@ -32,7 +32,7 @@
 	marks  map[string]time.Duration
 }
 
-// Seen is a submission that reached a member.
+// Seen is an attempt that reached a member.
 type Seen struct {
 	ID, Front string
 	At        time.Duration // the world's
@@ -51,7 +51,7 @@
 	return discovery.Entry{Name: m.Name, Address: m.address(), Zone: m.Zone, Kind: "std", Group: m.Group, Weight: 1, Primary: m.Primary, Since: m.Since}
 }
 
-// came takes a submission that has arrived; answer carries what it says back.
+// came takes an attempt that has arrived; answer carries what it says back.
 func (m *Member) came(from string, message []byte, cut *bool, answer func(pgwire.Answer)) {
 	if bytes.Contains(message, []byte("SHOW load")) {
 		m.Probes++
@@ -122,7 +122,7 @@
 	return a
 }
 
-// links carries a front's submissions to members. It is a front.Links.
+// links carries a front's attempts to members. It is a front.Links.
 type links struct {
 	f  *Front
 	at []string // addresses, by the core's index of members
@@ -137,7 +137,7 @@
 
 func (l *links) Forget(member int) { l.at[member] = "" }
 
-func (l *links) Send(member int, s *front.Submission) {
+func (l *links) Send(member int, s *front.Attempt) {
 	f, t := l.f, l.f.t
 	m := t.byName[l.at[member]]
 	failed := func(reach front.Reach, why string) {
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -21,36 +21,36 @@
 
 // Options are what a Town is made of.
 type Options struct {
-	Seed             uint64
-	Fronts, Keepers  int
-	Groups, PerGroup int // members of each; the first is the primary
-	Servers          int // of a member
-	Service          time.Duration
-	Rate             float64 // txns a second that come to each front
-	Fleet            bool    // the fronts know one another
-	Ask              bool    // the list's service answers only when it is asked
-	Span             time.Duration
-	Expiry, SLA      time.Duration
-	Writes           float64       // part of the txns
-	Unwatched        bool          // nothing is kept of single txns
-	Right            time.Duration // versions are published, with rights of this length; 0 for none
-	Stop             bool          // fronts that hear nobody stop at the end of their right
-	SparseChecks     bool          // for measurements of many fronts: not all are checked at each one's tick
-	Within           time.Duration // by which a published version has to be in force; 0 for no time
+	Seed                    uint64
+	Fronts, Keepers         int
+	Groups, PerGroup        int // members of each; the first is the primary
+	Servers                 int // of a member
+	Service                 time.Duration
+	Rate                    float64 // requests a second that come to each front
+	Fleet                   bool    // the fronts know one another
+	Ask                     bool    // the list's service answers only when it is asked
+	Span                    time.Duration
+	Deadline, TargetLatency time.Duration
+	Writes                  float64       // part of the requests
+	Unwatched               bool          // nothing is kept of single requests
+	Right                   time.Duration // versions are published, with rights of this length; 0 for none
+	Stop                    bool          // fronts that hear nobody stop at the end of their right
+	SparseChecks            bool          // for measurements of many fronts: not all are checked at each one's tick
+	Within                  time.Duration // by which a published version has to be in force; 0 for no time
 }
 
 // Town is fronts, members, clients and the list's service in one world.
 type Town struct {
 	*sim.World
-	O       Options
-	Fronts  []*Front
-	Members []*Member
-	Lists   Lists
-	Txns    []*Txn
-	Turns   []Turn // of rolls, as the record took them first
-	byName  map[string]*Member
-	ids     int
-	turned  uint64 // index of the newest
+	O        Options
+	Fronts   []*Front
+	Members  []*Member
+	Lists    Lists
+	Requests []*Request
+	Turns    []Turn // of rolls, as the record took them first
+	byName   map[string]*Member
+	ids      int
+	turned   uint64 // index of the newest
 
 	checkedTurn uint64 // the turn and the time at which all fronts' versions were looked at last
 	checkedAt   time.Duration
@@ -73,8 +73,8 @@
 	Open  int // watches
 }
 
-// Txn is one that a client asked for.
-type Txn struct {
+// Request is one that a client asked for.
+type Request struct {
 	ID, Front string
 	Type      string
 	At, Ended time.Duration // the world's
@@ -107,7 +107,7 @@
 	sums    []rollout.Counts
 	Bad     func(version uint64) bool    // the version is one that this front can't use
 	Crashes func(version uint64) bool    // it takes the process down
-	Spoils  func(version uint64) float64 // part of the txns that fail on it
+	Spoils  func(version uint64) float64 // part of the requests that fail on it
 }
 
 // saved is what a front keeps of versions.
@@ -126,8 +126,8 @@
 
 // New makes a town; its fronts start with Start.
 func New(o Options) *Town {
-	if o.Expiry == 0 {
-		o.Expiry, o.SLA = 2*time.Second, 250*time.Millisecond
+	if o.Deadline == 0 {
+		o.Deadline, o.TargetLatency = 2*time.Second, 250*time.Millisecond
 	}
 	t := &Town{World: sim.New(o.Seed, o.Fronts, o.Keepers, fleet.Timing{LeaseDuration: o.Span}, map[string]time.Duration{fleet.EndpointListLease: 2 * o.Span}), O: o,
 		byName: map[string]*Member{}, byHost: map[*sim.Host]*Front{}, outcomes: map[uint64]string{}}
@@ -152,7 +152,7 @@
 
 var zones = []string{"a", "b", "c"}
 
-// Types of txn that come.
+// Types of request that come.
 const (
 	Browse = "browse" // reads, any group's member
 	Book   = "book"   // writes under a mark
@@ -161,13 +161,13 @@
 func (t *Town) site(i int) *site.Site {
 	o := t.O
 	s := &site.Site{Types: []string{Browse, Book}, Zones: zones,
-		TxnTypes: []port.TxnType{
-			{SLA: o.SLA, Expiry: o.Expiry, Value: 1, Effect: port.Repeatable, Scope: port.ScopeAll, Level: port.AnyData},
-			{SLA: o.SLA, Expiry: o.Expiry, Value: 5, Effect: port.Referenced, Scope: port.ScopeGroup, Window: 2 * time.Second, Level: port.Write}},
+		RequestTypes: []port.RequestType{
+			{TargetLatency: o.TargetLatency, Deadline: o.Deadline, Value: 1, Effect: port.Repeatable, Scope: port.ScopeAll, Level: port.AnyData},
+			{TargetLatency: o.TargetLatency, Deadline: o.Deadline, Value: 5, Effect: port.Referenced, Scope: port.ScopeGroup, Window: 2 * time.Second, Level: port.Write}},
 		Topology:    port.Topology{Zone: i % 3, Zones: 3, Fronts: len(t.Hosts), Front: i, Ask: o.Ask, Roles: port.RoleLate, Tick: 5 * time.Millisecond},
 		Replication: port.Replication{Check: port.Refuses, AnswersTell: true},
 		Guardrails:  port.Guardrails{AnswerSlack: 20 * time.Millisecond, DrainGrace: 2 * time.Second, ColdShare: 1, FallMultiple: 1, AskWithin: 2 * time.Second, Cold: time.Second, Fall: 2 * time.Second},
-		Allowance:   port.Allowance{Submissions: 10, Probes: true, Revokes: true, ComeBackMax: time.Second, DialTimeout: 500 * time.Millisecond, LinkIdle: 30 * time.Second}}
+		Allowance:   port.Allowance{Attempts: 10, Probes: true, Cancels: true, ComeBackMax: time.Second, DialTimeout: 500 * time.Millisecond, LinkIdle: 30 * time.Second}}
 	return s
 }
 
@@ -411,12 +411,12 @@
 	})
 }
 
-// Ask brings one txn for a group.
-func (f *Front) Ask(group int64, write bool) *Txn {
+// Ask brings one request for a group.
+func (f *Front) Ask(group int64, write bool) *Request {
 	t := f.t
 	t.ids++
-	x := &Txn{ID: fmt.Sprint("t", t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
-	wait := t.O.Expiry.Milliseconds()
+	x := &Request{ID: fmt.Sprint("t", t.ids), Front: f.Name, At: t.Now, Type: Browse, Write: write}
+	wait := t.O.Deadline.Milliseconds()
 	if f.Spoils != nil && t.Rnd.Float64() < f.Spoils(f.Core.Version()) {
 		wait = 1
 	}
@@ -430,7 +430,7 @@
 		panic(err) // of our own making
 	}
 	if !t.O.Unwatched {
-		t.Txns = append(t.Txns, x)
+		t.Requests = append(t.Requests, x)
 	}
 	f.Asked[x.Type]++
 	f.post(front.NewArrival(&client{f, x}, s, f.host.Clock()))
@@ -439,7 +439,7 @@
 
 type client struct {
 	f *Front
-	x *Txn
+	x *Request
 }
 
 func (c *client) Answer(f front.Response) {
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -32,15 +32,15 @@
 			w.Run(10 * time.Second)
 			require.Empty(t, w.Wrong)
 			served := 0
-			for _, x := range w.Txns {
+			for _, x := range w.Requests {
 				assert.LessOrEqual(t, x.Finals, 1, x.ID)
 				if x.Finals == 1 && x.Word == front.Served {
 					served++
 				}
 				said[i] += fmt.Sprintln(x.ID, x.Front, x.Ended, x.Word)
 			}
-			assert.Greater(t, len(w.Txns), 800)
-			assert.Greater(t, served, len(w.Txns)*98/100)
+			assert.Greater(t, len(w.Requests), 800)
+			assert.Greater(t, served, len(w.Requests)*98/100)
 		}
 		assert.Equal(t, said[0], said[1], "one seed, one run")
 		runs[on] = said
--- a/lab/model/rolls.go
+++ b/lab/model/rolls.go
@@ -101,7 +101,7 @@
 	}})
 }
 
-// tally counts a front's txns, as the audit does in service.
+// tally counts a front's requests, as the audit does in service.
 type tally Front
 
 func (f *tally) Taken(time.Duration, []byte, int) uint32  { return 0 }
--- a/lab/model/rolls_bench_test.go
+++ b/lab/model/rolls_bench_test.go
@@ -71,7 +71,7 @@
 }
 
 // BenchmarkBadVersion tells what a bad version costs before it is taken back, by the size of the first wave: one that fails a
-// tenth of its txns, and one that fails all, 50 fronts of 20 txns a second, watched for 30 s.
+// tenth of its requests, and one that fails all, 50 fronts of 20 requests a second, watched for 30 s.
 func BenchmarkBadVersion(b *testing.B) {
 	for _, harm := range []float64{0.1, 1} {
 		for _, wave := range []uint16{1, 100, 500, 1000} {
@@ -87,7 +87,7 @@
 						w.Run(50 * time.Millisecond)
 					}
 					bad := 0
-					for _, x := range w.Txns {
+					for _, x := range w.Requests {
 						if x.At > began && x.Finals == 1 && x.Word != front.Served {
 							bad++
 						}
@@ -96,7 +96,7 @@
 						b.Fatal(w.Wrong)
 					}
 					b.ReportMetric(float64(bad), "failed")
-					b.ReportMetric(float64(len(w.Txns))*0.002*(w.Now-began).Seconds()/w.Now.Seconds(), "failed-anyway")
+					b.ReportMetric(float64(len(w.Requests))*0.002*(w.Now-began).Seconds()/w.Now.Seconds(), "failed-anyway")
 					b.ReportMetric((w.Now - began).Seconds(), "s-to-rest")
 					b.ReportMetric(float64(w.State().Base), "base")
 				}
--- a/lab/model/rolls_test.go
+++ b/lab/model/rolls_test.go
@@ -206,8 +206,8 @@
 	assert.EqualValues(t, 0, s.Base)
 	assert.Contains(t, s.Why, "serves worse")
 	bad := 0
-	for _, x := range w.Txns {
-		if x.At > from && x.Finals == 1 && (x.Word == front.Declined || x.Word == front.Undone) {
+	for _, x := range w.Requests {
+		if x.At > from && x.Finals == 1 && (x.Word == front.Rejected || x.Word == front.Failed) {
 			bad++
 		}
 	}
@@ -235,7 +235,7 @@
 	assert.Len(t, seen, 4)
 }
 
-// A front that stands still for a minute in the middle of its txns, over a must version, begins nothing on the old one when it
+// A front that stands still for a minute in the middle of its requests, over a must version, begins nothing on the old one when it
 // goes on: by the members' own logs.
 func TestAFrontThatStoodStillOverAMustVersionBeginsNothingOnTheOldOne(t *testing.T) {
 	for seed := range uint64(8) {
@@ -263,7 +263,7 @@
 				assert.LessOrEqual(t, c.At, inForce, "seed %d: %s of %s reached %s", seed, c.ID, c.Front, m.Name)
 			}
 		}
-		for _, x := range w.Txns {
+		for _, x := range w.Requests {
 			assert.LessOrEqual(t, x.Finals, 1)
 			assert.False(t, x.Finals == 0 && x.At < w.Now-10*time.Second, "%s of %s has its one answer", x.ID, x.Front)
 		}
--- a/lab/model/walk_test.go
+++ b/lab/model/walk_test.go
@@ -13,7 +13,7 @@
 
 // TestEveryPairOfFaultsOverTwoPublishes walks faults of all kinds at each of three fronts and at moments all through two
 // publishes, the second a must version: each alone, and pairs of them. In each world at most two adjacent versions are acted
-// on, and in the end all fronts are on one, all new or all old, with one answer for each txn. ROLL_WALK=all walks every pair.
+// on, and in the end all fronts are on one, all new or all old, with one answer for each request. ROLL_WALK=all walks every pair.
 func TestEveryPairOfFaultsOverTwoPublishes(t *testing.T) {
 	type at struct {
 		f    Fault
@@ -37,7 +37,7 @@
 	}
 	play := func(x, y *at, within time.Duration) []string {
 		w := New(Options{Seed: 7, Fronts: 3, Keepers: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.3,
-			Span: time.Second, Fleet: true, Right: 3 * time.Second, Stop: true, Within: within, Expiry: time.Second, SLA: 250 * time.Millisecond})
+			Span: time.Second, Fleet: true, Right: 3 * time.Second, Stop: true, Within: within, Deadline: time.Second, TargetLatency: 250 * time.Millisecond})
 		w.StartAll()
 		w.Run(4 * time.Second)
 		w.Publish(w.Fronts[0], rollout.Action{Type: rollout.ActionPublish, Text: []byte("(rules (window book 1500ms))"), Stages: []uint16{1, 1000}, Watch: time.Second, MaxFenced: 400}, func(string) {})
--- a/lab/report/audit.go
+++ b/lab/report/audit.go
@@ -53,7 +53,7 @@
 	Colour, Meaning     string
 	First, Last         string
 	Fronts              int
-	Committed, Declined uint32
+	Succeeded, Rejected uint32
 	Other               uint32
 	Spread              string // from its first adoption to its last
 	LastFront           string
@@ -123,7 +123,7 @@
 					total += n
 				}
 				r.Bars = append(r.Bars, bar{X: x(u.From), W: max(1, x(u.Until)-x(u.From)), Colour: colour(u.Version), Version: u.Version, Open: u.Open,
-					Tip: fmt.Sprintf("%s on version %d, %s to %s: %d txns, %d committed", u.Front, u.Version, stamp(u.From), stamp(u.Until), total, u.Ended[front.Served])})
+					Tip: fmt.Sprintf("%s on version %d, %s to %s: %d requests, %d committed", u.Front, u.Version, stamp(u.From), stamp(u.Until), total, u.Ended[front.Served])})
 			}
 		}
 		for _, l := range j.Lines {
@@ -144,7 +144,7 @@
 	}
 	for _, v := range audit.Versions(all, uses) {
 		x := version{Version: v.Version, Colour: colour(v.Version), Meaning: v.Meaning, First: stamp(v.First), Last: stamp(v.Last), Fronts: v.Fronts,
-			Committed: v.Ended[front.Served], Declined: v.Ended[front.Declined], Other: v.Ended[front.Undone] + v.Ended[front.Senseless] + v.Ended[front.Abandoned]}
+			Succeeded: v.Ended[front.Served], Rejected: v.Ended[front.Rejected], Other: v.Ended[front.Failed] + v.Ended[front.Senseless] + v.Ended[front.Abandoned]}
 		if at, ok := first[v.Version]; ok {
 			x.Spread = (time.Duration(latest[v.Version]-at) * time.Microsecond).Round(time.Millisecond).String()
 			x.LastFront = lastOf[v.Version]
@@ -184,7 +184,7 @@
 			case audit.Lapsed:
 				what = "stands by: its right ran out"
 			case audit.Right:
-				what = "takes txns: it has a right"
+				what = "takes requests: it has a right"
 			case audit.Opened:
 				what = "starts, with version " + fmt.Sprint(p.Version)
 			case audit.Closed:
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -24,16 +24,16 @@
 type Verdict struct {
 	Broke      []string // what must hold and did not, each with the history's lines
 	Began      time.Time
-	Txns       int
-	Committed  int
-	Declined   int
+	Requests   int
+	Succeeded  int
+	Rejected   int
 	RolledBack int
 	Unanswered int             // by fronts that were killed or stopped
 	Gaps       []Gap           // of duties
 	Moments    []Moment        // all that was told, in order
 	Calls      int             // to the list's service
 	Probes     int64           // of members
-	Took       []time.Duration // of committed txns, sorted
+	Took       []time.Duration // of committed requests, sorted
 	Slices     []Slice         // what was served, by second
 	Watches    int             // of the list's service, open at the end
 	Memory     []int           // resident KiB of each front at the end, sorted
@@ -50,8 +50,8 @@
 	Because string
 }
 
-// Slice is a second of the clients' txns.
-type Slice struct{ Asked, Committed int }
+// Slice is a second of the clients' requests.
+type Slice struct{ Asked, Succeeded int }
 
 // history reads what all fronts told; a line cut off by a kill is passed over.
 func (r *Rig) history() (all []Moment, err error) {
@@ -117,8 +117,8 @@
 }
 
 // judge reads everything against what must hold.
-func (r *Rig) judge(began time.Time, txns []txn, all []Moment, seen []seen, rested string) *Verdict {
-	v := &Verdict{Began: began, Txns: len(txns), Moments: all, Calls: r.Calls, Probes: r.Probes}
+func (r *Rig) judge(began time.Time, requests []request, all []Moment, seen []seen, rested string) *Verdict {
+	v := &Verdict{Began: began, Requests: len(requests), Moments: all, Calls: r.Calls, Probes: r.Probes}
 	broke := func(format string, args ...any) { v.Broke = append(v.Broke, fmt.Sprintf(format, args...)) }
 	if rested != "" {
 		broke("left alone, the fleet did not come back: %s", rested)
@@ -182,12 +182,12 @@
 			}
 		}
 	}
-	// Every txn one final answer, and one effect at most.
-	for _, t := range txns {
+	// Every request one final answer, and one effect at most.
+	for _, t := range requests {
 		v.slice(t, began)
-		did := r.group.Committed(t.id)
+		did := r.group.Succeeded(t.id)
 		if t.group == 1 {
-			did = r.other.Committed(t.id)
+			did = r.other.Succeeded(t.id)
 		}
 		switch {
 		case t.broken:
@@ -196,13 +196,13 @@
 				broke("%s got no answer from %s, which was neither killed nor ended", t.id, t.front)
 			}
 		case t.code == "":
-			v.Committed++
+			v.Succeeded++
 			v.Took = append(v.Took, t.took)
 			if t.write && did == 0 {
 				broke("%s was answered as committed by %s and was not", t.id, t.front)
 			}
 		case t.code == "53300" || t.code == "57P03":
-			v.Declined++
+			v.Rejected++
 			if t.write && did > 0 {
 				broke("%s was declined by %s and has run: trying again is not harmless", t.id, t.front)
 			}
@@ -214,7 +214,7 @@
 		}
 	}
 	v.Rolls = rolled(all)
-	r.judgeVersions(began, txns, all, broke)
+	r.judgeVersions(began, requests, all, broke)
 	slices.Sort(v.Took)
 	v.chart = r.chart(began, all)
 	return v
@@ -228,8 +228,8 @@
 	return out
 }
 
-// hurt tells whether a front's process ended while a txn was at it.
-func (r *Rig) hurt(t txn) bool {
+// hurt tells whether a front's process ended while a request was at it.
+func (r *Rig) hurt(t request) bool {
 	from, to := t.at.Add(-100*time.Millisecond), t.at.Add(t.took+100*time.Millisecond)
 	for _, f := range r.fronts {
 		if f.Name != t.front {
@@ -260,7 +260,7 @@
 	return ""
 }
 
-func (v *Verdict) slice(t txn, began time.Time) {
+func (v *Verdict) slice(t request, began time.Time) {
 	at := int(t.at.Sub(began) / time.Second)
 	for len(v.Slices) <= max(at, 0) {
 		v.Slices = append(v.Slices, Slice{})
@@ -268,7 +268,7 @@
 	s := &v.Slices[max(at, 0)]
 	s.Asked++
 	if t.code == "" && !t.broken {
-		s.Committed++
+		s.Succeeded++
 	}
 }
 
@@ -339,7 +339,7 @@
 	return out
 }
 
-// Percentile is a percentile of what committed txns took.
+// Percentile is a percentile of what committed requests took.
 func (v *Verdict) Percentile(percent int) time.Duration {
 	if len(v.Took) == 0 {
 		return 0
@@ -353,17 +353,17 @@
 	for _, l := range v.chart {
 		fmt.Fprintln(w, l)
 	}
-	fmt.Fprintf(w, "\n%d txns: %d committed, %d declined, %d rolled back, %d at fronts that died; p50 %v, p99 %v; %d calls to the list's service, %d watches open at the end, %d probes\n",
-		v.Txns, v.Committed, v.Declined, v.RolledBack, v.Unanswered, v.Percentile(50), v.Percentile(99), v.Calls, v.Watches, v.Probes)
+	fmt.Fprintf(w, "\n%d requests: %d committed, %d declined, %d rolled back, %d at fronts that died; p50 %v, p99 %v; %d calls to the list's service, %d watches open at the end, %d probes\n",
+		v.Requests, v.Succeeded, v.Rejected, v.RolledBack, v.Unanswered, v.Percentile(50), v.Percentile(99), v.Calls, v.Watches, v.Probes)
 	if n := len(v.Memory); n > 0 {
 		fmt.Fprintf(w, "resident at the end: median %.1f MiB a front, most %.1f\n", float64(v.Memory[n/2])/1024, float64(v.Memory[n-1])/1024)
 	}
-	if v.Txns > 0 {
-		fmt.Fprintf(w, "processor time of all fronts: %v, %v a txn\n", v.CPU.Round(time.Millisecond), (v.CPU / time.Duration(v.Txns)).Round(time.Microsecond))
+	if v.Requests > 0 {
+		fmt.Fprintf(w, "processor time of all fronts: %v, %v a request\n", v.CPU.Round(time.Millisecond), (v.CPU / time.Duration(v.Requests)).Round(time.Microsecond))
 	}
 	fmt.Fprint(w, "committed of asked, by second:")
 	for _, s := range v.Slices {
-		fmt.Fprintf(w, " %d/%d", s.Committed, s.Asked)
+		fmt.Fprintf(w, " %d/%d", s.Succeeded, s.Asked)
 	}
 	fmt.Fprintln(w)
 	for _, g := range v.Gaps {
--- a/lab/rig/load.go
+++ b/lab/rig/load.go
@@ -9,8 +9,8 @@
 	"dapplerouter/standin/store"
 )
 
-// txn is one that a client asked for.
-type txn struct {
+// request is one that a client asked for.
+type request struct {
 	id     string
 	front  string
 	at     time.Time
@@ -28,8 +28,8 @@
 	all  sync.WaitGroup
 	next atomic.Int64
 
-	mu   sync.Mutex
-	txns []txn
+	mu       sync.Mutex
+	requests []request
 }
 
 func (r *Rig) clients(n int) *load {
@@ -67,7 +67,7 @@
 			}
 		}
 		k := l.next.Add(1)
-		t := txn{id: fmt.Sprintf("t%d", k), front: front.Name, at: time.Now(), write: k%4 == 3}
+		t := request{id: fmt.Sprintf("t%d", k), front: front.Name, at: time.Now(), write: k%4 == 3}
 		if l.r.other != nil && k%32 >= 30 {
 			t.group = 1
 		}
@@ -78,7 +78,7 @@
 		a, err := c.Query(sql)
 		t.took, t.code, t.broken = time.Since(t.at), a.Code, err != nil
 		l.mu.Lock()
-		l.txns = append(l.txns, t)
+		l.requests = append(l.requests, t)
 		l.mu.Unlock()
 		if err != nil {
 			c.Close()
@@ -88,8 +88,8 @@
 	}
 }
 
-func (l *load) end() []txn {
+func (l *load) end() []request {
 	close(l.stop)
 	l.all.Wait()
-	return l.txns
+	return l.requests
 }
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -196,7 +196,7 @@
 	time.Sleep(time.Until(began.Add(s.For)))
 	r.later.Wait()
 	r.Calls, r.Probes = r.lists.calls()-calls, r.group.Probes.Load()-probes
-	txns := load.end()
+	requests := load.end()
 	cpu = r.cpu() - cpu
 	rested := r.rest()
 	seen := r.status()
@@ -209,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v = r.judge(began, txns, history, seen, rested)
+	v = r.judge(began, requests, history, seen, rested)
 	v.Memory, v.Watches, v.CPU = memory, watches, cpu
 	return v, nil
 }
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -49,7 +49,7 @@
 				if !assert.Empty(t, v.Broke) || testing.Verbose() {
 					t.Log(said.String())
 				}
-				assert.Greater(t, v.Committed, v.Txns*9/10, "service goes on")
+				assert.Greater(t, v.Succeeded, v.Requests*9/10, "service goes on")
 			})
 		}
 	})
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -127,7 +127,7 @@
 }
 
 // judgeVersions reads what fronts told of versions, what reached members, and the audits.
-func (r *Rig) judgeVersions(began time.Time, txns []txn, all []Moment, broke func(string, ...any)) {
+func (r *Rig) judgeVersions(began time.Time, requests []request, all []Moment, broke func(string, ...any)) {
 	if r.Script == nil || r.Script.Right == 0 {
 		return
 	}
@@ -164,11 +164,11 @@
 			}
 		}
 	}
-	r.judgeAudits(txns, broke)
+	r.judgeAudits(requests, broke)
 }
 
-// judgeAudits verifies every front's log, and looks for txns in them.
-func (r *Rig) judgeAudits(txns []txn, broke func(string, ...any)) {
+// judgeAudits verifies every front's log, and looks for requests in them.
+func (r *Rig) judgeAudits(requests []request, broke func(string, ...any)) {
 	l, err := disk.OpenLogs(r.Dir)
 	if err != nil {
 		broke("audits: %v", err)
@@ -200,7 +200,7 @@
 		}
 	}
 	missing := 0
-	for i, t := range txns {
+	for i, t := range requests {
 		if i%7 != 0 || t.code != "" || t.broken || r.died(t.front) {
 			continue
 		}
--- a/pgwire/answer.go
+++ b/pgwire/answer.go
@@ -25,7 +25,7 @@
 	Most    int    // bytes that Rows may hold, where Any; an answer that is longer ends in TooMuch
 	TooLong bool   // it was longer, and is not held: the statement ran
 	Message string // of the error, where Any
-	Open    bool   // a transaction is left open: the connection must not serve another txn
+	Open    bool   // a transaction is left open: the connection must not serve another request
 }
 
 const partTypes = "TDC" // the messages of a row
@@ -34,7 +34,7 @@
 func (a *Answer) Value() []byte { return a.row }
 
 // Early is a Check for the messages of an answer, and what Take goes by. Members that answer nonsense often keep the connection open,
-// and waiting for the rest would take the txn's whole time.
+// and waiting for the rest would take the request's whole time.
 func (a *Answer) Early(typ byte, size int, begun []byte) error {
 	switch typ {
 	case 'T', 'D', 'C', 'I':
--- a/pgwire/classed.go
+++ b/pgwire/classed.go
@@ -7,7 +7,7 @@
 )
 
 // ParseClassed takes the body of a Query message apart where statements are classed: any verb passes, what is not
-// known to read is a write, and the comment may leave the txn type out. Its s names the session, else the first
+// known to read is a write, and the comment may leave the request type out. Its s names the session, else the first
 // quoted text does. A statement that works on the connection itself is refused: connections to members are shared.
 func ParseClassed(body []byte, by *shape.Classing) (s Statement, err error) {
 	if s.text, err = queryText(body); err != nil {
--- a/pgwire/pgwire_test.go
+++ b/pgwire/pgwire_test.go
@@ -209,7 +209,7 @@
 	assert.True(t, err == nil && !a.Whole && a.Code == "XX000", "an error within the row")
 }
 
-// Bad members keep the connection open; whoever waits for the rest waits for the txn's whole time.
+// Bad members keep the connection open; whoever waits for the rest waits for the request's whole time.
 func TestNonsenseIsToldByItsFirstBytes(t *testing.T) {
 	for name, begun := range map[string]string{
 		"an unknown type":         "?\x00\x00\x00\x08",
--- a/port/port.go
+++ b/port/port.go
@@ -13,23 +13,23 @@
 // None stands for an index that is not known or not given.
 const None = -1
 
-// Ref names a txn in hand: a place in the slab, reused, and the turn that tells its uses apart.
+// Ref names a request in hand: a place in the slab, reused, and the turn that tells its uses apart.
 type Ref struct {
 	Place, Turn uint32
 }
 
-// ReadLevel says how recent the data of a txn type must be.
+// ReadLevel says how recent the data of a request type must be.
 type ReadLevel uint8
 
 const (
 	AnyData ReadLevel = iota // every member will do
 	Bounded                  // no older than the type's Bound when submitted
 	Session                  // all that its session has written
-	Current                  // all that was written before the txn came in
+	Current                  // all that was written before the request came in
 	Write                    // only the primary takes it
 )
 
-// Effect says whether a txn may run again.
+// Effect says whether a request may run again.
 type Effect uint8
 
 const (
@@ -38,7 +38,7 @@
 	OnceOnly                 // must never run twice
 )
 
-// Scope is the set of members that drops the repeats of a referenced txn.
+// Scope is the set of members that drops the repeats of a referenced request.
 type Scope uint8
 
 const (
@@ -74,17 +74,17 @@
 	Replica
 )
 
-// Ending is how a submission or a probe ended.
+// Ending is how an attempt or a probe ended.
 type Ending uint8
 
 const (
-	Committed   Ending = iota
+	Succeeded   Ending = iota
 	Errored            // answered with an error, or lost its role while holding a write: may have run
 	Full               // turned away unseen
 	TimedOut           // may have run, may still run
 	Unreachable        // no connection
 	Broken             // the connection failed: may have run
-	Withdrawn          // revoked: may have run
+	Cancelled          // revoked: may have run
 	Void               // never sent
 	Missed             // not the primary for a write, too far behind for a read: nothing ran
 )
@@ -97,8 +97,8 @@
 // NeverRan tells whether the ending proves that nothing ran.
 func (e Ending) NeverRan() bool { return e == Full || e == Unreachable || e == Void || e == Missed }
 
-// Txn is a txn as it comes in.
-type Txn struct {
+// Request is a request as it comes in.
+type Request struct {
 	Ref      Ref
 	Type     int
 	Customer int    // None where there are none
@@ -123,13 +123,13 @@
 	Rate, ErrsRate float64
 }
 
-// Outcome is the ending of one submission.
+// Outcome is the ending of one attempt.
 type Outcome struct {
 	Ref         Ref
-	Hop         int // which submission of the txn, from 0
+	Hop         int // which attempt of the request, from 0
 	Member      int
 	Ending      Ending
-	Closed      bool // the txn is concluded, by this or before
+	Closed      bool // the request is concluded, by this or before
 	Latency     time.Duration
 	Position    time.Duration
 	HasPosition bool
@@ -181,16 +181,16 @@
 	Tick          time.Duration
 }
 
-// TxnType is one txn type.
-type TxnType struct {
-	SLA, Expiry time.Duration
-	Stretch     float64 // the SLA time grows by this multiple of the txn's own work
-	Value, Late float64 // value in time, and the fraction of it that a late answer is worth
-	Effect      Effect
-	Scope       Scope
-	Window      time.Duration // how long the scope remembers a referenced txn
-	Level       ReadLevel
-	Bound       time.Duration
+// RequestType is one request type.
+type RequestType struct {
+	TargetLatency, Deadline time.Duration
+	Stretch                 float64 // the target latency grows by this multiple of the request's own work
+	Value, Late             float64 // value in time, and the fraction of it that a late answer is worth
+	Effect                  Effect
+	Scope                   Scope
+	Window                  time.Duration // how long the scope remembers a referenced request
+	Level                   ReadLevel
+	Bound                   time.Duration
 }
 
 // Customer is one customer and its share of the service.
@@ -202,7 +202,7 @@
 type Replication struct {
 	Check         Check
 	Hold          time.Duration
-	Carried       bool // the txn brings the age of its session's last write; else the router remembers
+	Carried       bool // the request brings the age of its session's last write; else the router remembers
 	AnswersTell   bool // every answer bears a position
 	WritesWaited  bool // a write is answered once a replica holds it
 	PiggybackLoad bool // answers carry load reports; else probes alone do, if any
@@ -217,8 +217,8 @@
 
 // Allowance is what the site permits.
 type Allowance struct {
-	Submissions                   int
-	Probes, Peers, Revokes, Twice bool
+	Attempts                      int
+	Probes, Peers, Cancels, Twice bool
 	ComeBackMax                   time.Duration // 0 where no time to come back may be named
 	DialTimeout, LinkIdle         time.Duration
 }
@@ -228,16 +228,16 @@
 	CrossZone, Waste, Probe, LateEnd, Peer, OverShare float64
 }
 
-// Decider takes what comes in. Settle follows the last event of each batch.
+// Decider takes what comes in. Reconcile follows the last event of each batch.
 type Decider interface {
 	List(now time.Duration, kind ListKind, version int64, entries []Entry)
-	Begin(now time.Duration, t Txn)
+	Begin(now time.Duration, t Request)
 	Ended(now time.Duration, o Outcome)
 	Left(now time.Duration, r Ref) // the client is gone, or the answer overdue
 	Probed(now time.Duration, member int, e Ending, latency time.Duration, l Load)
 	Heard(now time.Duration, peer int, message []byte)
 	Woken(now time.Duration)
-	Settle(now time.Duration)
+	Reconcile(now time.Duration)
 	Redate(now, by time.Duration)                   // log positions and listed starts told until now lie later by so much, or earlier
 	Target(r Ref) (position time.Duration, ok bool) // that a read in hand must see; not ok for none
 }
@@ -245,9 +245,9 @@
 // Host is what a Decider may ask for.
 type Host interface {
 	Submit(r Ref, member int, giveUpAfter time.Duration)
-	Revoke(r Ref, hop int)
-	Decline(r Ref, comeBackIn time.Duration) // final: trying again is harmless
-	RollBack(r Ref)                          // final: promises nothing
+	Cancel(r Ref, hop int)
+	Reject(r Ref, comeBackIn time.Duration) // final: trying again is harmless
+	Fail(r Ref)                             // final: promises nothing
 	Probe(member int)
 	Forget(member int) // its index may stand for another from now on
 	Watch(on bool)
--- a/router/admission.go
+++ b/router/admission.go
@@ -20,7 +20,7 @@
 	budgetsSeen   []int // of each type
 }
 
-func newAdmission(types []port.TxnType, at port.Topology, allowed port.Allowance) admission {
+func newAdmission(types []port.RequestType, at port.Topology, allowed port.Allowance) admission {
 	return admission{retryAfter: allowed.ComeBackMax / 2, retriesMarked: at.RetriesMarked,
 		usualBudgets: make([]time.Duration, len(types)), budgetsSeen: make([]int, len(types))}
 }
@@ -64,11 +64,11 @@
 // budgetDeviation is how far a budget is from that of most. Clients leave a first try after a fixed part of it,
 // a later one with what is left: so it tells a retry where clients don't mark them, and how long that waited
 // which came while this front stood still. A few tries have to be seen first.
-func (r *Router) budgetDeviation(in *port.Txn) time.Duration {
+func (r *Router) budgetDeviation(in *port.Request) time.Duration {
 	most, seen := &r.usualBudgets[in.Type], &r.budgetsSeen[in.Type]
 	off := in.Budget - *most
 	*seen++
-	step := r.types[in.Type].Expiry / time.Duration(min(*seen+1, budgetSteps))
+	step := r.types[in.Type].Deadline / time.Duration(min(*seen+1, budgetSteps))
 	if *most += max(min(off, step), -step); *seen < 2*priorWeight {
 		return 0
 	}
@@ -77,7 +77,7 @@
 
 // discountRetry takes the time that a retry has waited already off its target, and its value down: the first answer was no better.
 func (r *Router) discountRetry(now time.Duration, t *request) {
-	off := r.budgetDeviation(&t.Txn)
+	off := r.budgetDeviation(&t.Request)
 	retry := r.retriesMarked && t.Retry
 	if retry || !r.retriesMarked || r.stalled(now) {
 		t.targetAt += min(off, 0)
--- a/router/clock.go
+++ b/router/clock.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Did this front itself stand still? Input: the ticks that it asked for (Woken, Settle). Invariant: what is found in the turn in which
+// Did this front itself stand still? Input: the ticks that it asked for (Woken, Reconcile). Invariant: what is found in the turn in which
 // it resumes is held against no member and no client (STANDING, a front that is held up).
 
 type clock struct {
--- a/router/health.go
+++ b/router/health.go
@@ -92,7 +92,7 @@
 func (r *Router) observeOutcome(now time.Duration, o port.Outcome, ty int) {
 	m := &r.members[o.Member]
 	switch o.Ending {
-	case port.Committed, port.Missed:
+	case port.Succeeded, port.Missed:
 		r.observeAnswer(now, m, &o, ty)
 	case port.Errored: // quick, but no reason to send more
 		r.observeError(now, m)
--- a/router/host_test.go
+++ b/router/host_test.go
@@ -10,7 +10,7 @@
 
 const ms = time.Millisecond
 
-// Txn types of the little site that the stories play on.
+// Request types of the little site that the stories play on.
 const (
 	anyRead = iota
 	bounded
@@ -23,27 +23,27 @@
 // site is what a story may vary before it begins.
 type site struct {
 	at      port.Topology
-	types   []port.TxnType
+	types   []port.RequestType
 	copies  port.Replication
 	rules   port.Guardrails
 	allowed port.Allowance
 }
 
 func littleSite() site {
-	read := port.TxnType{SLA: 200 * ms, Expiry: 800 * ms, Value: 1, Effect: port.Repeatable}
+	read := port.RequestType{TargetLatency: 200 * ms, Deadline: 800 * ms, Value: 1, Effect: port.Repeatable}
 	s := site{
 		at:     port.Topology{Zones: 2, Fronts: 1, Tick: 5 * ms, Roles: port.RoleLate},
 		copies: port.Replication{Check: port.Holds, Hold: 50 * ms, AnswersTell: true},
 		rules: port.Guardrails{AnswerSlack: 20 * ms, DrainGrace: time.Second, AskWithin: 10 * time.Second,
 			ColdShare: 0.2, FallMultiple: 2.5, Cold: 10 * time.Second, Fall: 2 * time.Second},
-		allowed: port.Allowance{Submissions: 6, Probes: true, Revokes: true,
+		allowed: port.Allowance{Attempts: 6, Probes: true, Cancels: true,
 			ComeBackMax: 400 * ms},
 	}
 	for _, level := range []port.ReadLevel{port.AnyData, port.Bounded, port.Session, port.Current} {
 		read.Level, read.Bound = level, 300*ms
 		s.types = append(s.types, read)
 	}
-	w := port.TxnType{SLA: 600 * ms, Expiry: 2 * time.Second, Value: 6, Late: 0.3, Level: port.Write,
+	w := port.RequestType{TargetLatency: 600 * ms, Deadline: 2 * time.Second, Value: 6, Late: 0.3, Level: port.Write,
 		Effect: port.Referenced, Scope: port.ScopeGroup, Window: 2 * time.Second}
 	once := w
 	once.Effect = port.OnceOnly
@@ -82,7 +82,7 @@
 	y.settle()
 }
 
-func (y *story) settle() { y.Settle(y.now) }
+func (y *story) settle() { y.Reconcile(y.now) }
 
 // pass lets time go by, with its beats.
 func (y *story) pass(d time.Duration) {
@@ -93,10 +93,10 @@
 	}
 }
 
-func (y *story) begin(ty int, change ...func(*port.Txn)) port.Ref {
+func (y *story) begin(ty int, change ...func(*port.Request)) port.Ref {
 	y.turns++
-	t := port.Txn{Ref: port.Ref{Place: y.turns, Turn: y.turns}, Type: ty, Customer: port.None, Session: 9,
-		Budget: y.types[ty].Expiry, Bound: y.types[ty].Bound, Window: y.types[ty].Window}
+	t := port.Request{Ref: port.Ref{Place: y.turns, Turn: y.turns}, Type: ty, Customer: port.None, Session: 9,
+		Budget: y.types[ty].Deadline, Bound: y.types[ty].Bound, Window: y.types[ty].Window}
 	for _, c := range change {
 		c(&t)
 	}
@@ -105,14 +105,14 @@
 	return t.Ref
 }
 
-// ends gives the last submission of a txn an ending; pos 0 leaves the position out.
+// ends gives the last attempt of a request an ending; pos 0 leaves the position out.
 func (y *story) ends(r port.Ref, e port.Ending, role port.Role, pos time.Duration) {
 	y.Ended(y.now, port.Outcome{Ref: r, Hop: y.subs[r] - 1, Member: y.where[r], Ending: e, Role: role,
-		Closed: e == port.Committed, Latency: 30 * ms, Position: pos, HasPosition: pos != 0})
+		Closed: e == port.Succeeded, Latency: 30 * ms, Position: pos, HasPosition: pos != 0})
 	y.settle()
 }
 
-// dies ends a submission by a failure, and the next one of its txn at the same member by being refused.
+// dies ends an attempt by a failure, and the next one of its request at the same member by being refused.
 func (y *story) dies(r port.Ref, e port.Ending) {
 	member := y.where[r]
 	n := y.subs[r]
@@ -125,7 +125,7 @@
 
 // knows tells the instance what a member says of itself, as a probe would.
 func (y *story) knows(i int, role port.Role, pos time.Duration) {
-	y.Probed(y.now, i, port.Committed, ms, port.Load{Held: 0, Role: role, Position: pos, HasPosition: true})
+	y.Probed(y.now, i, port.Succeeded, ms, port.Load{Held: 0, Role: role, Position: pos, HasPosition: true})
 	y.settle()
 }
 
@@ -157,11 +157,11 @@
 	y.where[r] = m
 	y.ask("submit %d to %d", r.Place, m)
 }
-func (y *story) Revoke(r port.Ref, hop int) { y.ask("revoke %d.%d", r.Place, hop) }
-func (y *story) Decline(r port.Ref, back time.Duration) {
+func (y *story) Cancel(r port.Ref, hop int) { y.ask("revoke %d.%d", r.Place, hop) }
+func (y *story) Reject(r port.Ref, back time.Duration) {
 	y.ask("decline %d, back in %v", r.Place, back)
 }
-func (y *story) RollBack(r port.Ref)     { y.ask("roll back %d", r.Place) }
+func (y *story) Fail(r port.Ref)         { y.ask("roll back %d", r.Place) }
 func (y *story) Probe(m int)             { y.ask("probe %d", m) }
 func (y *story) Forget(m int)            { y.ask("forget %d", m) }
 func (y *story) Watch(on bool)           { y.ask("watch %v", on) }
--- a/router/identity_test.go
+++ b/router/identity_test.go
@@ -53,7 +53,7 @@
 	random  *rand.Rand
 	now     time.Duration
 	wakeAt  time.Duration
-	types   []port.TxnType
+	types   []port.RequestType
 	members []server
 	places  []place
 	out     []attempt
@@ -71,7 +71,7 @@
 	lag     time.Duration
 }
 
-// place is one of the slab's, with the txn in it.
+// place is one of the slab's, with the request in it.
 type place struct {
 	turn     uint32
 	write    bool
@@ -83,7 +83,7 @@
 	out      int
 }
 
-// attempt is a submission on its way.
+// attempt is an attempt on its way.
 type attempt struct {
 	ref    port.Ref
 	hop    int
@@ -115,7 +115,7 @@
 	copies.PiggybackLoad = !copies.AnswersTell
 	rules := port.Guardrails{AnswerSlack: 20 * time.Millisecond, DrainGrace: time.Second, AskWithin: 10 * time.Second,
 		ColdShare: 0.2, FallMultiple: 2.5, Cold: 4 * time.Second, Fall: time.Second}
-	allowed := port.Allowance{Submissions: 2 + random.IntN(6), Probes: d.chance(0.7), Revokes: d.chance(0.7), ComeBackMax: 400 * time.Millisecond,
+	allowed := port.Allowance{Attempts: 2 + random.IntN(6), Probes: d.chance(0.7), Cancels: d.chance(0.7), ComeBackMax: 400 * time.Millisecond,
 		LinkIdle: time.Second}
 	d.router = router.New(d, seed, at, d.types, nil, copies, rules, allowed, port.Tariff{})
 	for i := range daysGroups * daysGroupSize {
@@ -129,13 +129,13 @@
 }
 
 // dayTypes has a type of each level, and writes of each effect.
-func dayTypes() (all []port.TxnType) {
+func dayTypes() (all []port.RequestType) {
 	for _, level := range []port.ReadLevel{port.AnyData, port.Bounded, port.Session, port.Current} {
-		all = append(all, port.TxnType{SLA: 200 * time.Millisecond, Expiry: 800 * time.Millisecond, Value: 1, Level: level, Bound: 300 * time.Millisecond,
+		all = append(all, port.RequestType{TargetLatency: 200 * time.Millisecond, Deadline: 800 * time.Millisecond, Value: 1, Level: level, Bound: 300 * time.Millisecond,
 			Late: float64(level%2) / 2})
 	}
 	for _, effect := range []port.Effect{port.Repeatable, port.Referenced, port.OnceOnly} {
-		all = append(all, port.TxnType{SLA: 600 * time.Millisecond, Expiry: 2 * time.Second, Value: 6, Late: 0.3, Level: port.Write, Effect: effect,
+		all = append(all, port.RequestType{TargetLatency: 600 * time.Millisecond, Deadline: 2 * time.Second, Value: 6, Late: 0.3, Level: port.Write, Effect: effect,
 			Scope: port.Scope(effect % 3), Window: 2 * time.Second})
 	}
 	return all
@@ -158,7 +158,7 @@
 		d.arrival()
 	}
 	d.changes()
-	d.router.Settle(d.now)
+	d.router.Reconcile(d.now)
 }
 
 // endings tells of attempts and probes that are due.
@@ -172,10 +172,10 @@
 		}
 		p := &d.places[a.ref.Place]
 		p.out--
-		p.ended = p.ended || a.ending == port.Committed
+		p.ended = p.ended || a.ending == port.Succeeded
 		m := &d.members[a.member]
 		o := port.Outcome{Ref: a.ref, Hop: a.hop, Member: a.member, Ending: a.ending, Closed: p.ended, Latency: d.now - a.sent, Load: d.report(m)}
-		if answered := a.ending == port.Committed || a.ending == port.Missed; answered && d.chance(0.8) {
+		if answered := a.ending == port.Succeeded || a.ending == port.Missed; answered && d.chance(0.8) {
 			o.Role, o.Position, o.HasPosition = o.Load.Role, o.Load.Position, true
 		}
 		d.router.Ended(d.now, o)
@@ -189,7 +189,7 @@
 			continue
 		}
 		m := &d.members[q.member]
-		ending := port.Committed
+		ending := port.Succeeded
 		if m.faulty && d.chance(0.5) {
 			ending = port.Unreachable
 		}
@@ -224,12 +224,12 @@
 		return
 	}
 	ty := d.random.IntN(len(d.types))
-	budget := d.types[ty].Expiry
+	budget := d.types[ty].Deadline
 	if d.chance(0.1) {
 		budget /= 2
 	}
 	*p = place{turn: p.turn + 1, write: d.types[ty].Level == port.Write, taken: true, begun: d.now, budget: budget}
-	t := port.Txn{Ref: port.Ref{Place: uint32(i), Turn: p.turn}, Type: ty, Customer: port.None, Session: uint64(d.random.IntN(6)),
+	t := port.Request{Ref: port.Ref{Place: uint32(i), Turn: p.turn}, Type: ty, Customer: port.None, Session: uint64(d.random.IntN(6)),
 		Group: d.random.IntN(daysGroups), Budget: budget, Bound: d.types[ty].Bound, Window: d.types[ty].Window, Retry: d.chance(0.1),
 		Write: d.types[ty].Level == port.Write}
 	if d.chance(0.1) {
@@ -288,7 +288,7 @@
 	d.router.List(d.now, kind, 1, entries)
 }
 
-// free gives a place back once its txn has ended and nothing of it is out.
+// free gives a place back once its request has ended and nothing of it is out.
 func (d *day) free(p *place) { p.taken = p.taken && !(p.ended && p.out == 0) }
 
 func (d *day) acted(what, format string, args ...any) {
@@ -301,7 +301,7 @@
 	d.acted("submit", "%v to %d within %v", ref, member, giveUpAfter)
 	p, m := &d.places[ref.Place], &d.members[member]
 	latency := time.Duration(d.random.ExpFloat64() * 40 * float64(time.Millisecond))
-	ending := port.Committed
+	ending := port.Succeeded
 	write := p.write
 	switch chance := d.random.Float64(); {
 	case m.faulty && chance < 0.5:
@@ -319,21 +319,21 @@
 	p.out++
 }
 
-func (d *day) Revoke(ref port.Ref, hop int) {
+func (d *day) Cancel(ref port.Ref, hop int) {
 	d.acted("revoke", "%v %d", ref, hop)
 	for i := range d.out {
 		if a := &d.out[i]; a.ref == ref && a.hop == hop {
-			a.due, a.ending = d.now+time.Millisecond, port.Withdrawn
+			a.due, a.ending = d.now+time.Millisecond, port.Cancelled
 		}
 	}
 }
 
-func (d *day) Decline(ref port.Ref, comeBackIn time.Duration) {
+func (d *day) Reject(ref port.Ref, comeBackIn time.Duration) {
 	d.acted("decline", "%v back in %v", ref, comeBackIn)
 	d.conclude(ref)
 }
 
-func (d *day) RollBack(ref port.Ref) {
+func (d *day) Fail(ref port.Ref) {
 	d.acted("roll-back", "%v", ref)
 	d.conclude(ref)
 }
--- a/router/latency.go
+++ b/router/latency.go
@@ -27,11 +27,11 @@
 	tick         time.Duration   // how often held requests and silent members are looked at
 }
 
-func newLatencies(types []port.TxnType, tick time.Duration) latencies {
+func newLatencies(types []port.RequestType, tick time.Duration) latencies {
 	p := latencies{shortest: time.Hour}
 	for _, ty := range types {
-		p.shortest = min(p.shortest, ty.SLA)
-		p.usual, p.least = append(p.usual, ty.SLA/4), append(p.least, ty.SLA/4)
+		p.shortest = min(p.shortest, ty.TargetLatency)
+		p.usual, p.least = append(p.usual, ty.TargetLatency/4), append(p.least, ty.TargetLatency/4)
 		p.seen, p.many = append(p.seen, 0), append(p.many, 0)
 	}
 	p.tick = max(tick, p.shortest/10)
--- a/router/planning.go
+++ b/router/planning.go
@@ -37,7 +37,7 @@
 }
 
 // destination is the member that a request should go to now, none for none.
-func (r *Router) destination(now time.Duration, t *request, ty *port.TxnType, g *group) int {
+func (r *Router) destination(now time.Duration, t *request, ty *port.RequestType, g *group) int {
 	blind := ty.Level == port.Write && g.primary == none && !r.mayProbe // a miss is the only way to ask
 	if blind || ty.Level != port.Write && ty.Level != port.Current {
 		return r.pick(now, t, ty)
--- a/router/probing.go
+++ b/router/probing.go
@@ -24,7 +24,7 @@
 func (r *Router) Probed(now time.Duration, i int, e port.Ending, _ time.Duration, l port.Load) {
 	m := &r.members[i]
 	m.probeOut = false
-	if e != port.Committed {
+	if e != port.Succeeded {
 		r.probeFailed(now, i, e)
 		return
 	}
--- a/router/redate_test.go
+++ b/router/redate_test.go
@@ -22,7 +22,7 @@
 		assert.Equal(t, y.now-time.Second, y.members[1].started)
 		assert.True(t, y.members[1].cold, "it has just started")
 		assert.Equal(t, y.now-50*ms+min(off, 0), y.members[2].pos, "never taken to be newer")
-		assert.Equal(t, min(y.now, y.now-20*ms+max(off, 0)), y.needs(y.now, &port.Txn{Session: 77}, y.Router.group(0)), "never to need less")
+		assert.Equal(t, min(y.now, y.now-20*ms+max(off, 0)), y.needs(y.now, &port.Request{Session: 77}, y.Router.group(0)), "never to need less")
 		y.claims(y.now+ms, 1, port.Primary, y.now+ms, true)
 		assert.Equal(t, 1, y.Router.group(0).primary, "the next claim is the newer one")
 		assert.Equal(t, never, y.members[1].pos, "what is not known stays so")
--- a/router/request.go
+++ b/router/request.go
@@ -20,7 +20,7 @@
 
 // request is one in hand.
 type request struct {
-	port.Txn
+	port.Request
 	begun      time.Duration
 	targetAt   time.Duration // when its target latency is over
 	deadline   time.Duration
@@ -42,7 +42,7 @@
 
 // requestTable has all that are in hand.
 type requestTable struct {
-	types     []port.TxnType
+	types     []port.RequestType
 	mayCancel bool
 	slab      []request
 	held      []uint32 // to be planned: new, or without a place to go
@@ -50,15 +50,15 @@
 }
 
 // Begin takes a request.
-func (r *Router) Begin(now time.Duration, in port.Txn) {
+func (r *Router) Begin(now time.Duration, in port.Request) {
 	for len(r.slab) <= int(in.Ref.Place) {
 		r.slab = append(r.slab, request{end: closed, at: none, want: none})
 	}
 	ty := &r.types[in.Type]
 	t := &r.slab[in.Ref.Place]
-	*t = request{Txn: in, begun: now, deadline: now + in.Budget, value: ty.Value, needs: never, at: none, want: none,
+	*t = request{Request: in, begun: now, deadline: now + in.Budget, value: ty.Value, needs: never, at: none, want: none,
 		lastMember: none, held: t.held,
-		targetAt: now + min(ty.SLA+time.Duration(ty.Stretch*float64(in.Hint)), ty.Expiry)}
+		targetAt: now + min(ty.TargetLatency+time.Duration(ty.Stretch*float64(in.Hint)), ty.Deadline)}
 	if ty.Level == port.Session {
 		t.needs = r.needs(now, &in, r.group(in.Group))
 	}
@@ -121,8 +121,8 @@
 		return
 	}
 	t.attemptEnded(&o)
-	if o.Ending == port.Committed && r.types[ty].Level == port.Write && t.Session != 0 && o.HasPosition {
-		r.recordWrite(sessionKey(&t.Txn), r.group(t.Group), o.Position)
+	if o.Ending == port.Succeeded && r.types[ty].Level == port.Write && t.Session != 0 && o.HasPosition {
+		r.recordWrite(sessionKey(&t.Request), r.group(t.Group), o.Position)
 	}
 	if o.Ending == port.Unreachable || o.Ending == port.Void {
 		r.refundRetry()
--- a/router/retry.go
+++ b/router/retry.go
@@ -39,23 +39,23 @@
 // pastHope tells when to give a request up: after two errors, its own fault then, or shortly before its deadline, or at
 // its target latency where late is worth nothing. What is out is never cut short: clients would come back at once.
 // A write or a retry of which nothing went out leaves half of its time to its client, who may find more room.
-func (r *Router) pastHope(now time.Duration, t *request, ty *port.TxnType) bool {
+func (r *Router) pastHope(now time.Duration, t *request, ty *port.RequestType) bool {
 	kept := (ty.Level == port.Write || t.value < ty.Value) && !t.mayRun && !t.missed &&
 		now > t.begun+t.Budget/2-2*r.tick
 	senseless := t.errors > 1 || t.errors > 0 && r.errorRate > 1.0/4 // where errors are common, at the first
 	// A usual latency over the target must not shut a type out: what is never sent is never learnt of.
-	tooLate := ty.Late == 0 && now > t.targetAt-min(r.usual[t.Type], ty.SLA/2)
+	tooLate := ty.Late == 0 && now > t.targetAt-min(r.usual[t.Type], ty.TargetLatency/2)
 	return kept || t.unrepeatable(now, ty) || senseless || t.attempts >= r.maxAttempts || now > t.deadline-2*r.tick || tooLate
 }
 
 // unrepeatable tells of a request that may have run, where nothing would drop the repeat.
-func (t *request) unrepeatable(now time.Duration, ty *port.TxnType) bool {
+func (t *request) unrepeatable(now time.Duration, ty *port.RequestType) bool {
 	return t.mayRun && (ty.Effect == port.OnceOnly ||
 		ty.Effect == port.Referenced && (now-t.ranSince > t.Window*9/10 || ty.Scope == port.ScopeZone))
 }
 
 // giveUp ends a request at once, as well as its type allows.
-func (t *request) giveUp(ty *port.TxnType) {
+func (t *request) giveUp(ty *port.RequestType) {
 	t.end = rejected
 	if t.mayRun && (ty.Effect == port.OnceOnly || ty.Effect == port.Referenced && ty.Scope != port.ScopeAll) {
 		t.end = failed
--- a/router/router.go
+++ b/router/router.go
@@ -1,13 +1,13 @@
 // Package router decides where each request goes.
 //
-// New makes one instance; its host calls the methods of port.Decider as things come in, and Settle after the
+// New makes one instance; its host calls the methods of port.Decider as things come in, and Reconcile after the
 // last event of each batch; what the instance may ask for is port.Host. Equal events give equal actions.
 //
 // The ordinary path: each session keeps its last write's log position as its target; its reads go to a
 // replica whose own hold or refusal enforces that position, and fall back to the primary when the wait
 // cannot be enforced or fails. docs/design.md says where this is extended and when that acts.
 //
-// A request's way: Begin (request.go) takes it and ranks it (admission.go); Settle plans it (planning.go): is it
+// A request's way: Begin (request.go) takes it and ranks it (admission.go); Reconcile plans it (planning.go): is it
 // past hope (retry.go), may its member take it (admission.go, concurrency.go, slow_start.go, health.go), which
 // replica (selection.go, freshness.go, sessions.go) or the primary (primary.go); emit sends it. Ended (request.go)
 // brings an attempt's outcome, from which health.go, concurrency.go and latency.go learn, and which ends the
@@ -64,7 +64,7 @@
 }
 
 // New makes an instance that knows nothing yet.
-func New(h port.Host, seed uint64, at port.Topology, types []port.TxnType, _ []port.Customer,
+func New(h port.Host, seed uint64, at port.Topology, types []port.RequestType, _ []port.Customer,
 	copies port.Replication, rules port.Guardrails, allowed port.Allowance, _ port.Tariff) port.Decider {
 	return &Router{
 		host:           h,
@@ -74,9 +74,9 @@
 		loads:          loads{growth: 1 / float64(max(1, at.Fronts))},
 		slowStartRules: newSlowStartRules(rules),
 		selection:      newSelection(seed, at, copies, allowed),
-		requestTable:   requestTable{types: types, mayCancel: allowed.Revokes},
+		requestTable:   requestTable{types: types, mayCancel: allowed.Cancels},
 		admission:      newAdmission(types, at, allowed),
-		retries:        retries{maxAttempts: allowed.Submissions, retryBudget: retryReserve},
+		retries:        retries{maxAttempts: allowed.Attempts, retryBudget: retryReserve},
 		endpointList:   newEndpointList(at, rules),
 		reports:        reports{positionsByReport: copies.PiggybackLoad && !copies.AnswersTell, mayProbe: allowed.Probes},
 		clock:          clock{wakeAt: never, resumedAt: never},
@@ -107,8 +107,8 @@
 	}
 }
 
-// Settle plans what came in or is held, and emits the difference between what should be and what is.
-func (r *Router) Settle(now time.Duration) {
+// Reconcile plans what came in or is held, and emits the difference between what should be and what is.
+func (r *Router) Reconcile(now time.Duration) {
 	// First among the held is what is worth most for its work, among equals the newest (most hope).
 	slices.SortStableFunc(r.held, func(a, b uint32) int {
 		x, y := &r.slab[a], &r.slab[b]
@@ -142,15 +142,15 @@
 func (r *Router) emit(now time.Duration, t *request) {
 	if t.at != none && t.want != t.at && !t.cancelling {
 		t.cancelling = true
-		r.host.Revoke(t.Ref, t.attempts-1)
+		r.host.Cancel(t.Ref, t.attempts-1)
 	}
 	switch {
 	case t.end == rejected:
 		t.end = closed
-		r.host.Decline(t.Ref, r.retryAfter)
+		r.host.Reject(t.Ref, r.retryAfter)
 	case t.end == failed:
 		t.end = closed
-		r.host.RollBack(t.Ref)
+		r.host.Fail(t.Ref)
 	case t.end == open && t.at == none && t.want != none:
 		m := &r.members[t.want]
 		m.sent(now)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -17,7 +17,7 @@
 	y.now = time.Second
 	w := y.begin(write)
 	assert.Equal(t, "submit 1 to 0", y.last("submit"))
-	y.ends(w, port.Committed, port.Primary, y.now)
+	y.ends(w, port.Succeeded, port.Primary, y.now)
 	y.knows(2, port.Replica, y.now-100*ms)
 	y.knows(1, port.Replica, y.now)
 	y.knows(3, port.Replica, y.now-100*ms)
@@ -31,7 +31,7 @@
 func TestWhereNoneIsKnownFreshTheLeastBehindChecksForItself(t *testing.T) {
 	y := tell(t, littleSite()).group(3)
 	y.now = time.Second
-	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.ends(y.begin(write), port.Succeeded, port.Primary, y.now)
 	y.knows(1, port.Replica, y.now-40*ms)
 	y.knows(2, port.Replica, y.now-30*ms)
 	r := y.begin(session)
@@ -43,7 +43,7 @@
 func TestAHoldThatCannotDoItIsNotSpent(t *testing.T) {
 	y := tell(t, littleSite()).group(3)
 	y.now = 5 * time.Second
-	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.ends(y.begin(write), port.Succeeded, port.Primary, y.now)
 	y.knows(1, port.Replica, y.now-2*time.Second)
 	y.knows(2, port.Replica, y.now-2*time.Second)
 	y.begin(session)
@@ -53,7 +53,7 @@
 func TestATargetIsNeverLoweredWithinATermAndRaisedToTheStartOfTheNext(t *testing.T) {
 	s := newSessions(false)
 	g := &group{term: 1}
-	in := &port.Txn{Session: 9}
+	in := &port.Request{Session: 9}
 	s.recordWrite(9, g, 500*ms)
 	s.recordWrite(9, g, 400*ms)
 	assert.Equal(t, 500*ms, s.needs(0, in, g))
@@ -71,14 +71,14 @@
 	for i := range uint64(ways + 1) {
 		s.recordWrite(i+1, g, time.Duration(i+1)*ms)
 	}
-	assert.Equal(t, ms, s.needs(0, &port.Txn{Session: 1}, g), "the one that was forgotten")
-	assert.Equal(t, 3*ms, s.needs(0, &port.Txn{Session: 3}, g))
+	assert.Equal(t, ms, s.needs(0, &port.Request{Session: 1}, g), "the one that was forgotten")
+	assert.Equal(t, 3*ms, s.needs(0, &port.Request{Session: 3}, g))
 }
 
 func TestACarriedTokenIsAnAge(t *testing.T) {
 	s := newSessions(true)
-	assert.Equal(t, 700*ms, s.needs(time.Second, &port.Txn{TokenAge: 300 * ms}, &group{termStart: never}))
-	assert.Equal(t, never, s.needs(time.Second, &port.Txn{Session: 9}, &group{}))
+	assert.Equal(t, 700*ms, s.needs(time.Second, &port.Request{TokenAge: 300 * ms}, &group{termStart: never}))
+	assert.Equal(t, never, s.needs(time.Second, &port.Request{Session: 9}, &group{}))
 }
 
 func TestWhereNothingIsCheckedOnlyAProofWillDo(t *testing.T) {
@@ -86,7 +86,7 @@
 	p.copies.Check = port.Unchecked
 	y := tell(t, p).group(3)
 	y.now = time.Second
-	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.ends(y.begin(write), port.Succeeded, port.Primary, y.now)
 	y.knows(1, port.Replica, y.now-20*ms)
 	y.knows(2, port.Replica, y.now-20*ms)
 	y.now += 100 * ms // by their pace both have it now, but nobody said so
@@ -125,7 +125,7 @@
 	y.ends(w, port.Missed, port.Replica, y.now+ms)
 	assert.Equal(t, 2, y.subs[w])
 	assert.NotEqual(t, first, y.where[w])
-	y.ends(w, port.Committed, port.Primary, y.now+ms)
+	y.ends(w, port.Succeeded, port.Primary, y.now+ms)
 	assert.Equal(t, y.where[w], y.groups[0].primary)
 }
 
@@ -195,7 +195,7 @@
 	p.at.RetriesMarked, p.types[anyRead].Late = true, 0.5
 	y := tell(t, p).group(1)
 	y.members[0].out = 9
-	y.begin(anyRead, func(in *port.Txn) { in.Retry, in.Budget = true, 120*ms })
+	y.begin(anyRead, func(in *port.Request) { in.Retry, in.Budget = true, 120*ms })
 	y.pass(15 * ms)
 	assert.Zero(t, y.count("decline"))
 	y.pass(25 * ms)
@@ -205,10 +205,10 @@
 func TestWhatHasWaitedOutItsSLATimeElsewhereIsDeclinedAtOnceWhereLateIsWorthNothing(t *testing.T) {
 	y := tell(t, littleSite()).group(2)
 	for range 20 {
-		y.ends(y.begin(anyRead), port.Committed, port.Replica, 0)
+		y.ends(y.begin(anyRead), port.Succeeded, port.Replica, 0)
 	}
 	n := y.count("submit")
-	y.begin(anyRead, func(in *port.Txn) { in.Budget = 560 * ms })
+	y.begin(anyRead, func(in *port.Request) { in.Budget = 560 * ms })
 	assert.Equal(t, n, y.count("submit"), "240 ms of its budget are gone, and its SLA time is 200")
 	assert.Equal(t, 1, y.count("decline"))
 }
@@ -273,10 +273,10 @@
 	assert.Equal(t, "revoke 1.0", y.last("revoke"))
 	assert.Equal(t, 2.0, y.members[y.where[old]].limit, "it left too early to be served: a sign of a queue")
 	ref := port.Ref{Place: old.Place, Turn: old.Turn + 1}
-	y.Begin(y.now, port.Txn{Ref: ref, Type: anyRead, Customer: port.None, Budget: time.Second})
+	y.Begin(y.now, port.Request{Ref: ref, Type: anyRead, Customer: port.None, Budget: time.Second})
 	y.slab[ref.Place].rank = 0
 	y.settle()
-	y.ends(old, port.Withdrawn, port.Unknown, 0)
+	y.ends(old, port.Cancelled, port.Unknown, 0)
 	assert.Equal(t, open, y.slab[ref.Place].end)
 	assert.Equal(t, 2, y.count("submit"), "and brings it no further submission")
 }
@@ -331,7 +331,7 @@
 	y.list(port.Changes, port.Entry{Member: 0, State: port.Removed})
 	y.pass(11 * time.Second)
 	assert.Zero(t, y.count("forget"), "its submission is out")
-	y.ends(r, port.Committed, port.Primary, time.Second)
+	y.ends(r, port.Succeeded, port.Primary, time.Second)
 	y.groups[0].primary = 0 // as when it shows as primary while it is down
 	y.pass(time.Second)
 	assert.Equal(t, "forget 0", y.last("forget"))
@@ -365,7 +365,7 @@
 			if y.where[r] == 2 {
 				n++
 			}
-			y.ends(r, port.Committed, port.Replica, y.now)
+			y.ends(r, port.Succeeded, port.Replica, y.now)
 		}
 		return n
 	}
@@ -382,7 +382,7 @@
 	n := 0
 	for range 200 { // a second in which the group has no primary and the member is behind
 		y.now += 5 * ms
-		r := y.begin(session, func(t *port.Txn) { t.Session = 0 })
+		r := y.begin(session, func(t *port.Request) { t.Session = 0 })
 		for y.subs[r] > 0 && y.slab[r.Place].at != none {
 			n++
 			y.ends(r, port.Missed, port.Replica, 10*time.Second)
@@ -399,7 +399,7 @@
 	y.Probed(y.now, 0, port.Unreachable, ms, port.Load{})
 	y.now += time.Second
 	y.knows(0, port.Primary, y.now)
-	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.ends(y.begin(write), port.Succeeded, port.Primary, y.now)
 	assert.True(t, y.members[0].cold)
 }
 
@@ -426,7 +426,7 @@
 	y.pass(900 * ms)
 	assert.Equal(t, 3, y.count("revoke"))
 	assert.Equal(t, 3, y.count("submit"), "no second one while the first is out")
-	y.ends(w, port.Withdrawn, port.Unknown, 0)
+	y.ends(w, port.Cancelled, port.Unknown, 0)
 	y.knows(1, port.Primary, y.now)
 	assert.Equal(t, "submit 1 to 1", y.last("submit"))
 }
@@ -455,7 +455,7 @@
 					n++
 					y.ends(r, e, port.Unknown, 0)
 				} else {
-					y.ends(r, port.Committed, port.Replica, 0)
+					y.ends(r, port.Succeeded, port.Replica, 0)
 				}
 			}
 		}
@@ -471,7 +471,7 @@
 		y.pass(100 * ms)
 		r := y.begin(write)
 		if y.subs[r] > 0 {
-			y.Ended(y.now, port.Outcome{Ref: r, Ending: port.Committed, Closed: true, Latency: 500 * ms})
+			y.Ended(y.now, port.Outcome{Ref: r, Ending: port.Succeeded, Closed: true, Latency: 500 * ms})
 			y.settle()
 		}
 	}
@@ -529,7 +529,7 @@
 	for _, faulty := range []int{none, 2} { // half of all that is sent, or all that is sent to one
 		y := tell(t, littleSite()).group(4)
 		for k := range 400 {
-			e := port.Committed
+			e := port.Succeeded
 			if faulty == none && k/4%2 == 0 || k%4 == faulty {
 				e = port.Errored
 			}
@@ -548,7 +548,7 @@
 	for _, e := range []port.Ending{port.Broken, port.Unreachable} {
 		y := tell(t, littleSite()).group(2)
 		y.now = time.Minute
-		y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, write)
+		y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 20 * ms}, write)
 		y.observeOutcome(y.now+100*ms, port.Outcome{Ending: e, Latency: 250 * ms}, write)
 		assert.False(t, y.members[0].ejected, "it answered while this one was tried")
 		y.now += time.Second
@@ -558,7 +558,7 @@
 		y.observeOutcome(y.now, port.Outcome{Ending: e, Latency: 250 * ms}, write)
 		assert.True(t, y.members[0].ejected, "the second in a row")
 		y.knows(0, port.Primary, y.now)
-		y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, write)
+		y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 20 * ms}, write)
 		assert.False(t, y.members[0].cold, "the probe found it running: it did not start anew")
 	}
 }
@@ -619,7 +619,7 @@
 func TestALostAnswerIsNoSignOfAQueue(t *testing.T) {
 	y := tell(t, littleSite()).group(1)
 	y.pass(time.Second)
-	y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, anyRead)
+	y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 20 * ms}, anyRead)
 	room := y.members[0].limit
 	y.observeOutcome(y.now, port.Outcome{Ending: port.TimedOut, Latency: 800 * ms}, anyRead)
 	assert.Equal(t, room, y.members[0].limit, "one that was sent later came back quickly")
@@ -645,7 +645,7 @@
 			continue
 		}
 		assert.Equal(t, "revoke 1.0", y.last("revoke"))
-		y.ends(w, port.Withdrawn, port.Unknown, 0)
+		y.ends(w, port.Cancelled, port.Unknown, 0)
 		assert.Equal(t, 2, y.count("submit"))
 		y.members[0].waitingSince, y.members[0].quickAt = time.Hour, time.Hour
 		y.pass(700 * ms)
@@ -660,10 +660,10 @@
 	y.members[0].limit = 1
 	first := y.begin(write)
 	cheap := y.begin(anyRead)
-	retry := y.begin(write, func(t *port.Txn) { t.Retry = true })
+	retry := y.begin(write, func(t *port.Request) { t.Retry = true })
 	dear := y.begin(write)
 	for _, next := range []port.Ref{dear, cheap, retry} {
-		y.ends(first, port.Committed, port.Primary, 0)
+		y.ends(first, port.Succeeded, port.Primary, 0)
 		assert.Equal(t, 1, y.subs[next])
 		first = next
 	}
@@ -673,18 +673,18 @@
 func TestAnUnmarkedRetryIsToldByItsBudget(t *testing.T) {
 	y := tell(t, littleSite()).group(1)
 	for range 50 {
-		y.begin(anyRead, func(in *port.Txn) { in.Budget = 400 * ms })
+		y.begin(anyRead, func(in *port.Request) { in.Budget = 400 * ms })
 	}
-	last := y.begin(anyRead, func(in *port.Txn) { in.Budget = 300 * ms })
+	last := y.begin(anyRead, func(in *port.Request) { in.Budget = 300 * ms })
 	assert.Equal(t, 1.0/4, y.slab[last.Place].value)
-	first := y.begin(anyRead, func(in *port.Txn) { in.Budget = 400 * ms })
+	first := y.begin(anyRead, func(in *port.Request) { in.Budget = 400 * ms })
 	assert.Equal(t, 1.0, y.slab[first.Place].value)
 	for range 20 {
 		y.begin(write)
 	}
 	assert.Equal(t, 6.0, y.slab[y.begin(write).Place].value, "another type's tries come with another part of its expiry")
 	y.retriesMarked = true
-	last = y.begin(anyRead, func(in *port.Txn) { in.Budget = 300 * ms })
+	last = y.begin(anyRead, func(in *port.Request) { in.Budget = 300 * ms })
 	assert.Equal(t, 1.0, y.slab[last.Place].value, "where clients mark them, the mark is what counts")
 }
 
@@ -708,7 +708,7 @@
 	y := tell(t, littleSite()).group(4)
 	for range 500 {
 		y.now += 10 * ms
-		y.ends(y.begin(anyRead), port.Committed, port.Replica, 0)
+		y.ends(y.begin(anyRead), port.Succeeded, port.Replica, 0)
 	}
 	assert.Zero(t, y.count("probe"), "answers tell enough")
 	y.eject(y.now, 3)
@@ -727,7 +727,7 @@
 		y := tell(t, littleSite()).group(4)
 		for range 50 {
 			y.now += 7 * ms
-			y.ends(y.begin(session), port.Committed, port.Replica, y.now)
+			y.ends(y.begin(session), port.Succeeded, port.Replica, y.now)
 		}
 		return y
 	}
@@ -746,18 +746,18 @@
 		for _, ty := range []int{write, session, anyRead, bounded} {
 			now, turn = now+5*ms, turn+1
 			ref := port.Ref{Place: turn % 8, Turn: turn}
-			r.Begin(now, port.Txn{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
-			r.Settle(now)
-			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Committed, Closed: true, Latency: 20 * ms,
+			r.Begin(now, port.Request{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
+			r.Reconcile(now)
+			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Succeeded, Closed: true, Latency: 20 * ms,
 				Role: port.Replica, Position: now, HasPosition: true})
-			r.Settle(now)
+			r.Reconcile(now)
 		}
 	}
 	round()
 	assert.Zero(t, testing.AllocsPerRun(1000, round))
 }
 
-// quiet is a host that only notes where the last txn went.
+// quiet is a host that only notes where the last request went.
 type quiet struct {
 	story
 	to int
@@ -771,7 +771,7 @@
 func TestAPrimaryBehindACutWayIsNotWaitedForAndServesAtOnceWhenItIsOpen(t *testing.T) {
 	y := tell(t, littleSite()).group(3)
 	y.now = time.Second
-	y.ends(y.begin(write), port.Committed, port.Primary, y.now)
+	y.ends(y.begin(write), port.Succeeded, port.Primary, y.now)
 	y.knows(2, port.Replica, y.now)
 	y.list(port.Changes, port.Entry{Member: 0, State: port.Away, Primary: true})
 	y.begin(onceOnly)
@@ -792,7 +792,7 @@
 	y.begin(anyRead)
 	answers := func(member int, role port.Role, reported time.Duration) {
 		y.members[member].out++
-		y.Ended(y.now, port.Outcome{Ref: port.Ref{}, Member: member, Ending: port.Committed, Role: role, Latency: 30 * ms,
+		y.Ended(y.now, port.Outcome{Ref: port.Ref{}, Member: member, Ending: port.Succeeded, Role: role, Latency: 30 * ms,
 			Load: port.Load{Role: role, Position: reported, HasPosition: true}})
 	}
 	for range 20 { // reports are three seconds late, all of them
@@ -836,7 +836,7 @@
 	y := tell(t, littleSite()).group(1)
 	for range 3 {
 		y.pass(100 * ms)
-		y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 20 * ms}, anyRead)
+		y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 20 * ms}, anyRead)
 	}
 	a, b := y.begin(anyRead), y.begin(anyRead)
 	room, strain := y.members[0].limit, y.members[0].load.n
@@ -845,11 +845,11 @@
 	assert.False(t, y.members[0].ejected, "it is not the member that was silent")
 	y.ends(a, port.TimedOut, port.Unknown, 0)
 	y.Left(y.now, b)
-	y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 5 * time.Second}, anyRead)
+	y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 5 * time.Second}, anyRead)
 	assert.Equal(t, room, y.members[0].limit)
 	assert.Equal(t, strain, y.members[0].load.n)
 	y.pass(100 * ms)
-	y.observeOutcome(y.now, port.Outcome{Ending: port.Committed, Latency: 600 * ms}, anyRead)
+	y.observeOutcome(y.now, port.Outcome{Ending: port.Succeeded, Latency: 600 * ms}, anyRead)
 	assert.Less(t, y.members[0].limit, room, "what comes later counts again")
 }
 
@@ -865,7 +865,7 @@
 		y.settle()
 		y.knows(0, port.Primary, y.now)
 		y.pass(2 * y.tick)
-		y.ends(w, port.Committed, port.Primary, y.now)
+		y.ends(w, port.Succeeded, port.Primary, y.now)
 	}
 	assert.False(t, y.members[0].ejected)
 	assert.LessOrEqual(t, y.count("probe"), 8, "what answered within an SLA time is not asked again")
@@ -882,7 +882,7 @@
 			y := tell(t, p).group(6)
 			y.seed = uint64(seed)
 			y.now, y.warmMembers = 20*time.Second, 5
-			y.served = decayingMean{sum: 1, n: 20, at: y.now} // two txns of 50 ms a second at each warm member
+			y.served = decayingMean{sum: 1, n: 20, at: y.now} // two requests of 50 ms a second at each warm member
 			m := &y.members[5]
 			y.beginSlowStart(y.now, m, y.now)
 			for end := y.now + 2*time.Second; y.now < end; y.now += 100 * ms {
@@ -893,7 +893,7 @@
 				}
 			}
 		}
-		// Two seconds of a warm member's part are four txns a front; 0.2 to 0.36 of that, times 1.5, is the cold one's.
+		// Two seconds of a warm member's part are four requests a front; 0.2 to 0.36 of that, times 1.5, is the cold one's.
 		part := float64(4*fronts) * 0.28 * 1.5
 		assert.InDelta(t, part, sent, 60*math.Sqrt(float64(fronts)/250), "%d fronts", fronts)
 	}
@@ -913,12 +913,12 @@
 	assert.Equal(t, 1, y.where[r], "a replica, whose own check decides")
 	y.ends(r, port.Missed, port.Replica, 0)
 	assert.Equal(t, 0, y.where[r], "and after a miss the primary")
-	y.ends(r, port.Committed, port.Primary, 0)
+	y.ends(r, port.Succeeded, port.Primary, 0)
 	for range 40 {
 		y.pass(50 * ms)
 		r := y.begin(anyRead)
 		if y.subs[r] > 0 {
-			y.ends(r, port.Committed, port.Replica, 0)
+			y.ends(r, port.Succeeded, port.Replica, 0)
 		}
 	}
 	cold := 0
@@ -928,11 +928,11 @@
 		}
 	}
 	assert.LessOrEqual(t, cold, 2, "a starting member gets its part of what 250 fronts send")
-	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 4, Ending: port.Committed, Role: port.Primary,
+	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 4, Ending: port.Succeeded, Role: port.Primary,
 		Position: y.now, HasPosition: true}) // a claim in the other group
 	assert.Equal(t, 0, y.groups[0].primary, "what another group's member says is not believed here")
 	assert.Equal(t, 4, y.groups[1].primary)
-	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 3, Ending: port.Committed, Role: port.Primary,
+	y.Ended(y.now, port.Outcome{Ref: port.Ref{Place: 1}, Member: 3, Ending: port.Succeeded, Role: port.Primary,
 		Position: y.now - time.Second, HasPosition: true})
 	assert.Equal(t, 4, y.groups[1].primary, "nor what is of an older term")
 }
@@ -941,7 +941,7 @@
 	part := func(failing int) float64 {
 		y := tell(t, littleSite()).group(3)
 		y.pass(100 * ms)
-		y.ends(y.begin(anyRead), port.Committed, port.Replica, 0)
+		y.ends(y.begin(anyRead), port.Succeeded, port.Replica, 0)
 		for range failing { // worthless, the same everywhere
 			y.ends(y.begin(anyRead), port.Errored, port.Replica, 0)
 		}
--- a/router/scale_bench_test.go
+++ b/router/scale_bench_test.go
@@ -22,10 +22,10 @@
 				for range 50 { // beats
 					y.now += 20 * ms
 					y.Woken(y.now)
-					y.Settle(y.now)
+					y.Reconcile(y.now)
 				}
 				for range 60 { // what comes in of 20 requests
-					y.Settle(y.now)
+					y.Reconcile(y.now)
 				}
 			}
 		})
@@ -48,11 +48,11 @@
 		for _, ty := range []int{write, session, anyRead, bounded} {
 			now, turn = now+5*ms, turn+1
 			ref := port.Ref{Place: turn % 8, Turn: turn}
-			r.Begin(now, port.Txn{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
-			r.Settle(now)
-			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Committed, Closed: true, Latency: 20 * ms,
+			r.Begin(now, port.Request{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
+			r.Reconcile(now)
+			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Succeeded, Closed: true, Latency: 20 * ms,
 				Role: port.Replica, Position: now, HasPosition: true})
-			r.Settle(now)
+			r.Reconcile(now)
 		}
 	}
 }
--- a/router/selection.go
+++ b/router/selection.go
@@ -63,7 +63,7 @@
 // is known fresh enough the least behind, whose own check decides; but not where its hold can't do it:
 // a whole group behind would spend a hold on each read and then go to the primary all the same. After a
 // miss, and where the wait can't be enforced, the primary; it also relieves replicas that are far busier.
-func (r *Router) pick(now time.Duration, t *request, ty *port.TxnType) int {
+func (r *Router) pick(now time.Duration, t *request, ty *port.RequestType) int {
 	g := r.group(t.Group)
 	needs := t.needs
 	if ty.Level == port.Bounded {
--- a/router/sessions.go
+++ b/router/sessions.go
@@ -72,7 +72,7 @@
 }
 
 // needs is the position that a session's read must see, never for none.
-func (s *sessions) needs(now time.Duration, in *port.Txn, g *group) time.Duration {
+func (s *sessions) needs(now time.Duration, in *port.Request, g *group) time.Duration {
 	token := never
 	if in.TokenAge > 0 { // it names a moment, not a term; one before this term's start is of an older term
 		token = max(now-in.TokenAge, g.termStart)
@@ -90,7 +90,7 @@
 }
 
 // sessionKey names a session in a group.
-func sessionKey(in *port.Txn) uint64 { return in.Session + uint64(in.Group) }
+func sessionKey(in *port.Request) uint64 { return in.Session + uint64(in.Group) }
 
 // Target tells the position that a read in hand must see, for an instance of another site.
 func (r *Router) Target(ref port.Ref) (time.Duration, bool) {
--- a/shape/class.go
+++ b/shape/class.go
@@ -1,4 +1,4 @@
-// Package shape parses statements just far enough to say what they do, what they may cost and which txn type
+// Package shape parses statements just far enough to say what they do, what they may cost and which request type
 // they are, and keeps what it found by the statement's form.
 //
 // What holds, and is asserted by the tests:
@@ -10,7 +10,7 @@
 //   - Scanning, classing and looking up use bounded memory whatever the text: no recursion, frames of fixed
 //     number, names and tables counted.
 //
-// Nothing here chooses a member, or whether a txn runs again.
+// Nothing here chooses a member, or whether a request runs again.
 package shape
 
 import (
--- a/shape/settings.go
+++ b/shape/settings.go
@@ -28,7 +28,7 @@
 	Bytes      int64
 	Lists      *Lists
 	Rules      []Rule
-	Undeclared port.Effect  // of a write whose txn type reads
+	Undeclared port.Effect  // of a write whose request type reads
 	Places     []conf.Place // of the rules
 }
 
--- a/shape/shape.go
+++ b/shape/shape.go
@@ -29,7 +29,7 @@
 // forms can be made that share it.
 func (s *Shape) Fingerprint() uint64 { return xxhash.Sum64(s.form) }
 
-// Rule names the txn type of statements that fit it. What is left out fits all.
+// Rule names the request type of statements that fit it. What is left out fits all.
 type Rule struct {
 	Type   string
 	Class  Class // Unknown: any
--- a/site/rules.go
+++ b/site/rules.go
@@ -19,12 +19,12 @@
 //	(rules
 //	  (bound slot-browse 2s)    ; reads of the type are no older; tighter than the site's bound only
 //	  (window book-table 1s)    ; marks of the type are counted on for no longer; shorter than the site's only
-//	  (given-up 7 12))          ; txns of these groups are not taken any more
+//	  (given-up 7 12))          ; requests of these groups are not taken any more
 const RulesForm = "rules"
 
 // Rules are what the form says. Nil and the zero value change nothing.
 type Rules struct {
-	Bounds, Windows map[string]time.Duration // by txn type
+	Bounds, Windows map[string]time.Duration // by request type
 	GivenUp         []int64                  // groups, sorted
 	places          map[string]conf.Place
 	place           conf.Place
@@ -76,15 +76,15 @@
 		return nil
 	}
 	var faults conf.Faults
-	look := func(what string, of map[string]time.Duration, most func(port.TxnType) (time.Duration, bool), kind string) {
+	look := func(what string, of map[string]time.Duration, most func(port.RequestType) (time.Duration, bool), kind string) {
 		for _, name := range slices.Sorted(maps.Keys(of)) {
 			place := r.places[what+" "+name]
 			i := slices.Index(s.Types, name)
 			if i < 0 {
-				faults = append(faults, conf.Fault{Place: place, What: name + " is no txn type of this site", Remedy: fmt.Sprint("its types are ", s.Types)})
+				faults = append(faults, conf.Fault{Place: place, What: name + " is no request type of this site", Remedy: fmt.Sprint("its types are ", s.Types)})
 				continue
 			}
-			switch limit, ok := most(s.TxnTypes[i]); {
+			switch limit, ok := most(s.RequestTypes[i]); {
 			case !ok:
 				faults = append(faults, conf.Fault{Place: place, What: name + " has no " + what, Remedy: "name a type that " + kind})
 			case of[name] > limit:
@@ -93,8 +93,8 @@
 			}
 		}
 	}
-	look("bound", r.Bounds, func(t port.TxnType) (time.Duration, bool) { return t.Bound, t.Level == port.Bounded }, "reads within a bound")
-	look("window", r.Windows, func(t port.TxnType) (time.Duration, bool) { return t.Window, t.Effect == port.Referenced }, "carries a mark")
+	look("bound", r.Bounds, func(t port.RequestType) (time.Duration, bool) { return t.Bound, t.Level == port.Bounded }, "reads within a bound")
+	look("window", r.Windows, func(t port.RequestType) (time.Duration, bool) { return t.Window, t.Effect == port.Referenced }, "carries a mark")
 	if faults == nil {
 		return nil
 	}
--- a/site/rules_test.go
+++ b/site/rules_test.go
@@ -11,12 +11,12 @@
 )
 
 func TestRulesOnlyTightenAndWhatIsWrongIsToldAtItsPlace(t *testing.T) {
-	s := &Site{Types: []string{"browse", "book"}, TxnTypes: []port.TxnType{{Level: port.Bounded, Bound: 3 * time.Second}, {Level: port.Write, Effect: port.Referenced, Window: 2 * time.Second}}}
+	s := &Site{Types: []string{"browse", "book"}, RequestTypes: []port.RequestType{{Level: port.Bounded, Bound: 3 * time.Second}, {Level: port.Write, Effect: port.Referenced, Window: 2 * time.Second}}}
 	for text, want := range map[string]string{
 		"(rules (bound browse 2s) (window book 1s) (given-up 7 3))": "",
 		"(rules (bound browse 5s))":                                 "x:1:8: 5s is looser than the site's bound of 3s for browse",
 		"(rules (bound book 1s))":                                   "book has no bound; name a type that reads within a bound",
-		"(rules (window brows 1s))":                                 "brows is no txn type of this site",
+		"(rules (window brows 1s))":                                 "brows is no request type of this site",
 		"(rules (given-up north))":                                  "x:1:18: north is no group",
 		"(rules (bond browse 1s))":                                  "rules have no bond",
 		"(rules (bound browse 1s) (bound browse 2s))":               "bound of browse is named twice",
