--- a/site/site.go
+++ b/site/site.go
@@ -29,7 +29,7 @@
 	Zero                    int64 // clock time from which positions are measured
 	Types, Customers, Zones []string
 	Topology                port.Topology
-	TxnTypes                []port.TxnType
+	RequestTypes            []port.RequestType
 	Shares                  []port.Customer
 	Replication             port.Replication
 	Guardrails              port.Guardrails
@@ -75,8 +75,8 @@
 	for i := 0; i < n && r.err == nil; i++ {
 		p := "Classes." + strconv.Itoa(i) + "."
 		s.Types = append(s.Types, r.need(p+"Name"))
-		s.TxnTypes = append(s.TxnTypes, port.TxnType{
-			SLA: r.span(p + "Aim"), Expiry: r.span(p + "Deadline"), Stretch: r.decimal(p+"AimStretch", 0),
+		s.RequestTypes = append(s.RequestTypes, port.RequestType{
+			TargetLatency: r.span(p + "Aim"), Deadline: r.span(p + "Deadline"), Stretch: r.decimal(p+"AimStretch", 0),
 			Value: r.decimal(p+"Worth", 1), Late: r.decimal(p+"LateWorth", 0),
 			Effect: choice(r, p+"Effect", effects),
 			Scope:  choice(r, p+"Group", scopes),
@@ -121,8 +121,8 @@
 		FallMultiple: r.decimal("Rules.FallMultiple", 1), Cold: r.span("Rules.Cold"), Fall: r.span("Rules.Fall"),
 	}
 	s.Allowance = port.Allowance{
-		Submissions: int(r.integer("Limits.AttemptsCap")), Probes: r.yes("Limits.MayProbe"),
-		Peers: r.yes("Limits.Peers"), Revokes: r.yes("Limits.Cancel"), Twice: r.yes("Limits.MayDuplicate"),
+		Attempts: int(r.integer("Limits.AttemptsCap")), Probes: r.yes("Limits.MayProbe"),
+		Peers: r.yes("Limits.Peers"), Cancels: r.yes("Limits.Cancel"), Twice: r.yes("Limits.MayDuplicate"),
 		ComeBackMax: time.Duration(r.optional("Limits.MaxRetryAfter")),
 		DialTimeout: time.Duration(r.optional("Limits.DialTimeout")),
 		LinkIdle:    time.Duration(r.optional("Limits.ConnIdle")),
--- a/sockets/client.go
+++ b/sockets/client.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// leaving says whether the connection is to end between txns.
+// leaving says whether the connection is to end between requests.
 func (c *client) leaving() bool {
 	return c.sv.stage.Load() >= draining || c.evicted.Load() || c.sv.standby.Load() == standsBy
 }
@@ -214,7 +214,7 @@
 	}
 }
 
-// awaitMessage waits until a message begins. A stop, or another client's need of room, ends the wait between txns; but what has
+// awaitMessage waits until a message begins. A stop, or another client's need of room, ends the wait between requests; but what has
 // come in by then is taken, and one who came after the stop still sends its first.
 func (c *client) awaitMessage() error {
 	for !c.r.Waiting() {
--- a/sockets/dial.go
+++ b/sockets/dial.go
@@ -110,7 +110,7 @@
 
 func (t *rejectedConn) Error() string { return "rejected with " + t.answer.Code }
 
-func (ls *Pools) connectFailed(s *front.Submission, err error) {
+func (ls *Pools) connectFailed(s *front.Attempt, err error) {
 	if t, ok := err.(*rejectedConn); ok && t.answer.Code == pgwire.TooManyConnections {
 		ls.post(&front.Ended{S: s, Answer: t.answer})
 		return
--- a/sockets/endings_test.go
+++ b/sockets/endings_test.go
@@ -205,7 +205,7 @@
 	assert.ErrorIs(t, c.awaitMessage(), errLeaving, "and then it goes")
 }
 
-// Of a client that had sent more than is read ahead nobody saw that it was gone, and its txns went on.
+// Of a client that had sent more than is read ahead nobody saw that it was gone, and its requests went on.
 func TestAClientThatSendsMuchAndLeavesIsNoticed(t *testing.T) {
 	g := newRig(t, 40)
 	c := g.client()
@@ -227,7 +227,7 @@
 	return true
 }
 
-// A member's connection that comes up late must not carry a txn whose client has left meanwhile, also where the site lets
+// A member's connection that comes up late must not carry a request whose client has left meanwhile, also where the site lets
 // nothing be taken back; nor while the core is at something else.
 func TestNothingIsSentForAClientThatLeftWhileAConnectionCameUp(t *testing.T) {
 	g := newRig(t, 40)
@@ -364,7 +364,7 @@
 	assert.True(t, g.server.Wait(10*time.Second))
 }
 
-// A member's connection that comes up behind its txn's end carries nothing of it, and is kept for others.
+// A member's connection that comes up behind its request's end carries nothing of it, and is kept for others.
 func TestAConnectionThatComesUpTooLateCarriesNothing(t *testing.T) {
 	g := newRig(t, 40)
 	c := g.client()
--- a/sockets/pools.go
+++ b/sockets/pools.go
@@ -68,9 +68,9 @@
 	opened   time.Time // on the monotonic clock
 	conn     *net.TCPConn
 	r        *pgwire.Reader
-	reserved int                    // bytes of the long messages' room that the answer in hand holds
-	job      chan *front.Submission // holds one, given by whoever takes the link from its pool
-	canceled atomic.Bool            // cut
+	reserved int                 // bytes of the long messages' room that the answer in hand holds
+	job      chan *front.Attempt // holds one, given by whoever takes the link from its pool
+	canceled atomic.Bool         // cut
 }
 
 // Place says where a member is reached and how long ago it started last. What was opened to where or what it was
@@ -111,26 +111,26 @@
 	return p.address == l.address && !l.opened.Before(p.started)
 }
 
-// Send gives a submission to the connection that was idle last, or to a new one.
-func (ls *Pools) Send(member int, s *front.Submission) {
+// Send gives an attempt to the connection that was idle last, or to a new one.
+func (ls *Pools) Send(member int, s *front.Attempt) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.send(ls.pool(member), s)
 }
 
 // send is called with the lock held.
-func (ls *Pools) send(p *pool, s *front.Submission) {
+func (ls *Pools) send(p *pool, s *front.Attempt) {
 	if n := len(p.idle); n > 0 {
 		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		l.assign(s)
 		return
 	}
-	go ls.serve(&memberConn{ls: ls, pool: p, address: p.address, job: make(chan *front.Submission, 1)}, s)
+	go ls.serve(&memberConn{ls: ls, pool: p, address: p.address, job: make(chan *front.Attempt, 1)}, s)
 }
 
 // assign hands a connection that was taken from its pool what it is to do next: nil is to end. It never blocks.
-func (l *memberConn) assign(s *front.Submission) {
+func (l *memberConn) assign(s *front.Attempt) {
 	l.job <- s
 	l.conn.SetReadDeadline(past)
 }
@@ -149,8 +149,8 @@
 	return false
 }
 
-// serve is the goroutine of a connection, from its first submission to its end.
-func (ls *Pools) serve(l *memberConn, s *front.Submission) {
+// serve is the goroutine of a connection, from its first attempt to its end.
+func (ls *Pools) serve(l *memberConn, s *front.Attempt) {
 	if !ls.awaitDescriptor() {
 		ls.failed(s, front.Local, errors.New("no descriptor is free"))
 		return
@@ -184,7 +184,7 @@
 }
 
 // disturbed says whether something came in on a connection that nobody has asked anything: what a member says there would be
-// taken for the answer of the next submission, and of one written behind its close nobody knows whether it ran.
+// taken for the answer of the next attempt, and of one written behind its close nobody knows whether it ran.
 func (l *memberConn) disturbed() bool { return l.r.Waiting() || peek(l.conn) >= 0 }
 
 // readMessage adds the next message to an answer; done means that it has ended.
@@ -204,11 +204,11 @@
 	return false, err
 }
 
-func (ls *Pools) failed(s *front.Submission, reach front.Reach, err error) {
+func (ls *Pools) failed(s *front.Attempt, reach front.Reach, err error) {
 	ls.post(&front.Ended{S: s, Failure: &front.Failure{Reach: reach, Err: err}})
 }
 
-// cancel ends the submission on its way without waiting: the member sees the end at once, the goroutine wakes
+// cancel ends the attempt on its way without waiting: the member sees the end at once, the goroutine wakes
 // and closes.
 func (l *memberConn) cancel() {
 	l.canceled.Store(true)
@@ -217,7 +217,7 @@
 }
 
 // submit sends one and brings its answer; false when the connection cannot be used again.
-func (l *memberConn) submit(s *front.Submission) bool {
+func (l *memberConn) submit(s *front.Attempt) bool {
 	if !s.Begin(l.cancel) {
 		l.release()
 		return true
@@ -240,11 +240,11 @@
 		switch {
 		case timedOut(err) && l.goOn():
 			continue
-		case done && err == nil && (l.r.Waiting() || e.Answer.Open): // more than was asked for must not answer the next submission
+		case done && err == nil && (l.r.Waiting() || e.Answer.Open): // more than was asked for must not answer the next attempt
 		case done && err == nil:
 			e.Release = l.handOver()
 			l.r.Check = nil // which would keep the answer for as long as the connection is idle
-			l.release()     // before its answer is told, so that the next submission finds it
+			l.release()     // before its answer is told, so that the next attempt finds it
 			l.ls.post(e)
 			return true
 		case err == nil:
@@ -277,7 +277,7 @@
 	return func() { bodies.reserve(-reserved) }
 }
 
-// goOn clears a deadline that was meant for the wait before; false where the submission was canceled.
+// goOn clears a deadline that was meant for the wait before; false where the attempt was canceled.
 func (l *memberConn) goOn() bool {
 	l.conn.SetReadDeadline(time.Time{})
 	return !l.canceled.Load() // looked at after the clearing: a cut after it sets the deadline anew
@@ -295,9 +295,9 @@
 	}
 }
 
-// awaitJob waits for the next submission; nil when the connection is to end. Whatever the member says meanwhile
-// ends it, and another connection takes a submission that came at the same time: nothing of it was written.
-func (l *memberConn) awaitJob() *front.Submission {
+// awaitJob waits for the next attempt; nil when the connection is to end. Whatever the member says meanwhile
+// ends it, and another connection takes an attempt that came at the same time: nothing of it was written.
+func (l *memberConn) awaitJob() *front.Attempt {
 	l.r.Watch()
 	if l.removeIdle() {
 		return nil
--- a/sockets/requests.go
+++ b/sockets/requests.go
@@ -74,7 +74,7 @@
 	if write {
 		return front.Response{Status: front.Senseless, Code: pgwire.TooLarge, Reason: "executed, but there is no room for its answer"}
 	}
-	return front.Response{Status: front.Declined}
+	return front.Response{Status: front.Rejected}
 }
 
 // step writes the answers that are due, begins the requests that may run, and takes in what comes next. It returns false
@@ -329,13 +329,13 @@
 	switch f.Status {
 	case front.Served:
 		return pgwire.Ready(f.Rows) // which have room for it
-	case front.Declined:
+	case front.Rejected:
 		detail := ""
 		if f.Come > 0 {
 			detail = strconv.FormatInt(int64((f.Come+time.Millisecond-1)/time.Millisecond), 10)
 		}
 		return encodeError(pgwire.TooManyConnections, "declined: try again", detail)
-	case front.Undone:
+	case front.Failed:
 		return encodeError(pgwire.RolledBack, "rolled back", "")
 	}
 	return encodeError(f.Code, f.Reason, "")
--- a/sockets/requests_test.go
+++ b/sockets/requests_test.go
@@ -87,7 +87,7 @@
 	}
 	assert.Contains(t, strings.Join(heard, ""), "'b'", "another row's read need not wait")
 	other.say(whole("b")...)
-	assert.Equal(t, port.Committed, (<-g.d.ended).Ending)
+	assert.Equal(t, port.Succeeded, (<-g.d.ended).Ending)
 	assert.Len(t, g.d.begun, 2, "the read of the row that is written has not begun")
 	first.say(whole("written")...)
 	c.hear("TDCZ")
@@ -194,7 +194,7 @@
 		second.hear("Q")
 	}
 	second.say(whole(strings.Repeat("v", 20<<10))...)
-	assert.Equal(t, port.Committed, (<-g.d.ended).Ending)
+	assert.Equal(t, port.Succeeded, (<-g.d.ended).Ending)
 	first.say(whole("v")...)
 	c.hear("TDCZ")
 	assert.Contains(t, string(c.hear("EZ")), pgwire.TooManyConnections)
--- a/sockets/server.go
+++ b/sockets/server.go
@@ -64,7 +64,7 @@
 	closing        // connections end where nothing is owed
 )
 
-// NewServer makes a Server; writeTimeout is the longest that a txn may take.
+// NewServer makes a Server; writeTimeout is the longest that a request may take.
 func NewServer(post func(front.Event), room *ConnLimiter, clock *Clock, writeTimeout time.Duration, memory int64) *Server {
 	sv := &Server{post: post, limiter: room, clock: clock, writeTimeout: writeTimeout, linger: time.Second, idle: idleTimeout,
 		bodies: bodies{most: memory / longPart}, answers: bodies{most: memory / answersPart},
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -22,10 +22,10 @@
 	"dapplerouter/site"
 )
 
-// direct sends every txn to member 0 and rolls back what does not commit. It tells what it hears.
+// direct sends every request to member 0 and rolls back what does not commit. It tells what it hears.
 type direct struct {
 	port.Host
-	begun chan port.Txn
+	begun chan port.Request
 	ended chan port.Outcome
 	left  chan port.Ref
 	out   []port.Ref
@@ -33,13 +33,13 @@
 
 func (d *direct) Target(port.Ref) (time.Duration, bool)                  { return 0, false }
 func (d *direct) List(time.Duration, port.ListKind, int64, []port.Entry) {}
-func (d *direct) Begin(_ time.Duration, t port.Txn) {
+func (d *direct) Begin(_ time.Duration, t port.Request) {
 	d.out = append(d.out, t.Ref)
 	d.begun <- t
 }
 func (d *direct) Ended(_ time.Duration, o port.Outcome) {
 	if !o.Closed {
-		d.RollBack(o.Ref)
+		d.Fail(o.Ref)
 	}
 	d.ended <- o
 }
@@ -47,7 +47,7 @@
 func (d *direct) Redate(time.Duration, time.Duration) {}
 func (d *direct) Heard(time.Duration, int, []byte)    {}
 func (d *direct) Woken(time.Duration)                 {}
-func (d *direct) Settle(time.Duration) {
+func (d *direct) Reconcile(time.Duration) {
 	for _, r := range d.out {
 		d.Submit(r, 0, 0)
 	}
@@ -74,16 +74,16 @@
 }
 
 func newRig(t *testing.T, descriptors int) *rig {
-	g := &rig{t: t, d: &direct{begun: make(chan port.Txn, 100), ended: make(chan port.Outcome, 100),
+	g := &rig{t: t, d: &direct{begun: make(chan port.Request, 100), ended: make(chan port.Outcome, 100),
 		left: make(chan port.Ref, 100)}, room: NewConnLimiter(descriptors, 0), served: make(chan error, 1)}
 	g.listen, g.member = listen(t), listen(t)
 	clock := NewClock()
 	post := func(e front.Event) { g.core.Post(e) }
 	g.links = NewPools(post, g.room, "portal", "crm", 5*time.Second, time.Minute, 32<<20)
 	s := &site.Site{Types: []string{"read", "write"}, Zones: []string{"a"},
-		TxnTypes:  []port.TxnType{{Expiry: time.Minute}, {Expiry: time.Minute, Level: port.Write}},
-		Allowance: port.Allowance{Submissions: 9, DialTimeout: 5 * time.Second}}
-	g.core = front.NewCore(clock.Born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.TxnType,
+		RequestTypes: []port.RequestType{{Deadline: time.Minute}, {Deadline: time.Minute, Level: port.Write}},
+		Allowance:    port.Allowance{Attempts: 9, DialTimeout: 5 * time.Second}}
+	g.core = front.NewCore(clock.Born, 1, s, func(h port.Host, _ uint64, _ port.Topology, _ []port.RequestType,
 		_ []port.Customer, _ port.Replication, _ port.Guardrails, _ port.Allowance, _ port.Tariff) port.Decider {
 		g.d.Host = h
 		return g.d
@@ -211,7 +211,7 @@
 	assert.Equal(t, value, string(c.hear("D")[6:]))
 	c.hear("CZ")
 	o := <-g.d.ended
-	assert.True(t, o.Ending == port.Committed && o.Closed && o.Role == port.Replica)
+	assert.True(t, o.Ending == port.Succeeded && o.Closed && o.Role == port.Replica)
 	c.say(read("4000")...)
 	m.hear("Q") // over the same connection
 	m.say(whole("v")...)
@@ -334,7 +334,7 @@
 	return len(g.links.pool(0).idle)
 }
 
-// serve takes one txn through and leaves its connections idle.
+// serve takes one request through and leaves its connections idle.
 func (g *rig) serve() (c, m *peer) {
 	c = g.client()
 	c.say(read("4000")...)
@@ -384,10 +384,10 @@
 	m.hear("Q")
 	m.say(whole("v")...)
 	c.hear("TDCZ")
-	assert.Equal(t, port.Committed, (<-g.d.ended).Ending)
+	assert.Equal(t, port.Succeeded, (<-g.d.ended).Ending)
 }
 
-// The day of bad members: what came unasked answered the next submission of the link, and so on, 416 times.
+// The day of bad members: what came unasked answered the next attempt of the link, and so on, 416 times.
 func TestSurplusBytesSpoilTheLinkAndNothingElse(t *testing.T) {
 	for name, after := range map[string]func(g *rig, m *peer){
 		"with the answer": func(g *rig, m *peer) { m.say(append(whole("v"), whole("stale")...)...) },
@@ -412,7 +412,7 @@
 	}
 }
 
-// A link that was taken just as its member spoke or ended is left unused: nothing of the submission was sent.
+// A link that was taken just as its member spoke or ended is left unused: nothing of the attempt was sent.
 func TestASubmissionOnASpoiltLinkTakesAnother(t *testing.T) {
 	for name, spoil := range map[string]func(m *peer){
 		"bytes": func(m *peer) { m.say(whole("stale")...) },
@@ -425,7 +425,7 @@
 			g.eventually(func() bool { return g.address() != "" })
 			conn, err := net.Dial("tcp", g.member.Addr().String())
 			require.NoError(t, err)
-			l := &memberConn{ls: g.links, pool: g.links.pool(0), address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Submission, 1),
+			l := &memberConn{ls: g.links, pool: g.links.pool(0), address: g.address(), conn: conn.(*net.TCPConn), job: make(chan *front.Attempt, 1),
 				r: pgwire.NewReader(conn, 4096, 4096)}
 			c, err := g.member.Accept()
 			require.NoError(t, err)
@@ -442,7 +442,7 @@
 	}
 }
 
-// What takes the place of a failed submission must not be out beside it.
+// What takes the place of a failed attempt must not be out beside it.
 func TestALinkIsClosedBeforeItsFailureIsTold(t *testing.T) {
 	g := newRig(t, 40)
 	post, m, seen := g.links.post, make(chan *peer, 1), make(chan error, 1)
@@ -507,11 +507,11 @@
 		g.client().say(read("4000")...)
 		<-g.d.begun
 	}
-	assert.Contains(t, string(silent.hear("E")), pgwire.TooManyConnections, "no txn of it was taken")
+	assert.Contains(t, string(silent.hear("E")), pgwire.TooManyConnections, "no request of it was taken")
 	silent.ends()
 	c = g.client()
 	c.say(read("4000")...)
-	assert.Contains(t, string(c.hear("E")), pgwire.TooManyConnections, "all have a txn out")
+	assert.Contains(t, string(c.hear("E")), pgwire.TooManyConnections, "all have a request out")
 	c.ends()
 }
 
@@ -553,7 +553,7 @@
 	}
 }
 
-// The recorded day: connections that had asked once held the third that clients may have, and no txn came in.
+// The recorded day: connections that had asked once held the third that clients may have, and no request came in.
 func TestClientsAtRestMakeWayLongBeforeTheLimit(t *testing.T) {
 	g := newRig(t, 40) // a quarter is 10
 	c, _ := g.serve()
@@ -611,7 +611,7 @@
 	g.served <- nil // for the clean-up
 }
 
-// A front that stands by lets clients go between txns and turns newcomers away; when it is back it takes more and more of them.
+// A front that stands by lets clients go between requests and turns newcomers away; when it is back it takes more and more of them.
 func TestAFrontThatStandsByLetsClientsGoAndComesBackAtAPace(t *testing.T) {
 	g := newRig(t, 40)
 	g.server.Standby(false, time.Hour) // it begins: nobody is spared
--- a/sockets/system_calls_test.go
+++ b/sockets/system_calls_test.go
@@ -24,7 +24,7 @@
 var ofThisMachine = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
 	syscall.ENETUNREACH, syscall.EAGAIN, syscall.EINTR}
 
-// A dial that fails for a moment for want of this machine's own is tried again: the txn is served, and the member is not blamed.
+// A dial that fails for a moment for want of this machine's own is tried again: the request is served, and the member is not blamed.
 func TestADialThatFailsHereIsTriedAgain(t *testing.T) {
 	for _, number := range ofThisMachine {
 		t.Run(number.Error(), func(t *testing.T) {
@@ -39,7 +39,7 @@
 			g.answering()
 			c := g.client()
 			c.say(read("4000")...)
-			assert.Equal(t, port.Committed, (<-g.d.ended).Ending)
+			assert.Equal(t, port.Succeeded, (<-g.d.ended).Ending)
 			assert.EqualValues(t, 4, tries.Load())
 		})
 	}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -102,7 +102,7 @@
 }
 
 // Committed says how often the change of an id took effect.
-func (g *Group) Committed(id string) int {
+func (g *Group) Succeeded(id string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.committed[id]
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -60,7 +60,7 @@
 	Rid                 []byte
 	Qos, Customer, User []byte
 	Group, Store        int64
-	Txn                 port.Txn     // spans and flags only
+	Request             port.Request // spans and flags only
 	Outcome             port.Outcome // all but ids, position and load
 	Stamp               int64        // role is in Outcome; this is the position in milliseconds
 	Load                port.Load    // Position in X0, seconds
@@ -130,10 +130,10 @@
 	case Order:
 		e.Rid, e.Qos, e.Customer, e.User = r.need("Rid"), r.need("Qos"), r.get("Customer"), r.get("User")
 		e.Group = r.integer("PartitionNo")
-		e.Txn = port.Txn{Budget: r.span("Budget"), Hint: time.Duration(r.optional("Hint")),
+		e.Request = port.Request{Budget: r.span("Budget"), Hint: time.Duration(r.optional("Hint")),
 			Retry: r.flag("IsRetry"), Write: r.flag("Write")}
 		if v := r.get("TokenAgeMs"); v != nil {
-			e.Txn.TokenAge = time.Duration(math.Ceil(r.number("TokenAgeMs", v) * float64(time.Millisecond)))
+			e.Request.TokenAge = time.Duration(math.Ceil(r.number("TokenAgeMs", v) * float64(time.Millisecond)))
 		}
 	case Opened:
 		e.Rid, e.Store = r.need("Rid"), r.integer("Store")
@@ -384,7 +384,7 @@
 }
 
 var endings = map[string]port.Ending{
-	"success": port.Committed, "failure": port.Errored, "overloaded": port.Full, "timed_out": port.TimedOut,
-	"unreachable": port.Unreachable, "broken": port.Broken, "withdrawn": port.Withdrawn, "void": port.Void,
+	"success": port.Succeeded, "failure": port.Errored, "overloaded": port.Full, "timed_out": port.TimedOut,
+	"unreachable": port.Unreachable, "broken": port.Broken, "withdrawn": port.Cancelled, "void": port.Void,
 	"absent": port.Missed,
 }
--- a/wire/writer.go
+++ b/wire/writer.go
@@ -46,16 +46,16 @@
 	w.end()
 }
 
-// Revoke abandons the wait for one attempt.
-func (w *Writer) Revoke(front int, rid string, hop int) {
+// Cancel abandons the wait for one attempt.
+func (w *Writer) Cancel(front int, rid string, hop int) {
 	w.begin("revoke", front)
 	w.text("Rid=", rid)
 	w.number("Hop=", int64(hop))
 	w.end()
 }
 
-// Decline is the final answer that makes trying again harmless.
-func (w *Writer) Decline(front int, rid string, retryIn int64) {
+// Reject is the final answer that makes trying again harmless.
+func (w *Writer) Reject(front int, rid string, retryIn int64) {
 	w.begin("decline", front)
 	w.text("Rid=", rid)
 	if retryIn > 0 {
