The primary is charged for no connection, and is asked for the present at each start

Behind the preference for open connections reads kept away from a primary that had not answered yet. So nothing told a front of the present where no start had been listed at its own (a cold server then got its full half: TestASlowStartIsKeptThoughTheWallClockWasStepped, -5 s and -1 h), and reads across a link all went to a replica that was too far behind by the time they were back (TestNoReadAcrossTheLinkIsOlderThanItsBound, none of 96). Change: the price of a connection counts among replicas only; a listed primary is probed with each list, dated or not, until one has told of the present.

--- a/front/core.go
+++ b/front/core.go
@@ -87,10 +87,13 @@
 	older      int      // of these, on another version than the newest
 	alone      func()   // hears when there are none
 	mayProbe   bool
-	lapsed     bool // the right has run out, and what was in hand is ended
-	shut       bool // no request is taken any more
-	comeBack   time.Duration
-	entries    []port.Entry
+
+	presentAt    int // a member that the list calls a primary, which knows the present
+	presentKnown bool
+	lapsed       bool // the right has run out, and what was in hand is ended
+	shut         bool // no request is taken any more
+	comeBack     time.Duration
+	entries      []port.Entry
 }
 
 // NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
--- a/front/timeline.go
+++ b/front/timeline.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"slices"
 	"time"
 
 	"dapplerouter/port"
@@ -75,16 +74,19 @@
 	return role == port.Primary || c.confirmed && position <= c.now+timelineSlack
 }
 
-// askForPresent probes a listed primary while no primary has told of the present: reads alone need not bring such an answer, and until
-// then a server that has just started may look as if it had started long ago.
+// askForPresent probes a listed primary with each list while no primary has told of the present: reads alone need not bring such an
+// answer, and until then a server that has just started may look as if it had started long ago.
 func (c *Core) askForPresent() {
 	if c.confirmed || !c.mayProbe {
 		return
 	}
-	dated := slices.ContainsFunc(c.entries, func(e port.Entry) bool { return e.HasStarted })
-	primary := slices.IndexFunc(c.entries, func(e port.Entry) bool { return e.Primary && e.State == port.Serving && !c.far[e.Member] })
-	if dated && primary >= 0 {
-		c.Probe(c.entries[primary].Member)
+	for _, e := range c.entries {
+		if e.Primary && e.State == port.Serving && !c.far[e.Member] {
+			c.presentAt, c.presentKnown = e.Member, true
+		}
+	}
+	if c.presentKnown {
+		c.Probe(c.presentAt)
 	}
 }
 
--- a/router/selection.go
+++ b/router/selection.go
@@ -21,7 +21,7 @@
 
 const (
 	otherZonePrice = 2.0 // what another zone counts for in the cost of a member: a price, not a ban
-	connectPrice   = 1.3 // what a member counts for to which no connection can be open: one has to be opened first
+	connectPrice   = 1.3 // what a replica counts for to which no connection can be open: one has to be opened first
 	primaryPrice   = 3.0 // what the primary counts for: over the price of a zone, as it has the writes to do
 
 	leastSuccess = 1.0 / 20 // part of attempts that succeed, for the cost of a member that fails
@@ -44,6 +44,12 @@
 	if m.zone != r.zone {
 		c *= otherZonePrice
 	}
+	return c
+}
+
+// replicaCost is the cost of a replica, with that of a connection where none can be open.
+func (r *Router) replicaCost(now time.Duration, m *member) float64 {
+	c := r.cost(now, m)
 	if now-m.answeredAt > r.linkIdle {
 		c *= connectPrice
 	}
@@ -102,7 +108,7 @@
 			continue
 		}
 		pos := r.provenPosition(now, m)
-		if cost := r.cost(now, m); cost < c.cost && (needs == never || pos >= needs) {
+		if cost := r.replicaCost(now, m); cost < c.cost && (needs == never || pos >= needs) {
 			c.fresh, c.cost = i, cost
 		}
 		if pos > c.behindPos {
