--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -134,7 +134,7 @@
 	requestTypes                   []port.RequestType
 	stores, groups                 *front.Index[int64]
 	requests                       map[string]port.Ref
-	doors                          front.Slab[string]
+	slab                           front.Slab[string]
 	entries                        []port.Entry
 }
 
@@ -178,7 +178,7 @@
 		if err != nil {
 			return err
 		}
-		d := f.doors.Must(ref)
+		d := f.slab.Must(ref)
 		if e.Outcome.Hop < 0 || e.Outcome.Hop >= d.Hops {
 			return fmt.Errorf("field Hop: %d of %s was never submitted", e.Outcome.Hop, e.Rid)
 		}
@@ -194,7 +194,7 @@
 		f.release(ref)
 	case wire.Aborted:
 		ref, ok := f.requests[string(e.Rid)]
-		if d := f.doors.At(ref); ok && d != nil && !d.Closed {
+		if d := f.slab.At(ref); ok && d != nil && !d.Closed {
 			d.Closed = true
 			f.decider.Left(now, ref)
 			f.release(ref)
@@ -255,7 +255,7 @@
 		return fmt.Errorf("field Rid: %s came twice", e.Rid)
 	}
 	rid := string(e.Rid)
-	t.Ref = f.doors.Open(rid)
+	t.Ref = f.slab.Open(rid)
 	f.requests[rid] = t.Ref
 	f.decider.Begin(now, t)
 	return nil
@@ -263,8 +263,8 @@
 
 // release gives a place back once its request is answered and every attempt has ended.
 func (f *instance) release(r port.Ref) {
-	if d := f.doors.At(r); d != nil {
-		if rid := d.What; f.doors.Release(r) {
+	if d := f.slab.At(r); d != nil {
+		if rid := d.What; f.slab.Release(r) {
 			delete(f.requests, rid)
 		}
 	}
@@ -272,23 +272,23 @@
 
 // Submit and the rest carry the module's wishes to the wire.
 func (f *instance) Submit(r port.Ref, member int, giveUpAfter time.Duration) {
-	d := f.doors.Must(r)
+	d := f.slab.Must(r)
 	d.Out++
 	d.Hops++
 	f.a.w.HandOff(f.id, d.What, f.stores.Key(member), int64(giveUpAfter))
 }
 
-func (f *instance) Cancel(r port.Ref, hop int) { f.a.w.Cancel(f.id, f.doors.Must(r).What, hop) }
+func (f *instance) Cancel(r port.Ref, hop int) { f.a.w.Cancel(f.id, f.slab.Must(r).What, hop) }
 
 func (f *instance) Reject(r port.Ref, comeBackIn time.Duration) {
-	d := f.doors.Must(r)
+	d := f.slab.Must(r)
 	f.a.w.Reject(f.id, d.What, int64(comeBackIn))
 	d.Closed = true
 	f.release(r)
 }
 
 func (f *instance) Fail(r port.Ref) {
-	d := f.doors.Must(r)
+	d := f.slab.Must(r)
 	f.a.w.Lose(f.id, d.What)
 	d.Closed = true
 	f.release(r)
--- a/cmd/dapplerlab/main.go
+++ b/cmd/dapplerlab/main.go
@@ -163,7 +163,7 @@
 	case c.JSON:
 		gaps := []map[string]any{}
 		for _, g := range v.Gaps {
-			gaps = append(gaps, map[string]any{"duty": g.Duty, "ms": g.For.Milliseconds(), "why": g.Because})
+			gaps = append(gaps, map[string]any{"duty": g.Lease, "ms": g.For.Milliseconds(), "why": g.Because})
 		}
 		json.NewEncoder(os.Stdout).Encode(map[string]any{"format": 1, "script": s.Name, "seed": seed, "held": held, "broke": v.Broke, "txns": v.Requests,
 			"committed": v.Succeeded, "declined": v.Rejected, "rolled_back": v.RolledBack, "unanswered": v.Unanswered, "gaps": gaps, "list_calls": v.Calls, "probes": v.Probes, "watches": v.Watches, "memory_kib": v.Memory, "cpu_us": v.CPU.Microseconds(),
--- a/cmd/dapplerouter/fleetcalls.go
+++ b/cmd/dapplerouter/fleetcalls.go
@@ -143,13 +143,13 @@
 }
 
 type fleetHand struct {
-	Duty string `arg:"" help:"The duty, as fleet duties names it."`
-	To   string `placeholder:"FRONT" help:"Who is to hold it; the fleet chooses where this is left out."`
+	Lease string `arg:"" help:"The duty, as fleet duties names it."`
+	To    string `placeholder:"FRONT" help:"Who is to hold it; the fleet chooses where this is left out."`
 	door
 }
 
 func (c *fleetHand) run() int {
-	return c.change("/v1/fleet/hand", url.Values{"duty": {c.Duty}, "to": {c.To}}, c.Duty+" is handed on")
+	return c.change("/v1/fleet/hand", url.Values{"duty": {c.Lease}, "to": {c.To}}, c.Lease+" is handed on")
 }
 
 func (d *door) change(path string, q url.Values, good string) int {
--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -50,9 +50,9 @@
 	program     string
 	incarnation uint64
 	initial     front.Adopt
-	rollout     *rolloutHost // nil without its form
-	audit       *auditor     // nil without its form
-	auditLog    *audit.Book  // nil without either form
+	rollout     *rolloutHost    // nil without its form
+	audit       *auditor        // nil without its form
+	auditLog    *audit.Recorder // nil without either form
 
 	ctx              context.Context
 	cancel           context.CancelFunc
@@ -208,7 +208,7 @@
 			return err
 		}
 	}
-	a.auditLog = audit.NewBook(len(a.site.Types), forms.Roll != nil, a.initial.Version, sink)
+	a.auditLog = audit.NewRecorder(len(a.site.Types), forms.Roll != nil, a.initial.Version, sink)
 	return nil
 }
 
--- a/fleet/agent/auditor.go
+++ b/fleet/agent/auditor.go
@@ -295,8 +295,8 @@
 	}
 	switch e := e.(type) {
 	case fleet.LeaseAcquired:
-		a.writeAudit(&audit.Line{What: audit.Held, Duty: e.Lease, Term: e.Term})
+		a.writeAudit(&audit.Line{What: audit.Held, Lease: e.Lease, Term: e.Term})
 	case fleet.LeaseEnded:
-		a.writeAudit(&audit.Line{What: audit.Let, Duty: e.Lease, Term: e.Term, Acts: e.Broadcasts, Why: e.Reason})
+		a.writeAudit(&audit.Line{What: audit.Let, Lease: e.Lease, Term: e.Term, Acts: e.Broadcasts, Why: e.Reason})
 	}
 }
--- a/fleet/agent/auditor_test.go
+++ b/fleet/agent/auditor_test.go
@@ -32,7 +32,7 @@
 				if n%10 == 0 {
 					w.enqueue(queueEntry{span: &audit.Span{Number: 1, Ended: make([][front.Words]uint32, 1)}})
 				}
-				a.writeAudit(&audit.Line{What: audit.Held, Duty: "list"})
+				a.writeAudit(&audit.Line{What: audit.Held, Lease: "list"})
 			}
 		})
 	}
--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -259,7 +259,7 @@
 
 func TestATxnCountsInTheSpanInWhichItWasTaken(t *testing.T) {
 	var out []Span
-	b := NewBook(2, true, 0, func(s Span) { out = append(out, s) })
+	b := NewRecorder(2, true, 0, func(s Span) { out = append(out, s) })
 	b.Listed(1*ms, 10)
 	b.Right(10*ms, 100*ms, false)
 	one := b.Taken(11*ms, []byte("a"), 0)
@@ -307,7 +307,7 @@
 
 // BenchmarkTxn tells what the audit costs a request in the core.
 func BenchmarkTxn(b *testing.B) {
-	book := NewBook(6, true, 0, func(Span) {})
+	book := NewRecorder(6, true, 0, func(Span) {})
 	book.Right(0, time.Hour, false)
 	id := []byte("a-request-id-of-24-characters")
 	b.ReportAllocs()
--- a/fleet/audit/line.go
+++ b/fleet/audit/line.go
@@ -51,7 +51,7 @@
 	Requests    int        `json:"txns,omitempty"`
 	IDs         int64      `json:"ids,omitempty"` // where the index has them, plus one
 	IDsHash     string     `json:"ids_hash,omitempty"`
-	Duty        string     `json:"duty,omitempty"`
+	Lease       string     `json:"duty,omitempty"`
 	Term        uint64     `json:"term,omitempty"`
 	Acts        uint64     `json:"acts,omitempty"` // of the duty, in that term
 	Lost        uint64     `json:"lost,omitempty"`
--- a/fleet/audit/book.go
+++ b/fleet/audit/recorder.go
@@ -1,7 +1,7 @@
 // Package audit tells which front acted on which version, when, and what it did meanwhile. It is a core: no I/O, no clock, no
 // goroutine; files are kept by fleet/disk.
 //
-// A Book belongs to a front's core and hears of each request: it counts them in spans, in each of which the front acted on one
+// A Recorder belongs to a front's core and hears of each request: it counts them in spans, in each of which the front acted on one
 // version of the operator's rules and of the list. A Chain makes lines of what happened, each bound to the one before by a
 // hash. Lines are read back by Read, weighed by Verify and asked by the queries.
 package audit
@@ -34,8 +34,8 @@
 	closed      bool
 }
 
-// Book counts requests. Its calls are those of front.Auditor, from the core's goroutine; Sums may be called from anywhere.
-type Book struct {
+// Recorder counts requests. Its calls are those of front.Auditor, from the core's goroutine; Sums may be called from anywhere.
+type Recorder struct {
 	types int
 	sink  func(Span)
 	spans []*Span // the last is the one in hand; the others wait for their requests
@@ -45,10 +45,10 @@
 
 type sum struct{ ended, served atomic.Uint64 }
 
-// NewBook makes a Book for so many request types; sink takes spans whose requests have all ended and must not block, nil for none.
+// NewRecorder makes a Recorder for so many request types; sink takes spans whose requests have all ended and must not block, nil for none.
 // A front that needs a right stands by until it has one; version is what it begins with.
-func NewBook(types int, rights bool, version uint64, sink func(Span)) *Book {
-	return &Book{types: types, sink: sink, sums: make([]sum, types), first: Span{Standby: rights, Version: version}}
+func NewRecorder(types int, rights bool, version uint64, sink func(Span)) *Recorder {
+	return &Recorder{types: types, sink: sink, sums: make([]sum, types), first: Span{Standby: rights, Version: version}}
 }
 
 // Hash is how a request's id is kept: FNV-1a of 64 bits, of which the index holds 40.
@@ -60,7 +60,7 @@
 	return h
 }
 
-func (b *Book) now(at time.Duration) *Span {
+func (b *Recorder) now(at time.Duration) *Span {
 	if n := len(b.spans); n > 0 {
 		return b.spans[n-1]
 	}
@@ -68,7 +68,7 @@
 }
 
 // turn closes the span in hand and opens the next.
-func (b *Book) turn(at time.Duration) *Span {
+func (b *Recorder) turn(at time.Duration) *Span {
 	next := &Span{From: at, Number: 1, Standby: b.first.Standby, Version: b.first.Version, Ended: make([][front.Words]uint32, b.types)}
 	if n := len(b.spans); n > 0 {
 		old := b.spans[n-1]
@@ -85,7 +85,7 @@
 }
 
 // done hands on spans that are closed and whose requests have all ended, in their order.
-func (b *Book) done() {
+func (b *Recorder) done() {
 	for len(b.spans) > 1 && b.spans[0].open == 0 {
 		if b.sink != nil {
 			b.sink(*b.spans[0])
@@ -96,7 +96,7 @@
 }
 
 // Taken notes a request that was taken, and gives its span.
-func (b *Book) Taken(at time.Duration, id []byte, _ int) uint32 {
+func (b *Recorder) Taken(at time.Duration, id []byte, _ int) uint32 {
 	s := b.now(at)
 	if b.sink != nil {
 		if len(s.IDs) >= mostIDs || at-s.From > Longest {
@@ -109,7 +109,7 @@
 }
 
 // Ended notes a request's end.
-func (b *Book) Ended(_ time.Duration, span uint32, typ int, w front.Status) {
+func (b *Recorder) Ended(_ time.Duration, span uint32, typ int, w front.Status) {
 	if typ < len(b.sums) {
 		b.sums[typ].ended.Add(1)
 		if w == front.Served {
@@ -130,7 +130,7 @@
 }
 
 // Listed notes that the list has another version.
-func (b *Book) Listed(at time.Duration, index int64) {
+func (b *Recorder) Listed(at time.Duration, index int64) {
 	s := b.now(at)
 	if s.List[1] == index {
 		return
@@ -146,7 +146,7 @@
 }
 
 // Adopted notes that other rules are in force.
-func (b *Book) Adopted(at time.Duration, version uint64) {
+func (b *Recorder) Adopted(at time.Duration, version uint64) {
 	if s := b.now(at); s.Version != version {
 		b.turn(at).Version = version
 	}
@@ -157,7 +157,7 @@
 }
 
 // Right notes until when the front may act, or that it may no more: then it did until its right's end, whenever it finds out.
-func (b *Book) Right(at, until time.Duration, standby bool) {
+func (b *Recorder) Right(at, until time.Duration, standby bool) {
 	s := b.now(at)
 	switch {
 	case standby && !s.Standby:
@@ -170,14 +170,14 @@
 }
 
 // Tick closes a span that has lasted long enough, though nothing comes.
-func (b *Book) Tick(at time.Duration) {
+func (b *Recorder) Tick(at time.Duration) {
 	if s := b.now(at); b.sink != nil && at-s.From > Longest && len(s.IDs) > 0 {
 		b.turn(at)
 	}
 }
 
 // Close closes the span in hand, with what its requests have come to.
-func (b *Book) Close(at time.Duration) {
+func (b *Recorder) Close(at time.Duration) {
 	b.turn(at)
 	for _, s := range b.spans[:len(b.spans)-1] {
 		s.open = 0
@@ -186,7 +186,7 @@
 }
 
 // Sums are how many requests of each type ended, and how many of them were committed, since the version was adopted.
-func (b *Book) Sums(each func(typ int, ended, served uint64)) {
+func (b *Recorder) Sums(each func(typ int, ended, served uint64)) {
 	for i := range b.sums {
 		served := b.sums[i].served.Load() // first: it is never more than ended
 		each(i, b.sums[i].ended.Load(), served)
--- a/fleet/audit/size_bench_test.go
+++ b/fleet/audit/size_bench_test.go
@@ -16,7 +16,7 @@
 			for b.Loop() {
 				var lines, ids int
 				chain := Chain{}
-				book := NewBook(2, false, 3, func(s Span) {
+				book := NewRecorder(2, false, 3, func(s Span) {
 					index, hash := Index(&s)
 					l := &Line{What: InSpan, At: s.Until.Microseconds(), Front: "f001", Incarnation: 7, Index: 100, Span: s.Number, From: s.From.Microseconds(),
 						Until: s.Until.Microseconds(), Requests: len(s.IDs), IDs: int64(ids) + 1, IDsHash: hash, Version: s.Version, List: s.List[:]}
--- a/fleet/mesh/link.go
+++ b/fleet/mesh/link.go
@@ -17,7 +17,7 @@
 
 // accept serves connections of others until Close.
 func (m *Mesh) accept() {
-	framing.Door(m.ctx, m.listener, maxHandshakes, &m.done, func(c net.Conn, established func()) {
+	framing.AcceptLoop(m.ctx, m.listener, maxHandshakes, &m.done, func(c net.Conn, established func()) {
 		if err := m.serve(c, "", established); err != nil && m.ctx.Err() == nil {
 			slog.Debug("fleet: a link ended", "from", c.RemoteAddr().String(), "why", err)
 		}
--- a/fleet/zones/warden.go
+++ b/fleet/zones/controller.go
@@ -11,38 +11,38 @@
 )
 
 // Standing is how the fleet stands to a zone.
-type Standing uint8
+type ZoneState uint8
 
 const (
-	Well      Standing = iota
-	Doubted            // bad for a moment: nothing moves yet
-	Leaving            // fronts take their share away, as far as the plan says
-	Left               // they have; a trickle stays, to see whether it is back
-	Returning          // more and more goes there again
+	Well      ZoneState = iota
+	Doubted             // bad for a moment: nothing moves yet
+	Leaving             // fronts take their share away, as far as the plan says
+	Left                // they have; a trickle stays, to see whether it is back
+	Returning           // more and more goes there again
 )
 
-var standingNames = [...]string{"well", "doubted", "leaving", "left", "returning"}
+var stateNames = [...]string{"well", "doubted", "leaving", "left", "returning"}
 
-func (s Standing) String() string { return standingNames[min(int(s), len(standingNames)-1)] }
+func (s ZoneState) String() string { return stateNames[min(int(s), len(stateNames)-1)] }
 
-// Stand is one zone's standing in the record.
+// Stand is one zone's state in the record.
 type Stand struct {
 	//lint:ignore U1000 package msgpack reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Zone     string
-	Standing Standing
-	Epoch    uint64        // rises with each change: an older decision displaces no newer
-	Away     uint16        // the part of the zone's movable traffic that goes elsewhere, in thousandths
-	Deadline time.Duration // for which a front goes by it after it heard that it holds
-	Beat     uint64        // rises with each renewal
-	Flaps    uint8         // how often it went lately: each return is slower
-	Pinned   bool          // by an operator: evidence moves nothing
-	Until    time.Duration // how long a pin lasts, from the epoch; 0 until it is taken back
-	Why      string
+	Zone      string
+	ZoneState ZoneState
+	Epoch     uint64        // rises with each change: an older decision displaces no newer
+	Away      uint16        // the part of the zone's movable traffic that goes elsewhere, in thousandths
+	Deadline  time.Duration // for which a front goes by it after it heard that it holds
+	Beat      uint64        // rises with each renewal
+	Flaps     uint8         // how often it went lately: each return is slower
+	Pinned    bool          // by an operator: evidence moves nothing
+	Until     time.Duration // how long a pin lasts, from the epoch; 0 until it is taken back
+	Why       string
 }
 
-// State is all zones' standings, as one entry of the record.
+// State is all zones' states, as one entry of the record.
 type State struct {
 	//lint:ignore U1000 package msgpack reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
@@ -88,7 +88,7 @@
 	return Stand{Zone: zone}
 }
 
-// Belief is what one front makes of the record's standings: decisions count from when it heard that they hold, on its own clock,
+// Belief is what one front makes of the record's states: decisions count from when it heard that they hold, on its own clock,
 // and wear off over a deadline's length where nobody renews them.
 type Belief struct {
 	held map[string]believed
@@ -148,24 +148,24 @@
 	Asked, Good, Strained float64 // attempts there; those that came good; those that came late or were refused
 }
 
-// WardenOptions are what a Warden is made of.
-type WardenOptions struct {
+// ControllerOptions are what a Controller is made of.
+type ControllerOptions struct {
 	Span time.Duration
 	Warm time.Duration // for which a member that started is cold: no ramp is done sooner
 }
 
-// Warden moves standings, as the duty's holder. What must not be forgotten is in the record; how long evidence has lasted
+// Controller moves states, as the duty's holder. What must not be forgotten is in the record; how long evidence has lasted
 // begins anew with another holder.
-type Warden struct {
-	o     WardenOptions
-	since map[string]time.Duration // evidence against the standing, since when
+type Controller struct {
+	o     ControllerOptions
+	since map[string]time.Duration // evidence against the state, since when
 	calm  map[string]time.Duration
 	beat  time.Duration
 }
 
 // NewWarden makes one.
-func NewWarden(o WardenOptions) *Warden {
-	return &Warden{o: o, since: map[string]time.Duration{}, calm: map[string]time.Duration{}}
+func NewController(o ControllerOptions) *Controller {
+	return &Controller{o: o, since: map[string]time.Duration{}, calm: map[string]time.Duration{}}
 }
 
 const (
@@ -177,7 +177,7 @@
 // Step looks at the fleet's views and says what the record should hold, or nothing where it holds that already. plan says how far
 // a zone can be left besides those that are gone; returned is what fronts tell of a zone's return. Renewals are part of it: the
 // holder renews all that is not well twice in a deadline.
-func (w *Warden) Step(now time.Duration, s State, views []View, plan func(zone string, gone map[string]bool) *Plan, returned map[string]Returned) (next State, changed bool) {
+func (w *Controller) Step(now time.Duration, s State, views []View, plan func(zone string, gone map[string]bool) *Plan, returned map[string]Returned) (next State, changed bool) {
 	next = State{Zones: slices.Clone(s.Zones)}
 	gone := map[string]bool{}
 	for _, x := range next.Zones {
@@ -198,7 +198,7 @@
 	}
 	if changed || now-w.beat >= 2*w.o.Span {
 		for i := range next.Zones {
-			if next.Zones[i].Standing != Well || next.Zones[i].Flaps > 0 {
+			if next.Zones[i].ZoneState != Well || next.Zones[i].Flaps > 0 {
 				next.Zones[i].Beat++
 				changed = true
 			}
@@ -239,17 +239,17 @@
 	return now - at[key]
 }
 
-func (w *Warden) move(now time.Duration, x *Stand, v View, gone map[string]bool, zones int, plan func(string, map[string]bool) *Plan, r Returned) {
+func (w *Controller) move(now time.Duration, x *Stand, v View, gone map[string]bool, zones int, plan func(string, map[string]bool) *Plan, r Returned) {
 	if x.Pinned {
 		return
 	}
 	bad := lasts(w.since, x.Zone, now, v.Bad > doubtful)
 	calm := lasts(w.calm, x.Zone, now, v.Bad < recovered)
 	wait := w.o.Span / 3 << min(x.Flaps, mostFlaps) // a zone that flaps is returned to later each time
-	switch x.Standing {
+	switch x.ZoneState {
 	case Well:
 		if bad >= 0 {
-			x.Standing, x.Why = Doubted, fmt.Sprintf("%d of %d fronts see it bad", v.SeeBad, v.Fronts)
+			x.ZoneState, x.Why = Doubted, fmt.Sprintf("%d of %d fronts see it bad", v.SeeBad, v.Fronts)
 		} else if calm > 32*w.o.Span && x.Flaps > 0 {
 			x.Flaps-- // it has been well for long
 			w.calm[x.Zone] = now
@@ -257,7 +257,7 @@
 	case Doubted:
 		switch {
 		case bad < 0 && calm >= 0:
-			x.Standing, x.Why = Well, "it was a moment"
+			x.ZoneState, x.Why = Well, "it was a moment"
 		case bad >= w.o.Span/6:
 			others := map[string]bool{}
 			for z := range gone {
@@ -275,7 +275,7 @@
 				}
 				return
 			}
-			x.Standing, x.Away, x.Flaps = Leaving, uint16(min(p.Share*1000, 1000-probe)), min(x.Flaps+1, mostFlaps)
+			x.ZoneState, x.Away, x.Flaps = Leaving, uint16(min(p.Share*1000, 1000-probe)), min(x.Flaps+1, mostFlaps)
 			x.Why = fmt.Sprintf("%d of %d fronts see it bad; the others can take %.0f%%", v.SeeBad, v.Fronts, p.Share*100)
 			gone[x.Zone] = true
 			delete(w.since, x.Zone)
@@ -285,11 +285,11 @@
 		if at, ok := w.since["left "+x.Zone]; !ok {
 			w.since["left "+x.Zone] = now
 		} else if now-at >= w.o.Span {
-			x.Standing, x.Why = Left, "its traffic has moved"
+			x.ZoneState, x.Why = Left, "its traffic has moved"
 		}
 	case Left:
 		if calm >= wait {
-			x.Standing, x.Why = Returning, "what still goes there comes good"
+			x.ZoneState, x.Why = Returning, "what still goes there comes good"
 			w.since["step "+x.Zone] = now
 		}
 	case Returning:
@@ -299,7 +299,7 @@
 
 // ramp lets more and more go back: one budget for all fronts, a fifth more each step while what goes there comes good, halved at
 // strain, and no sooner whole than the members' warmth allows. A front that restarts meanwhile takes it up where the record says.
-func (w *Warden) ramp(now time.Duration, x *Stand, v View, r Returned) {
+func (w *Controller) ramp(now time.Duration, x *Stand, v View, r Returned) {
 	at, ok := w.since["step "+x.Zone]
 	if !ok {
 		w.since["step "+x.Zone] = now
@@ -311,7 +311,7 @@
 	case v.Bad > doubtful || r.Asked > few && r.Strained > r.Asked/4:
 		w.since["step "+x.Zone] = now
 		if back /= 2; back < probe {
-			x.Standing, x.Away, x.Flaps, x.Why = Left, 1000-probe, min(x.Flaps+1, mostFlaps), "it does not bear what comes back"
+			x.ZoneState, x.Away, x.Flaps, x.Why = Left, 1000-probe, min(x.Flaps+1, mostFlaps), "it does not bear what comes back"
 			return
 		}
 		x.Away, x.Why = uint16(1000-back), "strain: what goes there is halved"
@@ -319,21 +319,21 @@
 	case r.Asked > few && r.Good > r.Asked*3/4 || r.Asked <= few && v.Bad < recovered:
 		w.since["step "+x.Zone] = now
 		if back = max(back*5/4, back+10); back >= 1000 {
-			x.Standing, x.Away, x.Why = Well, 0, "it is back"
+			x.ZoneState, x.Away, x.Why = Well, 0, "it is back"
 			return
 		}
 		x.Away, x.Why = uint16(1000-back), "it bears what comes back"
 	}
 }
 
-// Pin sets a zone's standing by an operator's word, against any evidence, and Unpin takes that back.
+// Pin sets a zone's state by an operator's word, against any evidence, and Unpin takes that back.
 func Pin(s State, zone string, away uint16, until time.Duration, why string) State {
 	next := State{Zones: slices.Clone(s.Zones)}
 	x := next.Stand(zone)
 	x.Epoch++
 	x.Pinned, x.Away, x.Until, x.Why, x.Beat = true, min(away, 1000), until, "pinned: "+why, 0
-	if x.Standing = Well; away > 0 {
-		x.Standing = Left
+	if x.ZoneState = Well; away > 0 {
+		x.ZoneState = Left
 	}
 	next.put(x)
 	return next
@@ -349,7 +349,7 @@
 	x.Epoch++
 	x.Pinned, x.Until, x.Why, x.Beat = false, 0, "unpinned: "+why, 0
 	if x.Away > 0 {
-		x.Standing = Returning
+		x.ZoneState = Returning
 	}
 	next.put(x)
 	return next
--- a/fleet/zones/evidence.go
+++ b/fleet/zones/evidence.go
@@ -1,12 +1,12 @@
 // Package zones decides, for a whole fleet, when a failing zone is left, how far, and at what pace it is returned to. It is a
 // core: no I/O, no clock, no goroutine. Every front tells what it saw of each zone in a digest; the holder of the duty weighs
-// them (Weigher), moves each zone's standing (Warden) and plans how much the others can bear (Plan). What it decides stands in the
+// them (Weigher), moves each zone's state (Controller) and plans how much the others can bear (Plan). What it decides stands in the
 // record with an epoch and a deadline; a front reads its own share from there (Share), and which member takes a request stays the
 // module's choice.
 //
 // Invariants, asserted by its tests:
 //
-//  1. No front's word alone moves a zone's standing.
+//  1. No front's word alone moves a zone's state.
 //  2. A zone is left only as far as the members that stay can bear, and one zone at least is always stayed in.
 //  3. The total over all fronts that a returning zone gets never passes its ramp, and the ramp never passes what its members bear.
 //  4. A decision that nobody renews wears off, and not at once.
--- a/fleet/zones/zones_test.go
+++ b/fleet/zones/zones_test.go
@@ -122,17 +122,17 @@
 }
 
 func TestAZoneIsLeftInUnderTwoSecondsAndReturnedToByARamp(t *testing.T) {
-	w, s := NewWarden(WardenOptions{Span: span, Warm: 10 * time.Second}), State{}
+	w, s := NewController(ControllerOptions{Span: span, Warm: 10 * time.Second}), State{}
 	var at time.Duration
-	var seen []Standing
+	var seen []ZoneState
 	step := func(bad float64, r Returned) Stand {
 		s2, changed := w.Step(at, s, viewsOf(map[string]float64{"a": bad}), whole, map[string]Returned{"a": r})
 		if changed {
 			s = s2
 		}
 		x := s.Stand("a")
-		if len(seen) == 0 || seen[len(seen)-1] != x.Standing {
-			seen = append(seen, x.Standing)
+		if len(seen) == 0 || seen[len(seen)-1] != x.ZoneState {
+			seen = append(seen, x.ZoneState)
 		}
 		at += 100 * time.Millisecond
 		return x
@@ -146,22 +146,22 @@
 		assert.LessOrEqual(t, step(0.9, Returned{}).Away, uint16(1000-probe), "a trickle stays")
 	}
 	mended, last, most := at, uint16(1000-probe), 0.0
-	for s.Stand("a").Standing != Well && at < 5*time.Minute {
+	for s.Stand("a").ZoneState != Well && at < 5*time.Minute {
 		x := step(0, Returned{Asked: 100, Good: 100})
 		if x.Away < last {
 			most = max(most, float64(1000-x.Away)/float64(1000-last))
 			last = x.Away
 		}
 	}
-	assert.Equal(t, []Standing{Well, Doubted, Leaving, Left, Returning, Well}, seen)
+	assert.Equal(t, []ZoneState{Well, Doubted, Leaving, Left, Returning, Well}, seen)
 	assert.GreaterOrEqual(t, at-mended, 10*time.Second, "no sooner than its members are warm")
 	assert.LessOrEqual(t, at-mended, 20*time.Second)
 	assert.LessOrEqual(t, most, 1.26, "no step is a flood")
 }
 
 func TestStrainHalvesAReturnAndAFlappingZoneIsReturnedToLater(t *testing.T) {
-	w := NewWarden(WardenOptions{Span: span, Warm: 6 * time.Second})
-	s := State{Zones: []Stand{{Zone: "a", Standing: Returning, Away: 400, Flaps: 1, Epoch: 4}}}
+	w := NewController(ControllerOptions{Span: span, Warm: 6 * time.Second})
+	s := State{Zones: []Stand{{Zone: "a", ZoneState: Returning, Away: 400, Flaps: 1, Epoch: 4}}}
 	now := time.Duration(0)
 	s, _ = w.Step(now, s, viewsOf(nil), whole, nil)
 	s, changed := w.Step(now+time.Second, s, viewsOf(nil), whole, map[string]Returned{"a": {Asked: 100, Good: 60, Strained: 40}})
@@ -170,10 +170,10 @@
 
 	delays := []time.Duration{}
 	for flaps := range uint8(4) {
-		w := NewWarden(WardenOptions{Span: span, Warm: 6 * time.Second})
-		s := State{Zones: []Stand{{Zone: "a", Standing: Left, Away: 950, Flaps: flaps}}}
+		w := NewController(ControllerOptions{Span: span, Warm: 6 * time.Second})
+		s := State{Zones: []Stand{{Zone: "a", ZoneState: Left, Away: 950, Flaps: flaps}}}
 		at := time.Duration(0)
-		for s.Stand("a").Standing == Left {
+		for s.Stand("a").ZoneState == Left {
 			s, _ = w.Step(at, s, viewsOf(nil), whole, nil)
 			at += 50 * time.Millisecond
 		}
@@ -185,7 +185,7 @@
 }
 
 func TestWithNowhereToGoItIsStayedIn(t *testing.T) {
-	w, s := NewWarden(WardenOptions{Span: span, Warm: 6 * time.Second}), State{}
+	w, s := NewController(ControllerOptions{Span: span, Warm: 6 * time.Second}), State{}
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond { // all three at once: a burst that looks like a failure
 		s, _ = w.Step(at, s, viewsOf(map[string]float64{"a": 0.8, "b": 0.8, "c": 0.8}), whole, nil)
 	}
@@ -197,7 +197,7 @@
 	}
 	assert.GreaterOrEqual(t, stays, 1)
 
-	w, s = NewWarden(WardenOptions{Span: span, Warm: 6 * time.Second}), State{}
+	w, s = NewController(ControllerOptions{Span: span, Warm: 6 * time.Second}), State{}
 	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
 		s, _ = w.Step(at, s, viewsOf(map[string]float64{"a": 0.8}), func(string, map[string]bool) *Plan { return &Plan{} }, nil)
 	}
@@ -206,14 +206,14 @@
 }
 
 func TestAPinHoldsAgainstTheEvidence(t *testing.T) {
-	w := NewWarden(WardenOptions{Span: span, Warm: 6 * time.Second})
+	w := NewController(ControllerOptions{Span: span, Warm: 6 * time.Second})
 	s := Pin(State{}, "b", 300, time.Hour, "works")
 	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
 		s, _ = w.Step(at, s, viewsOf(map[string]float64{"b": 0.9}), whole, nil)
 	}
 	assert.EqualValues(t, 300, s.Stand("b").Away)
 	s = Unpin(s, "b", "done")
-	assert.Equal(t, Returning, s.Stand("b").Standing)
+	assert.Equal(t, Returning, s.Stand("b").ZoneState)
 }
 
 func TestADecisionThatNobodyRenewsWearsOffAndAnOlderOneDisplacesNothing(t *testing.T) {
--- a/framing/door.go
+++ b/framing/accept.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Door takes connections until ctx ends and the listener is closed, each on a goroutine of its own that done counts. Those
+// AcceptLoop takes connections until ctx ends and the listener is closed, each on a goroutine of its own that done counts. Those
 // that were not greeted yet are bounded by most: a crowd at the door must not keep descriptors. serve calls greeted once its
 // peer is known.
-func Door(ctx context.Context, l net.Listener, most int, done *sync.WaitGroup, serve func(c net.Conn, greeted func())) {
+func AcceptLoop(ctx context.Context, l net.Listener, most int, done *sync.WaitGroup, serve func(c net.Conn, greeted func())) {
 	knocking := make(chan struct{}, most)
 	for {
 		c, err := l.Accept()
--- a/gateway/link/connections.go
+++ b/gateway/link/connections.go
@@ -43,7 +43,7 @@
 }
 
 func (l *Link) accept() {
-	framing.Door(l.ctx, l.listener, 8, &l.done, func(c net.Conn, greeted func()) {
+	framing.AcceptLoop(l.ctx, l.listener, 8, &l.done, func(c net.Conn, greeted func()) {
 		if err := l.serve(c, greeted); err != nil && l.ctx.Err() == nil {
 			slog.Warn("link: a connection ended", "peer", l.o.Peer, "from", c.RemoteAddr().String(), "why", err)
 		}
--- a/lab/model/changes_bench_test.go
+++ b/lab/model/changes_bench_test.go
@@ -64,7 +64,7 @@
 	if right == 0 {
 		right = 12 * time.Second
 	}
-	w := New(Options{SparseChecks: true, Seed: 3, Fronts: fronts, Keepers: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
+	w := New(Options{SparseChecks: true, Seed: 3, Fronts: fronts, Voters: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
 		Span: 3 * time.Second, Fleet: true, Right: right, Stop: true})
 	w.StartAll()
 	w.Run(warm)
@@ -74,7 +74,7 @@
 	}
 	if c.restart != nil {
 		w.After(c.after, func() {
-			for _, f := range w.Fronts[w.O.Keepers:] {
+			for _, f := range w.Fronts[w.O.Voters:] {
 				if f.Core.Version() == w.State().Next {
 					c.restart(w, f)
 					return
--- a/lab/model/chaos.go
+++ b/lab/model/chaos.go
@@ -91,9 +91,9 @@
 	for _, x := range t.Requests {
 		f := t.Fronts[t.at(x.Front)]
 		switch {
-		case x.Finals > 1:
-			t.Wrong = append(t.Wrong, fmt.Sprintf("%s of %s was answered %d times", x.ID, x.Front, x.Finals))
-		case x.Finals == 0 && x.At >= f.startedAt && x.At < t.Now-t.O.Deadline-time.Second:
+		case x.Answers > 1:
+			t.Wrong = append(t.Wrong, fmt.Sprintf("%s of %s was answered %d times", x.ID, x.Front, x.Answers))
+		case x.Answers == 0 && x.At >= f.startedAt && x.At < t.Now-t.O.Deadline-time.Second:
 			t.Wrong = append(t.Wrong, fmt.Sprintf("%s of %s got no answer", x.ID, x.Front))
 		}
 		for _, m := range t.Members {
@@ -116,7 +116,7 @@
 
 // RoughRolls plays publishes, some of them bad, under faults drawn from a seed, and says what was wrong.
 func RoughRolls(seed uint64, fronts int, stop bool, trace func(string)) (*Town, []string) {
-	o := Options{Seed: seed, Fronts: fronts, Keepers: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 8, Writes: 0.3,
+	o := Options{Seed: seed, Fronts: fronts, Voters: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 8, Writes: 0.3,
 		Span: 3 * time.Second, Fleet: true, Right: 6 * time.Second, Stop: stop}
 	if stop && seed/2%2 == 0 { // half of the fleets that can have one have a time
 		o.Within = 15 * time.Second
--- a/lab/model/databases_bench_test.go
+++ b/lab/model/databases_bench_test.go
@@ -20,7 +20,7 @@
 		for _, on := range []bool{false, true} {
 			b.Run(fmt.Sprintf("fronts=%d/databases=%d/fleet=%v", x.fronts, x.databases, on), func(b *testing.B) {
 				for b.Loop() {
-					w := New(Options{SparseChecks: true, Seed: 1, Fronts: x.fronts, Keepers: 3, Groups: x.databases / 3, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
+					w := New(Options{SparseChecks: true, Seed: 1, Fronts: x.fronts, Voters: 3, Groups: x.databases / 3, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
 						Rate: perPair * float64(x.databases), Writes: 0.2, Span: 3 * time.Second, Fleet: on, Unwatched: true})
 					w.StartAll()
 					w.Run(warm)
--- a/lab/model/deadline_bench_test.go
+++ b/lab/model/deadline_bench_test.go
@@ -33,7 +33,7 @@
 }
 
 func (c deadlineRun) run(b *testing.B, fronts int, within time.Duration) {
-	w := New(Options{Seed: 3, Fronts: fronts, Keepers: 3, Groups: 2, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
+	w := New(Options{Seed: 3, Fronts: fronts, Voters: 3, Groups: 2, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
 		Span: 3 * time.Second, Fleet: true, Right: c.lease, Stop: true, Within: within})
 	w.StartAll()
 	w.Run(20 * time.Second)
@@ -81,7 +81,7 @@
 			w.apart(w.Hosts[fronts-1-i], true, true)
 		}
 	case c.leaderZone:
-		leader := w.Giver()
+		leader := w.Leader()
 		leader.Crash()
 		for i := range fronts/8 - 1 {
 			w.Hosts[fronts-1-i].Crash()
--- a/lab/model/deadline_test.go
+++ b/lab/model/deadline_test.go
@@ -16,7 +16,7 @@
 
 // timed is a fleet whose versions have to be in force everywhere within 20 s, with the default ratio of lease durations.
 func timed(seed uint64, fronts int) *Town {
-	w := New(Options{Seed: seed, Fronts: fronts, Keepers: 3, Groups: 3, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.25,
+	w := New(Options{Seed: seed, Fronts: fronts, Voters: 3, Groups: 3, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.25,
 		Span: 3 * time.Second, Fleet: true, Right: 12 * time.Second, Stop: true, Within: 20 * time.Second})
 	w.StartAll()
 	w.Run(20 * time.Second)
@@ -127,7 +127,7 @@
 	for _, after := range []time.Duration{0, 3 * time.Second, 6 * time.Second, 30 * time.Second} {
 		w := timed(52, 24)
 		inForce(t, w, w.Fronts[0], "(rules (given-up 1))")
-		leader := w.Giver()
+		leader := w.Leader()
 		require.NotNil(t, leader)
 		at := w.Fronts[0]
 		for i, h := range w.Hosts {
@@ -162,7 +162,7 @@
 		{"back", 0, 0, rollout.NoEvidenceRollBack, 0, "the time of wave 1 is over"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			w := New(Options{Seed: 61, Fronts: 12, Keepers: 3, Groups: 3, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: 40, Writes: 0.25,
+			w := New(Options{Seed: 61, Fronts: 12, Voters: 3, Groups: 3, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: 40, Writes: 0.25,
 				Span: 3 * time.Second, Fleet: true, Right: 6 * time.Second, Stop: true, Within: 40 * time.Second})
 			for _, f := range w.Fronts {
 				f.Spoils = func(v uint64) float64 { return x.fails + x.worse*float64(v) }
@@ -200,7 +200,7 @@
 
 // The only front of the first stage is cut off: the stage's time passes all the same.
 func TestAStageWhoseFrontsAreSilentEndsWithItsTime(t *testing.T) {
-	w := New(Options{Seed: 3, Fronts: 12, Keepers: 3, Groups: 2, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Span: 3 * time.Second,
+	w := New(Options{Seed: 3, Fronts: 12, Voters: 3, Groups: 2, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Span: 3 * time.Second,
 		Fleet: true, Right: 6 * time.Second, Stop: true, Within: 20 * time.Second})
 	w.StartAll()
 	w.Run(10 * time.Second)
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -22,7 +22,7 @@
 // Options are what a Town is made of.
 type Options struct {
 	Seed                    uint64
-	Fronts, Keepers         int
+	Fronts, Voters          int
 	Groups, PerGroup        int // members of each; the first is the primary
 	Servers                 int // of a member
 	Service                 time.Duration
@@ -78,7 +78,7 @@
 	ID, Front string
 	Type      string
 	At, Ended time.Duration // the world's
-	Finals    int
+	Answers   int
 	Word      front.Status
 	Write     bool
 }
@@ -90,7 +90,7 @@
 	host      *sim.Host
 	number    int // its place among all
 	Core      *front.Core
-	scouts    *agent.Prober
+	prober    *agent.Prober
 	list      *fleet.EndpointList
 	dir       *directory
 	turn      int
@@ -100,14 +100,14 @@
 	Asked     map[string]int
 	Served    map[string]int
 
-	Seat    *rollout.Participant
-	aloneAt time.Duration // it heard nobody, or stood still, last
-	disk    saved         // what the front's own disk holds of versions
-	version uint64
-	sums    []rollout.Counts
-	Bad     func(version uint64) bool    // the version is one that this front can't use
-	Crashes func(version uint64) bool    // it takes the process down
-	Spoils  func(version uint64) float64 // part of the requests that fail on it
+	Participant *rollout.Participant
+	aloneAt     time.Duration // it heard nobody, or stood still, last
+	disk        saved         // what the front's own disk holds of versions
+	version     uint64
+	sums        []rollout.Counts
+	Bad         func(version uint64) bool    // the version is one that this front can't use
+	Crashes     func(version uint64) bool    // it takes the process down
+	Spoils      func(version uint64) float64 // part of the requests that fail on it
 }
 
 // saved is what a front keeps of versions.
@@ -129,7 +129,7 @@
 	if o.Deadline == 0 {
 		o.Deadline, o.TargetLatency = 2*time.Second, 250*time.Millisecond
 	}
-	t := &Town{World: sim.New(o.Seed, o.Fronts, o.Keepers, fleet.Timing{LeaseDuration: o.Span}, map[string]time.Duration{fleet.EndpointListLease: 2 * o.Span}), O: o,
+	t := &Town{World: sim.New(o.Seed, o.Fronts, o.Voters, fleet.Timing{LeaseDuration: o.Span}, map[string]time.Duration{fleet.EndpointListLease: 2 * o.Span}), O: o,
 		byName: map[string]*Member{}, byHost: map[*sim.Host]*Front{}, outcomes: map[uint64]string{}}
 	t.Lists.Index = 10
 	for g := range o.Groups {
@@ -191,24 +191,24 @@
 	if f.host.Node != nil {
 		f.list = fleet.NewEndpointList()
 		f.host.Node.SetMirror(fleet.EndpointListLease, f.list)
-		f.scouts = agent.NewProber(t.Pace.LeaseDuration, s.Allowance.DialTimeout)
-		f.scouts.Pools, f.scouts.Post = ways, func(e front.Event) { f.post(e) }
-		f.scouts.Now = f.host.Clock
-		f.scouts.RequestProbe = func(to, member string) {
+		f.prober = agent.NewProber(t.Pace.LeaseDuration, s.Allowance.DialTimeout)
+		f.prober.Pools, f.prober.Post = ways, func(e front.Event) { f.post(e) }
+		f.prober.Now = f.host.Clock
+		f.prober.RequestProbe = func(to, member string) {
 			f.host.Do(func(n *fleet.Node, now time.Duration) { n.SendDatagram(now, to, "scout", []byte(member)) })
 		}
-		f.scouts.After = func(d time.Duration, call func()) { f.host.After(d, func(time.Duration) { call() }) }
-		f.scouts.DeclareLease = func(duty string) { f.host.Node.DeclareLease(duty, 0) }
-		f.scouts.Broadcast = func(duty string, data []byte) (ok bool) {
-			f.host.Do(func(n *fleet.Node, now time.Duration) { ok = n.Broadcast(now, duty, data) })
+		f.prober.After = func(d time.Duration, call func()) { f.host.After(d, func(time.Duration) { call() }) }
+		f.prober.DeclareLease = func(lease string) { f.host.Node.DeclareLease(lease, 0) }
+		f.prober.Broadcast = func(lease string, data []byte) (ok bool) {
+			f.host.Do(func(n *fleet.Node, now time.Duration) { ok = n.Broadcast(now, lease, data) })
 			return ok
 		}
-		ways = f.scouts
+		ways = f.prober
 	}
 	born := time.UnixMilli(t.wall(t.Now)).Add(-f.host.Clock())
 	f.Core = front.NewCore(born, t.Rnd.Uint64(), s, router.New, ways, f.dir, nil)
 	if t.O.Right > 0 && f.host.Node != nil {
-		f.seat(s)
+		f.participate(s)
 	}
 	f.seen(front.Listed{Kind: port.Cached, List: t.whole()})
 	if !t.O.Ask {
@@ -224,7 +224,7 @@
 // seen posts what the scouts see on its way.
 func (f *Front) seen(e front.Event) {
 	if f.host.Node != nil {
-		f.scouts.Event(e)
+		f.prober.Event(e)
 	} else {
 		f.post(e)
 	}
@@ -259,9 +259,9 @@
 
 // told takes what the fleet's node tells, as fleet/agent does.
 func (f *Front) told(e fleet.Event) {
-	f.scouts.OnFleetEvent(e, f.Name)
-	if f.Seat != nil {
-		f.Seat.OnEvent(f.host.Clock(), e)
+	f.prober.OnFleetEvent(e, f.Name)
+	if f.Participant != nil {
+		f.Participant.OnEvent(f.host.Clock(), e)
 	}
 	switch e := e.(type) {
 	case fleet.LeaseAcquired:
@@ -278,14 +278,14 @@
 		if e.Part != "scout" {
 			break
 		}
-		f.scouts.OnProbeRequest(string(e.Data))
+		f.prober.OnProbeRequest(string(e.Data))
 	case fleet.BroadcastReceived:
 		switch {
 		case e.Lease == fleet.EndpointListLease:
 			f.dir.heard = f.host.Clock()
 			f.dir.lean(e.Data)
 		case fleet.LeaseKind(e.Lease) == "scout" && e.From != f.Name:
-			f.scouts.OnProbeResult(e.Term, e.Data)
+			f.prober.OnProbeResult(e.Term, e.Data)
 		}
 	}
 }
@@ -443,7 +443,7 @@
 }
 
 func (c *client) Answer(f front.Response) {
-	c.x.Finals++
+	c.x.Answers++
 	c.x.Word, c.x.Ended = f.Status, c.f.t.Now
 	if f.Status == front.Served {
 		c.f.Served[c.x.Type]++
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -18,7 +18,7 @@
 func init() { slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil))) }
 
 func small(seed uint64, fleet bool) Options {
-	return Options{Seed: seed, Fronts: 5, Keepers: 3, Groups: 2, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 20, Writes: 0.25,
+	return Options{Seed: seed, Fronts: 5, Voters: 3, Groups: 2, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 20, Writes: 0.25,
 		Span: 3 * time.Second, Fleet: fleet}
 }
 
@@ -33,8 +33,8 @@
 			require.Empty(t, w.Wrong)
 			served := 0
 			for _, x := range w.Requests {
-				assert.LessOrEqual(t, x.Finals, 1, x.ID)
-				if x.Finals == 1 && x.Word == front.Served {
+				assert.LessOrEqual(t, x.Answers, 1, x.ID)
+				if x.Answers == 1 && x.Word == front.Served {
 					served++
 				}
 				said[i] += fmt.Sprintln(x.ID, x.Front, x.Ended, x.Word)
@@ -68,7 +68,7 @@
 			}
 			b.Run(fmt.Sprintf("%d/fleet=%v", n, on), func(b *testing.B) {
 				for b.Loop() {
-					w := New(Options{Seed: 1, Fronts: n, Keepers: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: 10,
+					w := New(Options{Seed: 1, Fronts: n, Voters: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: 10,
 						Writes: 0.2, Span: 3 * time.Second, Fleet: on, Unwatched: true})
 					w.StartAll()
 					w.Run(20 * time.Second)
--- a/lab/model/regions_bench_test.go
+++ b/lab/model/regions_bench_test.go
@@ -16,7 +16,7 @@
 	lone int // the keeper in the second region
 }
 
-func (r regions) second(i int) bool { return i == r.lone || i >= r.O.Keepers && i%2 == 1 }
+func (r regions) second(i int) bool { return i == r.lone || i >= r.O.Voters && i%2 == 1 }
 
 func (r regions) apart() {
 	for i, a := range r.Hosts {
@@ -92,15 +92,15 @@
 			stop := x.stop
 			b.Run(fmt.Sprintf("leader-in-second=%v/stop=%v/fronts=%d", x.leaderSecond, stop, fronts), func(b *testing.B) {
 				for b.Loop() {
-					r := regions{Town: New(Options{SparseChecks: true, Seed: 3, Fronts: fronts, Keepers: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
+					r := regions{Town: New(Options{SparseChecks: true, Seed: 3, Fronts: fronts, Voters: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond,
 						Span: 3 * time.Second, Fleet: true, Right: 12 * time.Second, Stop: stop})}
 					r.StartAll()
 					r.Run(warm)
 					r.first()
-					leader := r.Giver()
+					leader := r.Leader()
 					r.lone = slices.Index(r.Hosts, leader)
 					if !x.leaderSecond {
-						r.lone = (r.lone + 1) % r.O.Keepers
+						r.lone = (r.lone + 1) % r.O.Voters
 					}
 					r.apart()
 					began := r.Now
@@ -108,7 +108,7 @@
 					var asked [2]submitter
 					for now := time.Duration(0); now < lost; now = r.Now - began {
 						if now >= 10*time.Second {
-							asked[0].goOn(r.Town, r.Fronts[(r.lone+1)%r.O.Keepers])
+							asked[0].goOn(r.Town, r.Fronts[(r.lone+1)%r.O.Voters])
 							asked[1].goOn(r.Town, r.Fronts[r.lone])
 						}
 						r.Run(50 * time.Millisecond)
--- a/lab/model/rolls.go
+++ b/lab/model/rolls.go
@@ -12,14 +12,14 @@
 )
 
 // seat gives a front that starts its part in rolls, as fleet/agent does.
-func (f *Front) seat(s *site.Site) {
+func (f *Front) participate(s *site.Site) {
 	t := f.t
 	f.Core.Bind(front.Bound{Clock: f.host.Clock, Audit: (*tally)(f)})
 	f.sums = make([]rollout.Counts, 2)
 	o := rollout.Options{Name: f.Name, Timing: t.Pace, ConfigLease: t.O.Right, StopWhenIsolated: t.O.Stop, InForceWithin: t.O.Within, Rules: site.RulesText{}, Active: f.disk.version, Tried: f.disk.tried}
 	f.version = o.Active
 	turn := f.turn
-	f.Seat = rollout.NewParticipant(o, rollout.Hooks{
+	f.Participant = rollout.NewParticipant(o, rollout.Hooks{
 		Adopt: func(a rollout.Adoption) {
 			f.host.After(0, func(time.Duration) { f.adopt(a, s) })
 		},
@@ -40,14 +40,14 @@
 			f.post(front.Adopt{Version: f.disk.version, Rules: r})
 		}
 	}
-	f.Seat.DeclareLeases(f.host.Node)
+	f.Participant.DeclareLeases(f.host.Node)
 	var tick func(now time.Duration)
 	tick = func(now time.Duration) {
 		if f.turn != turn || f.host.Node == nil {
 			return
 		}
 		f.host.Do(func(n *fleet.Node, now time.Duration) {
-			f.Seat.Tick(now, n)
+			f.Participant.Tick(now, n)
 			f.noted(n)
 		})
 		t.checkVersions(f)
@@ -68,7 +68,7 @@
 			err = fmt.Errorf("its limits are others")
 		}
 		if err != nil {
-			do(func(n *fleet.Node, now time.Duration) { f.Seat.Refused(now, n, a.Version, err.Error()) })
+			do(func(n *fleet.Node, now time.Duration) { f.Participant.Refused(now, n, a.Version, err.Error()) })
 			return
 		}
 	}
@@ -87,7 +87,7 @@
 	f.post(front.Adopt{Version: a.Version, Rules: rules, Until: a.Until, Done: func(time.Duration) {
 		f.host.After(0, func(time.Duration) {
 			f.version, f.sums = a.Version, make([]rollout.Counts, 2)
-			f.Seat.Adopted(a.Version)
+			f.Participant.Adopted(a.Version)
 			f.host.After(2*f.t.Pace.LeaseDuration, func(time.Duration) {
 				if f.version == a.Version { // it has held
 					f.disk = saved{version: a.Version, text: a.Text}
@@ -96,7 +96,7 @@
 		})
 	}, Alone: func() {
 		f.host.After(0, func(time.Duration) {
-			do(func(n *fleet.Node, now time.Duration) { f.Seat.Settled(now, n, a.Version) })
+			do(func(n *fleet.Node, now time.Duration) { f.Participant.Settled(now, n, a.Version) })
 		})
 	}})
 }
@@ -166,7 +166,7 @@
 }
 
 func (t *Town) checkFront(f *Front, s rollout.State) {
-	if !f.host.Up() || f.Seat == nil {
+	if !f.host.Up() || f.Participant == nil {
 		return
 	}
 	if f.host.Node.Isolated() || f.host.Stopped() {
@@ -193,5 +193,5 @@
 		w.Meaning = r.Meaning()
 	}
 	w.ID = t.Rnd.Uint64() | 1
-	f.host.Do(func(n *fleet.Node, now time.Duration) { f.Seat.Submit(now, w, 10*t.Pace.LeaseDuration, outcome) })
+	f.host.Do(func(n *fleet.Node, now time.Duration) { f.Participant.Submit(now, w, 10*t.Pace.LeaseDuration, outcome) })
 }
--- a/lab/model/rolls_bench_test.go
+++ b/lab/model/rolls_bench_test.go
@@ -11,7 +11,7 @@
 )
 
 func sized(n int, rate float64, stop bool) *Town {
-	w := New(Options{SparseChecks: true, Seed: 3, Fronts: n, Keepers: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: rate, Writes: 0.2,
+	w := New(Options{SparseChecks: true, Seed: 3, Fronts: n, Voters: 3, Groups: 10, PerGroup: 3, Servers: 8, Service: 2 * time.Millisecond, Rate: rate, Writes: 0.2,
 		Span: 3 * time.Second, Fleet: true, Right: 12 * time.Second, Stop: stop})
 	w.StartAll()
 	w.Run(20 * time.Second)
@@ -88,7 +88,7 @@
 					}
 					bad := 0
 					for _, x := range w.Requests {
-						if x.At > began && x.Finals == 1 && x.Word != front.Served {
+						if x.At > began && x.Answers == 1 && x.Word != front.Served {
 							bad++
 						}
 					}
--- a/lab/model/rolls_test.go
+++ b/lab/model/rolls_test.go
@@ -16,7 +16,7 @@
 )
 
 func rolling(seed uint64, fronts int, stop bool) *Town {
-	w := New(Options{Seed: seed, Fronts: fronts, Keepers: 3, Groups: 3, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 20, Writes: 0.25,
+	w := New(Options{Seed: seed, Fronts: fronts, Voters: 3, Groups: 3, PerGroup: 3, Servers: 4, Service: 2 * time.Millisecond, Rate: 20, Writes: 0.25,
 		Span: 3 * time.Second, Fleet: true, Right: 6 * time.Second, Stop: stop})
 	w.StartAll()
 	w.Run(10 * time.Second)
@@ -207,7 +207,7 @@
 	assert.Contains(t, s.Why, "serves worse")
 	bad := 0
 	for _, x := range w.Requests {
-		if x.At > from && x.Finals == 1 && (x.Word == front.Rejected || x.Word == front.Failed) {
+		if x.At > from && x.Answers == 1 && (x.Word == front.Rejected || x.Word == front.Failed) {
 			bad++
 		}
 	}
@@ -264,8 +264,8 @@
 			}
 		}
 		for _, x := range w.Requests {
-			assert.LessOrEqual(t, x.Finals, 1)
-			assert.False(t, x.Finals == 0 && x.At < w.Now-10*time.Second, "%s of %s has its one answer", x.ID, x.Front)
+			assert.LessOrEqual(t, x.Answers, 1)
+			assert.False(t, x.Answers == 0 && x.At < w.Now-10*time.Second, "%s of %s has its one answer", x.ID, x.Front)
 		}
 		assert.EqualValues(t, 1, f.Core.Version(), "it is brought up")
 		assert.False(t, f.Core.Lapsed(), "and serves again")
--- a/lab/model/walk_test.go
+++ b/lab/model/walk_test.go
@@ -36,7 +36,7 @@
 		step = len(all)
 	}
 	play := func(x, y *at, within time.Duration) []string {
-		w := New(Options{Seed: 7, Fronts: 3, Keepers: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.3,
+		w := New(Options{Seed: 7, Fronts: 3, Voters: 3, Groups: 2, PerGroup: 2, Servers: 4, Service: 2 * time.Millisecond, Rate: 4, Writes: 0.3,
 			Span: time.Second, Fleet: true, Right: 3 * time.Second, Stop: true, Within: within, Deadline: time.Second, TargetLatency: 250 * time.Millisecond})
 		w.StartAll()
 		w.Run(4 * time.Second)
--- a/lab/report/audit.go
+++ b/lab/report/audit.go
@@ -178,9 +178,9 @@
 			case audit.Refused:
 				what = fmt.Sprintf("refused version %d: %s", p.Version, p.Why)
 			case audit.Held:
-				what = fmt.Sprintf("holds %s in term %d", p.Duty, p.Term)
+				what = fmt.Sprintf("holds %s in term %d", p.Lease, p.Term)
 			case audit.Let:
-				what = fmt.Sprintf("holds %s no more: %s", p.Duty, p.Why)
+				what = fmt.Sprintf("holds %s no more: %s", p.Lease, p.Why)
 			case audit.Lapsed:
 				what = "stands by: its right ran out"
 			case audit.Right:
--- a/lab/rig/actions.go
+++ b/lab/rig/actions.go
@@ -25,7 +25,7 @@
 		return f.cmd != nil && !f.stopped && f.lives[len(f.lives)-1].to.IsZero()
 	}
 	var fit []*Front
-	holders, gives := map[string]bool{}, ""
+	holders, leader := map[string]bool{}, ""
 	for _, f := range r.fronts {
 		if !up(f) {
 			continue
@@ -34,15 +34,15 @@
 		if err != nil {
 			continue
 		}
-		for _, d := range s.Duties {
+		for _, d := range s.Leases {
 			if d.Left > 0 {
 				holders[f.Name] = true
-				if w.Name == "holder" && d.Duty == w.Duty {
+				if w.Name == "holder" && d.Lease == w.Lease {
 					return f
 				}
 			}
 		}
-		gives = s.Gives
+		leader = s.Leader
 	}
 	newest := map[string]bool{}
 	if w.Name == "new" {
@@ -57,8 +57,8 @@
 		case f.Name == w.Name:
 			return f
 		case !up(f):
-		case w.Name == "giver" && f.Name == gives, w.Name == "any", w.Name == "new" && newest[f.Name], w.Name == "keeper" && f.keeper,
-			w.Name == "follower" && !f.keeper && !holders[f.Name]:
+		case w.Name == "giver" && f.Name == leader, w.Name == "any", w.Name == "new" && newest[f.Name], w.Name == "keeper" && f.voter,
+			w.Name == "follower" && !f.voter && !holders[f.Name]:
 			fit = append(fit, f)
 		}
 	}
@@ -110,7 +110,7 @@
 	if len(who) > 0 {
 		r.say(who[0].Name, "%s %s for %v", st.What, names(who), span)
 	} else {
-		r.say("-", "%s %s %v", st.What, cmp.Or(st.Duty, strings.Join(st.Words, " ")), st.Spans)
+		r.say("-", "%s %s %v", st.What, cmp.Or(st.Lease, strings.Join(st.Words, " ")), st.Spans)
 	}
 	switch st.What {
 	case "stop":
@@ -194,8 +194,8 @@
 			if s, err := f.seen(); err == nil && !s.Alone {
 				r.later.Go(func() {
 					var out map[string]bool
-					err := control.Call(f.socket(), "POST", "/v1/fleet/hand", url.Values{"duty": {st.Duty}}, &out)
-					r.say("-", "hand %s by %s: %s", st.Duty, f.Name, cmp.Or(errText(err), "done"))
+					err := control.Call(f.socket(), "POST", "/v1/fleet/hand", url.Values{"duty": {st.Lease}}, &out)
+					r.say("-", "hand %s by %s: %s", st.Lease, f.Name, cmp.Or(errText(err), "done"))
 				})
 				return nil
 			}
--- a/lab/rig/files.go
+++ b/lab/rig/files.go
@@ -27,7 +27,7 @@
 	var form strings.Builder
 	fmt.Fprintf(&form, "(fleet (id %q) (listen %q) (span %v) (plain loopback)\n (control %q) (history %q)\n (keepers", fleetID, f.mesh, r.Script.Span, f.socket(), f.historyFile())
 	for _, k := range r.fronts {
-		if k.keeper {
+		if k.voter {
 			fmt.Fprintf(&form, " (%s %q)", k.Name, k.mesh)
 		}
 	}
@@ -38,7 +38,7 @@
 		}
 	}
 	fmt.Fprint(&form, ")")
-	if f.keeper {
+	if f.voter {
 		fmt.Fprintf(&form, "\n (keeper %q)", f.disk())
 	}
 	fmt.Fprintln(&form, ")")
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -18,7 +18,7 @@
 )
 
 // Moment is a line of a front's history.
-type Moment = fleet.HistoryEntry
+type HistoryLine = fleet.HistoryEntry
 
 // Verdict is what came of a run.
 type Verdict struct {
@@ -30,7 +30,7 @@
 	RolledBack int
 	Unanswered int             // by fronts that were killed or stopped
 	Gaps       []Gap           // of duties
-	Moments    []Moment        // all that was told, in order
+	History    []HistoryLine   // all that was told, in order
 	Calls      int             // to the list's service
 	Probes     int64           // of members
 	Took       []time.Duration // of committed requests, sorted
@@ -44,7 +44,7 @@
 
 // Gap is a time in which nobody held a duty.
 type Gap struct {
-	Duty    string
+	Lease   string
 	For     time.Duration
 	At      time.Duration // since the script began
 	Because string
@@ -54,7 +54,7 @@
 type Slice struct{ Asked, Succeeded int }
 
 // history reads what all fronts told; a line cut off by a kill is passed over.
-func (r *Rig) history() (all []Moment, err error) {
+func (r *Rig) history() (all []HistoryLine, err error) {
 	dirs, err := os.ReadDir(r.Dir)
 	if err != nil {
 		return nil, err
@@ -65,14 +65,14 @@
 			continue
 		}
 		for in := bufio.NewScanner(f); in.Scan(); {
-			var m Moment
+			var m HistoryLine
 			if json.Unmarshal(in.Bytes(), &m) == nil {
 				all = append(all, m)
 			}
 		}
 		f.Close()
 	}
-	slices.SortStableFunc(all, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(all, func(a, b HistoryLine) int { return cmp.Compare(a.At, b.At) })
 	return all, nil
 }
 
@@ -82,17 +82,17 @@
 	who      string
 	term     uint64
 	from, to int64
-	first    Moment
+	first    HistoryLine
 	why      string
 }
 
 // holds puts a duty's holds together. A front that was killed holds nothing from then on.
-func (r *Rig) holds(all []Moment, duty string) (out []*hold) {
+func (r *Rig) holds(all []HistoryLine, lease string) (out []*hold) {
 	open := map[string]*hold{}
 	for _, m := range all {
 		key := fmt.Sprint(m.Front, "/", m.Incarnation, "/", m.Term)
 		switch {
-		case m.Lease != duty:
+		case m.Lease != lease:
 		case m.What == "held":
 			h := &hold{who: m.Front, term: m.Term, from: m.At, to: m.Until, first: m}
 			open[key] = h
@@ -117,8 +117,8 @@
 }
 
 // judge reads everything against what must hold.
-func (r *Rig) judge(began time.Time, requests []request, all []Moment, seen []seen, rested string) *Verdict {
-	v := &Verdict{Began: began, Requests: len(requests), Moments: all, Calls: r.Calls, Probes: r.Probes}
+func (r *Rig) judge(began time.Time, requests []request, all []HistoryLine, seen []seen, rested string) *Verdict {
+	v := &Verdict{Began: began, Requests: len(requests), History: all, Calls: r.Calls, Probes: r.Probes}
 	broke := func(format string, args ...any) { v.Broke = append(v.Broke, fmt.Sprintf(format, args...)) }
 	if rested != "" {
 		broke("left alone, the fleet did not come back: %s", rested)
@@ -127,18 +127,18 @@
 		broke("%s", unmet)
 	}
 	for _, name := range r.mustHalt {
-		if !slices.ContainsFunc(all, func(m Moment) bool { return m.Front == name && m.What == "keeper halted" }) {
+		if !slices.ContainsFunc(all, func(m HistoryLine) bool { return m.Front == name && m.What == "keeper halted" }) {
 			broke("%s came back with a disk that had lost something, and was not refused", name)
 		}
 	}
 	// One front's word for each term.
-	granted := map[string]Moment{}
-	acts := map[string]Moment{}
-	duties := map[string]bool{}
+	granted := map[string]HistoryLine{}
+	acts := map[string]HistoryLine{}
+	leases := map[string]bool{}
 	for _, m := range all {
 		switch m.What {
 		case "held":
-			duties[m.Lease] = true
+			leases[m.Lease] = true
 		case "granted":
 			if m.Name == "" { // let go: the term stays
 				continue
@@ -156,7 +156,7 @@
 			acts[key] = m
 		}
 	}
-	for _, d := range sorted(duties) {
+	for _, d := range sorted(leases) {
 		hs := r.holds(all, d)
 		slices.SortStableFunc(hs, func(a, b *hold) int { return cmp.Compare(a.from, b.from) })
 		for i, h := range hs {
@@ -222,8 +222,8 @@
 
 // bare is what a record says of duties, whoever tells it.
 func bare(s seen) (out []string) {
-	for _, d := range s.Duties {
-		out = append(out, fmt.Sprint(d.Duty, d.Holder, d.Term))
+	for _, d := range s.Leases {
+		out = append(out, fmt.Sprint(d.Lease, d.Holder, d.Term))
 	}
 	return out
 }
@@ -274,7 +274,7 @@
 
 // linear looks for one order of a duty's lease register, as it was told: a first hold of a term takes the register to it
 // from an older one; a renewal is good only while the register is at its term.
-func linear(all []Moment, duty string) bool {
+func linear(all []HistoryLine, lease string) bool {
 	type in struct {
 		take bool
 		term uint64
@@ -292,7 +292,7 @@
 	var ops []porcupine.Operation
 	first := map[uint64]bool{}
 	for _, m := range all {
-		if m.Lease != duty || m.What != "held" && m.What != "kept" {
+		if m.Lease != lease || m.What != "held" && m.What != "kept" {
 			continue
 		}
 		op := porcupine.Operation{ClientId: len(ops), Input: in{!first[m.Term], m.Term}, Call: m.Since, Return: m.At}
@@ -303,7 +303,7 @@
 }
 
 // chart is a line a front: who lived, stood still, was gone and held what, a column every quarter of a second.
-func (r *Rig) chart(began time.Time, all []Moment) (out []string) {
+func (r *Rig) chart(began time.Time, all []HistoryLine) (out []string) {
 	const column = 250 * time.Millisecond
 	n := int(r.Script.For/column) + 1
 	for _, f := range r.fronts {
@@ -367,7 +367,7 @@
 	}
 	fmt.Fprintln(w)
 	for _, g := range v.Gaps {
-		fmt.Fprintf(w, "nobody held %s for %v at %.1f s: %s\n", g.Duty, g.For.Round(time.Millisecond), g.At.Seconds(), g.Because)
+		fmt.Fprintf(w, "nobody held %s for %v at %.1f s: %s\n", g.Lease, g.For.Round(time.Millisecond), g.At.Seconds(), g.Because)
 	}
 	for _, x := range v.Rolls {
 		fmt.Fprintf(w, "version %d: taken up %d times, first %v and last %v behind its publishing", x.Version, x.Fronts, x.First.Round(time.Millisecond), x.Last.Round(time.Millisecond))
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -80,15 +80,17 @@
 
 // seen is what a front's control socket says.
 type seen struct {
-	Name, Gives, Halted string
-	Alone, Leans        bool
-	Index               uint64
-	Fronts              []struct{ Name string }
-	Duties              []struct {
-		Duty, Holder string
-		Term         uint64
-		Left         float64 `json:"left_s"`
-	}
+	Name, Halted string
+	Leader       string `json:"gives"`
+	Alone, Leans bool
+	Index        uint64
+	Fronts       []struct{ Name string }
+	Leases       []struct {
+		Lease  string `json:"duty"`
+		Holder string
+		Term   uint64
+		Left   float64 `json:"left_s"`
+	} `json:"duties"`
 }
 
 func (f *Front) seen() (s seen, err error) {
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -28,7 +28,7 @@
 	clients string // where its clients connect
 	mesh    string
 	dir     string
-	keeper  bool
+	voter   bool
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -42,29 +42,29 @@
 
 // Rig is what runs.
 type Rig struct {
-	Script   *Script
-	Seed     uint64
-	Program  string
-	Dir      string
-	Out      io.Writer // what happens, as it happens
-	fronts   []*Front
-	hops     map[[2]int]*hop.Hop
-	group    *store.Group
-	other    *store.Group // that may be given up
-	mustBy   []uint64     // versions that give it up for all
-	cutAudit int          // torn tails of audits that were made
-	lists    *lists
-	rnd      *rand.Rand
-	born     time.Time
-	said     sync.Mutex
-	Calls    int
-	Probes   int64
-	mustHalt []string // keepers whose disks lost something
-	unmet    []string // what steps expected and was not so
-	later    sync.WaitGroup
-	door     net.Listener // holds the block of ports
-	base     int
-	used     int
+	Script    *Script
+	Seed      uint64
+	Program   string
+	Dir       string
+	Out       io.Writer // what happens, as it happens
+	fronts    []*Front
+	hops      map[[2]int]*hop.Hop
+	group     *store.Group
+	other     *store.Group // that may be given up
+	mustBy    []uint64     // versions that give it up for all
+	cutAudit  int          // torn tails of audits that were made
+	lists     *lists
+	rnd       *rand.Rand
+	born      time.Time
+	said      sync.Mutex
+	Calls     int
+	Probes    int64
+	mustHalt  []string // keepers whose disks lost something
+	unmet     []string // what steps expected and was not so
+	later     sync.WaitGroup
+	portBlock net.Listener // holds the block of ports
+	base      int
+	used      int
 }
 
 const config = `{"name": %q, "listen": %q, "discovery": %q, "seed": "%x",
@@ -93,7 +93,7 @@
 	at := int(r.Seed%blocks*7) + os.Getpid()
 	for i := range blocks {
 		r.base = firstPort + (at+i)%blocks*blockPorts
-		if r.door, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.base)); err == nil {
+		if r.portBlock, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.base)); err == nil {
 			return nil
 		}
 	}
@@ -147,13 +147,13 @@
 	if err := r.block(); err != nil {
 		return nil, err
 	}
-	defer r.door.Close()
+	defer r.portBlock.Close()
 	addresses, err := r.ports(2 * s.Fronts)
 	if err != nil {
 		return nil, err
 	}
 	for i := range s.Fronts {
-		f := &Front{Name: frontName(i), i: i, clients: addresses[2*i], mesh: addresses[2*i+1], keeper: i < s.Keepers,
+		f := &Front{Name: frontName(i), i: i, clients: addresses[2*i], mesh: addresses[2*i+1], voter: i < s.Voters,
 			dir: filepath.Join(r.Dir, frontName(i))}
 		r.fronts = append(r.fronts, f)
 	}
--- a/lab/rig/script.go
+++ b/lab/rig/script.go
@@ -19,7 +19,7 @@
 //	  (at 6s (kill n2 1s)))
 type Script struct {
 	Name             string
-	Fronts, Keepers  int
+	Fronts, Voters   int
 	Members, Clients int
 	Span, For        time.Duration
 	Off              bool          // without the fleet form: what the fleet is compared with
@@ -37,20 +37,20 @@
 	What  string
 	Who   []Who
 	Spans []time.Duration
-	Duty  string
+	Lease string
 	Words []string // of a publish
 	Place conf.Place
 }
 
 // Who names a front: by its name, or by what it is when the step comes.
 type Who struct {
-	Name string // n1, or holder, giver, follower (neither keeps nor holds), any
-	Duty string // of a holder
+	Name  string // n1, or holder, giver, follower (neither keeps nor holds), any
+	Lease string // of a holder
 }
 
 func (w Who) String() string {
-	if w.Duty != "" {
-		return w.Name + " of " + w.Duty
+	if w.Lease != "" {
+		return w.Name + " of " + w.Lease
 	}
 	return w.Name
 }
@@ -114,7 +114,7 @@
 		return nil, err
 	}
 	r := f.Read()
-	s := &Script{Name: name, Fronts: 5, Keepers: 3, Members: 3, Clients: 4, Span: time.Second, For: 10 * time.Second}
+	s := &Script{Name: name, Fronts: 5, Voters: 3, Members: 3, Clients: 4, Span: time.Second, For: 10 * time.Second}
 	form := r.Forms("rig")["rig"]
 	if form == nil {
 		r.Fault(conf.Place{File: name, Line: 1, Column: 1}, "(rig (fronts 5) ... (at 3s (stop n1 2s)))", "the file has no form rig")
@@ -133,7 +133,7 @@
 		case "fronts":
 			count(g, &s.Fronts, 60)
 		case "keepers":
-			count(g, &s.Keepers, 5)
+			count(g, &s.Voters, 5)
 		case "members":
 			count(g, &s.Members, 9)
 		case "clients":
@@ -180,8 +180,8 @@
 			g.Fault(g.Place, "known are fronts, keepers, members, clients, span, for, alone, ask, versions, at", "a rig has no %s", g.Name)
 		}
 	}
-	if s.Keepers > s.Fronts || s.Keepers%2 == 0 {
-		form.Fault(form.Place, "(keepers 3), and as many (fronts ...) at least", "%d keepers of %d fronts", s.Keepers, s.Fronts)
+	if s.Voters > s.Fronts || s.Voters%2 == 0 {
+		form.Fault(form.Place, "(keepers 3), and as many (fronts ...) at least", "%d keepers of %d fronts", s.Voters, s.Fronts)
 	}
 	return s, r.Err()
 }
@@ -213,8 +213,8 @@
 		switch {
 		case len(st.Who) < known.fronts:
 			st.Who = append(st.Who, s.who(x, w))
-		case x.Name == "hand" && st.Duty == "":
-			st.Duty = w.Name
+		case x.Name == "hand" && st.Lease == "":
+			st.Lease = w.Name
 		default:
 			d, err := time.ParseDuration(w.Name)
 			if err != nil || d <= 0 {
@@ -223,7 +223,7 @@
 			st.Spans = append(st.Spans, d)
 		}
 	}
-	if len(st.Who) != known.fronts || len(st.Spans) != known.spans || x.Name == "hand" && st.Duty == "" {
+	if len(st.Who) != known.fronts || len(st.Spans) != known.spans || x.Name == "hand" && st.Lease == "" {
 		x.Fault(x.Place, known.help, "%s is not whole", x.Name)
 	}
 	return st
@@ -240,7 +240,7 @@
 	case w.Name == "giver" || w.Name == "follower" || w.Name == "new" || w.Name == "any" || w.Name == "keeper":
 		return Who{Name: w.Name}
 	case len(w.Name) > 7 && w.Name[:7] == "holder:":
-		return Who{Name: "holder", Duty: w.Name[7:]}
+		return Who{Name: "holder", Lease: w.Name[7:]}
 	}
 	x.Fault(w.Place, "n1 to n"+strconv.Itoa(s.Fronts)+", holder:DUTY, giver, keeper, follower, new (on the newest version) or any", "%s is no front", w.Name)
 	return Who{Name: "any"}
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -25,7 +25,7 @@
 
 // actings puts together who acted on what: from a version's adoption until the front told that it acts on another alone, stood
 // by, stood still or ended.
-func (r *Rig) actings(all []Moment) (out []acting) {
+func (r *Rig) actings(all []HistoryLine) (out []acting) {
 	open := map[string]map[uint64]int64{} // by front and incarnation: versions, since when
 	newest := map[string]uint64{}
 	names := map[string]string{}
@@ -102,7 +102,7 @@
 }
 
 // rolled puts together how versions came to the fleet.
-func rolled(all []Moment) (out []Rolled) {
+func rolled(all []HistoryLine) (out []Rolled) {
 	began := map[uint64]int64{}
 	at := map[uint64]int{}
 	for _, m := range all {
@@ -127,7 +127,7 @@
 }
 
 // judgeVersions reads what fronts told of versions, what reached members, and the audits.
-func (r *Rig) judgeVersions(began time.Time, requests []request, all []Moment, broke func(string, ...any)) {
+func (r *Rig) judgeVersions(began time.Time, requests []request, all []HistoryLine, broke func(string, ...any)) {
 	if r.Script == nil || r.Script.Right == 0 {
 		return
 	}
--- a/lab/rig/voters.go
+++ b/lab/rig/voters.go
@@ -39,7 +39,7 @@
 		for end := time.Now().Add(startPatience); err != nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			s, err = f.seen()
 		}
-		r.expect(err == nil && s.Alone, "%s should hear no leader: it hears %q (%v)", f.Name, s.Gives, err)
+		r.expect(err == nil && s.Alone, "%s should hear no leader: it hears %q (%v)", f.Name, s.Leader, err)
 	}
 }
 
--- a/lab/rig/waits.go
+++ b/lab/rig/waits.go
@@ -13,7 +13,7 @@
 // whole says what a fleet lacks that has settled, "" for nothing.
 func (r *Rig) whole() string {
 	holders := map[string]bool{}
-	duties := map[string]bool{}
+	leases := map[string]bool{}
 	for _, f := range r.fronts {
 		s, err := f.seen()
 		switch {
@@ -23,17 +23,17 @@
 			return f.Name + " is alone"
 		case len(s.Fronts) < len(r.fronts):
 			return fmt.Sprintf("%s knows of %d fronts", f.Name, len(s.Fronts))
-		case len(s.Duties) == 0:
+		case len(s.Leases) == 0:
 			return f.Name + " knows of no duty"
 		}
-		for _, d := range s.Duties {
-			duties[d.Duty] = true
+		for _, d := range s.Leases {
+			leases[d.Lease] = true
 			if d.Left > 0 {
-				holders[d.Duty] = true
+				holders[d.Lease] = true
 			}
 		}
 	}
-	for d := range duties {
+	for d := range leases {
 		if !holders[d] {
 			return "nobody holds " + d
 		}
--- a/lab/scale/settle.go
+++ b/lab/scale/settle.go
@@ -82,20 +82,20 @@
 }
 
 // transfer gives a lease to a real front. The leader refuses one whose report it has not heard yet: it is asked again.
-func (b *bench) transfer(ctx context.Context, duty string, to int) error {
-	b.o.Progress("the lease of %s is transferred to %s", duty, frontName(to))
-	q := url.Values{"duty": {duty}, "to": {frontName(to)}}
+func (b *bench) transfer(ctx context.Context, lease string, to int) error {
+	b.o.Progress("the lease of %s is transferred to %s", lease, frontName(to))
+	q := url.Values{"duty": {lease}, "to": {frontName(to)}}
 	for until := time.Now().Add(transferTime); ; {
 		s, err := b.seen(to)
 		if err != nil {
 			return err
 		}
-		if holder(s, duty) == frontName(to) {
+		if holder(s, lease) == frontName(to) {
 			return nil
 		}
 		err = control.Call(b.shared.socket(to), "POST", "/v1/fleet/hand", q, new(map[string]any))
 		if err != nil && time.Now().After(until) {
-			return fmt.Errorf("the lease of %s can't be transferred to %s: %w", duty, frontName(to), err)
+			return fmt.Errorf("the lease of %s can't be transferred to %s: %w", lease, frontName(to), err)
 		}
 		if err := b.wait(ctx, time.Now().Add(pollEvery)); err != nil {
 			return err
@@ -103,9 +103,9 @@
 	}
 }
 
-func holder(s agent.Status, duty string) string {
+func holder(s agent.Status, lease string) string {
 	for _, d := range s.Leases {
-		if d.Lease == duty {
+		if d.Lease == lease {
 			return d.Leaseholder
 		}
 	}
--- a/lab/scale/start.go
+++ b/lab/scale/start.go
@@ -46,8 +46,8 @@
 	if err := b.starting(b.settle(ctx)); err != nil {
 		return err
 	}
-	for duty, to := range map[string]int{fleet.EndpointListLease: endpointsReal, rollout.Lease: rolloutsReal} {
-		if err := b.transfer(ctx, duty, to); err != nil {
+	for lease, to := range map[string]int{fleet.EndpointListLease: endpointsReal, rollout.Lease: rolloutsReal} {
+		if err := b.transfer(ctx, lease, to); err != nil {
 			return err
 		}
 	}
--- a/lab/sim/chaos.go
+++ b/lab/sim/chaos.go
@@ -19,9 +19,9 @@
 
 // Rough plays a fleet under faults drawn from a seed, lets it rest, and says what was wrong: with an invariant on the way,
 // or that the fleet did not come back to one giver, all duties held and one record at the end.
-func Rough(seed uint64, fronts, keepers int, f Faults, rough time.Duration, trace func(string)) (*World, []string) {
-	duties := map[string]time.Duration{"list": 6 * time.Second, "scout/1": 0, "scout/2": 0}
-	w := New(seed, fronts, keepers, fleet.Timing{LeaseDuration: 3 * time.Second}, duties)
+func Rough(seed uint64, fronts, voters int, f Faults, rough time.Duration, trace func(string)) (*World, []string) {
+	leases := map[string]time.Duration{"list": 6 * time.Second, "scout/1": 0, "scout/2": 0}
+	w := New(seed, fronts, voters, fleet.Timing{LeaseDuration: 3 * time.Second}, leases)
 	w.Trace = trace
 	if f.Paces {
 		for _, h := range w.Hosts {
@@ -144,22 +144,22 @@
 	if len(w.Wrong) > 0 {
 		return w, w.Wrong
 	}
-	w.rested(duties)
+	w.rested(leases)
 	return w, w.Wrong
 }
 
 // rested says what a fleet that was left alone should have come to.
-func (w *World) rested(duties map[string]time.Duration) {
-	if w.Giver() == nil {
+func (w *World) rested(leases map[string]time.Duration) {
+	if w.Leader() == nil {
 		w.wrong("no keeper gives")
 		return
 	}
-	for d := range duties {
+	for d := range leases {
 		if w.Holder(d) == nil {
 			w.wrong("nobody holds %s", d)
 		}
 	}
-	at := w.Giver().Node.State().Index
+	at := w.Leader().Node.State().Index
 	for _, h := range w.Hosts {
 		if h.Node == nil {
 			continue
--- a/lab/sim/declarations_test.go
+++ b/lab/sim/declarations_test.go
@@ -38,7 +38,7 @@
 			w, requests := declareEverywhere(x.fronts, x.leases)
 			w.Run(20 * time.Second)
 			require.Empty(t, w.Wrong)
-			state := w.Giver().Node.State()
+			state := w.Leader().Node.State()
 			t.Log("log entries", state.Index, "requests at the leader", *requests)
 			require.Len(t, state.Leases, x.leases+len(two))
 			for _, lease := range state.Leases {
@@ -58,7 +58,7 @@
 	for _, puts := range []int{10, 60, 200} {
 		t.Run(fmt.Sprint(puts), func(t *testing.T) {
 			w := started(t, 2, 6)
-			before := w.Giver().Node.State().Index
+			before := w.Leader().Node.State().Index
 			w.Delay = 250 * time.Millisecond
 			holder := w.Holder("list")
 			answered := told[fleet.RequestDone](holder)
@@ -70,9 +70,9 @@
 			})
 			w.Run(10 * time.Second)
 			require.Empty(t, w.Wrong)
-			require.Len(t, w.Giver().Node.State().Values, puts)
+			require.Len(t, w.Leader().Node.State().Values, puts)
 			assert.Equal(t, puts, told[fleet.RequestDone](holder)-answered, "each is answered")
-			assert.LessOrEqual(t, int(w.Giver().Node.State().Index-before), puts+2, "and proposed once")
+			assert.LessOrEqual(t, int(w.Leader().Node.State().Index-before), puts+2, "and proposed once")
 		})
 	}
 }
@@ -100,7 +100,7 @@
 	w.StartAll()
 	count := func() map[string]int {
 		held := map[string]int{}
-		for _, lease := range w.Giver().Node.State().Leases {
+		for _, lease := range w.Leader().Node.State().Leases {
 			held[lease.Leaseholder]++
 		}
 		return held
--- a/lab/sim/failures_bench_test.go
+++ b/lab/sim/failures_bench_test.go
@@ -31,7 +31,7 @@
 	{name: "nothing", long: time.Minute},
 	{name: "machine", lose: func(w *World) { w.Hosts[len(w.Hosts)-1].Crash() }, mend: (*World).StartAll, back: 20 * time.Second, long: time.Minute},
 	{name: "zone", lose: func(w *World) { crashZone(w, w.zoneWithout()) }, mend: (*World).StartAll, back: 20 * time.Second, long: time.Minute},
-	{name: "zone-of-the-leader", lose: func(w *World) { crashZone(w, w.Giver().Zone) }, mend: (*World).StartAll, back: 20 * time.Second, long: time.Minute},
+	{name: "zone-of-the-leader", lose: func(w *World) { crashZone(w, w.Leader().Zone) }, mend: (*World).StartAll, back: 20 * time.Second, long: time.Minute},
 	{name: "rack", lose: crashRack, mend: (*World).StartAll, back: 20 * time.Second, long: time.Minute},
 	{name: "regions", lose: partRegions, mend: (*World).Heal, back: 5 * time.Minute, long: 6 * time.Minute},
 	{name: "replaced-410-an-hour", each: replace, long: 2 * time.Minute},
@@ -53,7 +53,7 @@
 // crashRack ends twelve machines, or as many as a tenth of a small fleet: a voter that does not lead, the holder of the list's
 // lease, and followers.
 func crashRack(w *World) {
-	leader, holder := w.Giver(), w.Holder(fleet.EndpointListLease)
+	leader, holder := w.Leader(), w.Holder(fleet.EndpointListLease)
 	left := min(12, max(2, len(w.Hosts)/10))
 	lose := func(h *Host) {
 		if h != nil && h.Up() && left > 0 {
@@ -61,7 +61,7 @@
 			left--
 		}
 	}
-	for i := range w.keepers {
+	for i := range w.voters {
 		if h := w.Hosts[i]; h != leader {
 			lose(h)
 			break
@@ -70,7 +70,7 @@
 	if holder != leader {
 		lose(holder)
 	}
-	for i := len(w.Hosts) - 1; i >= len(w.keepers); i-- {
+	for i := len(w.Hosts) - 1; i >= len(w.voters); i-- {
 		lose(w.Hosts[i])
 	}
 }
@@ -91,7 +91,7 @@
 	if second%9 != 0 {
 		return
 	}
-	h := w.Hosts[len(w.keepers)+second/9]
+	h := w.Hosts[len(w.voters)+second/9]
 	h.Do(func(n *fleet.Node, now time.Duration) { n.Leave(now) })
 	w.After(time.Second, h.Crash)
 	w.After(3*time.Second, h.Start)
@@ -122,7 +122,7 @@
 	w.Meter = threadCPU
 	w.StartAll()
 	w.Run(20 * time.Second)
-	index := w.Giver().Node.State().Index
+	index := w.Leader().Node.State().Index
 	if f.lose != nil {
 		f.lose(w)
 	}
@@ -142,7 +142,7 @@
 		const parts = 10
 		for range parts {
 			w.Run(time.Second / parts)
-			for d := range w.duties {
+			for d := range w.leases {
 				if w.Holder(d) == nil {
 					unheld += time.Second / parts
 				}
@@ -153,7 +153,7 @@
 		}
 		for i, h := range w.Hosts {
 			k, s := 1, second{h.Bytes, h.Sent, h.CPU}
-			if i < len(w.keepers) {
+			if i < len(w.voters) {
 				k = 0
 			}
 			worst[k].most(s)
@@ -164,7 +164,7 @@
 	if len(w.Wrong) > 0 {
 		b.Fatal(w.Wrong)
 	}
-	count := [2]float64{float64(len(w.keepers)), float64(fronts - len(w.keepers))}
+	count := [2]float64{float64(len(w.voters)), float64(fronts - len(w.voters))}
 	for k, role := range []string{"voter", "follower"} {
 		b.ReportMetric(float64(worst[k].bytes), role+"-worst-B/s")
 		b.ReportMetric(float64(worst[k].messages), role+"-worst-msg/s")
@@ -174,14 +174,14 @@
 	}
 	b.ReportMetric(unheld.Seconds(), "s-leases-unheld")
 	b.ReportMetric(whole.Seconds(), "s-whole-again")
-	if g := w.Giver(); g != nil {
+	if g := w.Leader(); g != nil {
 		b.ReportMetric(float64(g.Node.State().Index-index), "log-entries")
 	}
 }
 
 // whole tells whether all fronts hear the leader and have its state, all of them in it as they are now.
 func (w *World) whole() bool {
-	g := w.Giver()
+	g := w.Leader()
 	if g == nil || len(g.Node.State().Fronts) != len(w.Hosts) {
 		return false
 	}
--- a/lab/sim/first_test.go
+++ b/lab/sim/first_test.go
@@ -28,7 +28,7 @@
 
 func TestAFleetStartsAndItsDutiesAreHeldApart(t *testing.T) {
 	w := started(t, 1, 7)
-	require.NotNil(t, w.Giver())
+	require.NotNil(t, w.Leader())
 	a, b := w.Holder("list"), w.Holder("scout/1")
 	require.NotNil(t, a)
 	require.NotNil(t, b)
--- a/lab/sim/hard_test.go
+++ b/lab/sim/hard_test.go
@@ -43,7 +43,7 @@
 	w := started(t, 4, 5)
 	k := w.Hosts[1]
 	old := k.Copy()
-	w.Giver().Crash() // another term, another vote
+	w.Leader().Crash() // another term, another vote
 	w.Run(5 * time.Second)
 	w.StartAll()
 	w.Run(5 * time.Second)
@@ -54,7 +54,7 @@
 	require.Empty(t, w.Wrong)
 	assert.Contains(t, k.Node.VoterHaltReason(), "an old copy")
 	assert.False(t, k.Node.Isolated(), "the front goes on as a follower")
-	assert.Equal(t, w.Giver().Node.State().Index, k.Node.State().Index)
+	assert.Equal(t, w.Leader().Node.State().Index, k.Node.State().Index)
 	assert.NotNil(t, w.Holder("list"), "the other two are a majority")
 }
 
@@ -77,7 +77,7 @@
 	w.Run(8 * time.Second)
 	w.Hosts[3].Crash() // this one comes back
 	lost := w.Hosts[4]
-	if w.Giver() == lost {
+	if w.Leader() == lost {
 		lost = w.Hosts[2]
 	}
 	lost.Crash()
@@ -94,7 +94,7 @@
 	w.Hosts[3].Start()
 	w.Run(6 * time.Second)
 	require.Empty(t, w.Wrong)
-	g := w.Giver().Node.State()
+	g := w.Leader().Node.State()
 	assert.Len(t, g.Voters, 5)
 	assert.Contains(t, g.Voters, "new")
 	assert.Equal(t, g.Index, n.Node.State().Index)
@@ -161,7 +161,7 @@
 	w.Run(8 * time.Second)
 	require.NotNil(t, w.Holder("list"))
 	assert.NotEqual(t, lazy, w.Holder("list").Name)
-	assert.Equal(t, "it got nothing done", w.Giver().Node.State().Leases["list"].Why)
+	assert.Equal(t, "it got nothing done", w.Leader().Node.State().Leases["list"].Why)
 	require.Empty(t, w.Wrong)
 }
 
@@ -173,7 +173,7 @@
 	w.StartAll()
 	w.Run(20 * time.Minute) // nobody gets anything done, ever
 	require.Empty(t, w.Wrong)
-	term := w.Giver().Node.State().Leases["list"].Term
+	term := w.Leader().Node.State().Leases["list"].Term
 	assert.Greater(t, term, uint64(4))
 	assert.Less(t, term, uint64(30), "without a pause it would pass on every five seconds, 240 times")
 }
@@ -188,14 +188,14 @@
 		if h.Node.Isolated() {
 			alone++
 		}
-		if h.Node.State().Index != w.Giver().Node.State().Index {
+		if h.Node.State().Index != w.Leader().Node.State().Index {
 			behind++
 		}
 	}
 	assert.Zero(t, alone)
 	assert.Zero(t, behind)
-	assert.Len(t, w.Giver().Node.State().Fronts, 300)
-	assert.LessOrEqual(t, w.Giver().Node.State().Leases["list"].Term, uint64(2))
+	assert.Len(t, w.Leader().Node.State().Fronts, 300)
+	assert.LessOrEqual(t, w.Leader().Node.State().Leases["list"].Term, uint64(2))
 }
 
 // TestMessagesAMinuteLateChangeNothing replays all that a front heard in some seconds of change to it, a minute later.
@@ -251,7 +251,7 @@
 
 func TestAGiverThatHearsNobodyMakesRoomThoughItIsHeard(t *testing.T) {
 	w := started(t, 14, 6)
-	g := w.Giver()
+	g := w.Leader()
 	for _, o := range w.Hosts {
 		if o != g {
 			w.Cut(o.Name, g.Name)
@@ -272,7 +272,7 @@
 
 func TestAWordOfAProcessLongGoneDisplacesNobody(t *testing.T) {
 	w := started(t, 15, 5)
-	f, g := w.Hosts[4], w.Giver()
+	f, g := w.Hosts[4], w.Leader()
 	var old []fleet.Message
 	var from string
 	w.Hear = func(to *Host, via string, m *fleet.Message) {
--- a/lab/sim/host.go
+++ b/lab/sim/host.go
@@ -46,7 +46,7 @@
 	h.stopped, h.inbox, h.conns, h.dialling, h.terms, h.Events = false, nil, map[string]*conn{}, map[string]bool{}, map[string]uint64{}, nil
 	h.index = 0
 	o := fleet.Options{Fleet: "sim", Name: h.Name, Incarnation: w.Rnd.Uint64()>>24 | 1, Zone: h.Zone, Address: h.Name, Version: "sim",
-		InitialVoters: w.keepers, Joins: h.Joins, Timing: w.Pace, Seed: w.Rnd.Uint64(), AcceptsLeases: !h.Unwilling, ConfigLease: h.Right}
+		InitialVoters: w.voters, Joins: h.Joins, Timing: w.Pace, Seed: w.Rnd.Uint64(), AcceptsLeases: !h.Unwilling, ConfigLease: h.Right}
 	h.up = true
 	if h.Bare {
 		if w.Born != nil {
@@ -65,8 +65,8 @@
 		w.wrong("%s does not start: %v", h.Name, err)
 		return
 	}
-	for _, d := range slices.Sorted(maps.Keys(w.duties)) {
-		n.DeclareLease(d, w.duties[d])
+	for _, d := range slices.Sorted(maps.Keys(w.leases)) {
+		n.DeclareLease(d, w.leases[d])
 	}
 	h.Node = n
 	w.trace("%s starts", h.Name)
@@ -239,11 +239,11 @@
 }
 
 // holds tells whether the host's node holds a duty now.
-func (h *Host) holds(duty string) bool {
+func (h *Host) holds(lease string) bool {
 	if h.Node == nil {
 		return false
 	}
-	_, ok := h.Node.HoldsLease(h.Clock(), duty)
+	_, ok := h.Node.HoldsLease(h.Clock(), lease)
 	return ok
 }
 
--- a/lab/sim/lost_disks_test.go
+++ b/lab/sim/lost_disks_test.go
@@ -42,7 +42,7 @@
 	for _, firstReturns := range []bool{false, true} {
 		t.Run(fmt.Sprint("first returns ", firstReturns), func(t *testing.T) {
 			w := disksLost(t, 21, firstReturns)
-			assert.Nil(t, w.Giver())
+			assert.Nil(t, w.Leader())
 			for _, h := range w.Hosts {
 				if h.Node != nil {
 					assert.True(t, h.Node.Isolated(), "%s serves on alone", h.Name)
@@ -66,10 +66,10 @@
 	w.Hosts[1].Start()
 	w.Hosts[2].Start()
 	w.Run(20 * time.Second)
-	require.Nil(t, w.Giver(), "nobody can tell this from a fleet that has begun")
+	require.Nil(t, w.Leader(), "nobody can tell this from a fleet that has begun")
 	w.Hosts[0].Start()
 	w.Run(10 * time.Second)
-	require.Nil(t, w.Giver())
+	require.Nil(t, w.Leader())
 	require.Empty(t, w.Wrong)
 	assert.NotEmpty(t, w.Hosts[1].Node.VoterHaltReason())
 	assert.NotEmpty(t, w.Hosts[2].Node.VoterHaltReason())
@@ -119,7 +119,7 @@
 				}
 				w.Run(15 * time.Second)
 				require.Empty(t, w.Wrong, "%v, seed %d", all, seed)
-				assert.Equal(t, count[kept] >= 2, w.Giver() != nil, "%v, seed %d: two voters with their own disks elect a leader", all, seed)
+				assert.Equal(t, count[kept] >= 2, w.Leader() != nil, "%v, seed %d: two voters with their own disks elect a leader", all, seed)
 			}
 		}
 	}
@@ -141,11 +141,11 @@
 	require.NoError(t, recoverAt(first, "two disks are gone"))
 	assert.ErrorContains(t, recoverAt(first, "again"), "under way")
 	w.Run(pace.LeaseDuration)
-	require.Nil(t, w.Giver(), "leases that were granted may still be in use, by the holder's clock")
-	for w.Giver() == nil && w.Now < asked+time.Minute {
+	require.Nil(t, w.Leader(), "leases that were granted may still be in use, by the holder's clock")
+	for w.Leader() == nil && w.Now < asked+time.Minute {
 		w.Run(50 * time.Millisecond)
 	}
-	require.NotNil(t, w.Giver())
+	require.NotNil(t, w.Leader())
 	assert.GreaterOrEqual(t, w.Now-asked, pace.LeaseDuration*9/8)
 	w.Run(20 * time.Second)
 	w.rested(two)
@@ -169,7 +169,7 @@
 		w.Run(3 * time.Second)
 		w.Hosts[5].Do(func(n *fleet.Node, now time.Duration) { n.AddVoter(now, name, name) })
 		w.Run(6 * time.Second)
-		assert.Len(t, w.Giver().Node.State().Voters, i+2)
+		assert.Len(t, w.Leader().Node.State().Voters, i+2)
 	}
 	w.Hosts[1].Crash()
 	w.Hosts[1].Start()
@@ -177,7 +177,7 @@
 	assert.Contains(t, w.Hosts[1].Node.VoterHaltReason(), "recovered at f000 without it")
 	first.Crash()
 	w.Run(12 * time.Second)
-	assert.NotNil(t, w.Giver(), "the new voters are a majority")
+	assert.NotNil(t, w.Leader(), "the new voters are a majority")
 	require.Empty(t, w.Wrong)
 }
 
@@ -194,7 +194,7 @@
 	require.NoError(t, recoverAt(w.Hosts[0], "three machines burnt"))
 	w.Run(25 * time.Second)
 	require.Empty(t, w.Wrong)
-	require.Equal(t, w.Hosts[0], w.Giver())
+	require.Equal(t, w.Hosts[0], w.Leader())
 	assert.Contains(t, w.Hosts[1].Node.VoterHaltReason(), "recovered at f000 without it")
 	w.rested(two)
 	require.Empty(t, w.Wrong)
@@ -208,7 +208,7 @@
 	assert.ErrorContains(t, recoverAt(w.Hosts[4], "x"), "no voter")
 
 	w = started(t, 26, 5)
-	assert.ErrorContains(t, recoverAt(w.Giver(), "x"), "has a leader")
+	assert.ErrorContains(t, recoverAt(w.Leader(), "x"), "has a leader")
 	for _, h := range w.Hosts[:3] {
 		h.Crash()
 	}
@@ -220,8 +220,8 @@
 	w.Run(20 * time.Second)
 	require.Empty(t, w.Wrong)
 	assert.Equal(t, fleet.RecoveryRefused, w.Hosts[0].Node.Recovery().State)
-	require.NotNil(t, w.Giver())
-	assert.Len(t, w.Giver().Node.State().Voters, 3)
+	require.NotNil(t, w.Leader())
+	assert.Len(t, w.Leader().Node.State().Voters, 3)
 }
 
 // Only an older copy is left: the followers know log entries that it lacks, and a lease is held that it knows nothing of.
@@ -246,5 +246,5 @@
 	w.Run(20 * time.Second)
 	w.rested(two)
 	require.Empty(t, w.Wrong)
-	assert.Equal(t, w.Hosts[1], w.Giver())
+	assert.Equal(t, w.Hosts[1], w.Leader())
 }
--- a/lab/sim/measure_test.go
+++ b/lab/sim/measure_test.go
@@ -17,12 +17,12 @@
 
 // rest is a fleet at rest: what it costs follows from these numbers.
 type rest struct {
-	fronts, duties int
+	fronts, leases int
 	right          time.Duration // versions are published: each front asks for a right to act; 0 for none
 }
 
 func (r rest) String() string {
-	return fmt.Sprintf("fronts=%d/duties=%d/right=%v", r.fronts, r.duties, r.right)
+	return fmt.Sprintf("fronts=%d/duties=%d/right=%v", r.fronts, r.leases, r.right)
 }
 
 // dutiesOf are so many: that of the list, and of scouts.
@@ -50,7 +50,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	const long = 20
-	w := New(seed, r.fronts, 3, pace, dutiesOf(r.duties))
+	w := New(seed, r.fronts, 3, pace, dutiesOf(r.leases))
 	for _, h := range w.Hosts {
 		h.Right = r.right
 	}
@@ -68,7 +68,7 @@
 	if len(w.Wrong) > 0 {
 		b.Fatal(w.Wrong)
 	}
-	leader := w.Giver()
+	leader := w.Leader()
 	var costs [3]cost // leader, voters that follow it, followers
 	var count [3]float64
 	for i, h := range w.Hosts {
@@ -86,8 +86,8 @@
 	}
 	report := func(value float64, unit string) {
 		b.ReportMetric(value, unit)
-		series.Add(fmt.Sprintf("%s by fronts, %d duties, right %v", unit, r.duties, r.right), float64(r.fronts), value)
-		series.Add(fmt.Sprintf("%s by duties, %d fronts, right %v", unit, r.fronts, r.right), float64(r.duties), value)
+		series.Add(fmt.Sprintf("%s by fronts, %d duties, right %v", unit, r.leases, r.right), float64(r.fronts), value)
+		series.Add(fmt.Sprintf("%s by duties, %d fronts, right %v", unit, r.fronts, r.right), float64(r.leases), value)
 	}
 	for k, role := range []string{"leader", "voter", "follower"} {
 		n := max(count[k], 1)
@@ -120,9 +120,9 @@
 	for _, fronts := range []int{10, 50, 150, 300, 540, 1080} {
 		all = append(all, rest{fronts, 2, 0}, rest{fronts, 2, 12 * time.Second})
 	}
-	for _, duties := range []int{11, 71, 141, 218} { // one a group of three databases, and the list's
+	for _, leases := range []int{11, 71, 141, 218} { // one a group of three databases, and the list's
 		for _, fronts := range []int{50, 150, 300, 540} {
-			all = append(all, rest{fronts, duties, 12 * time.Second})
+			all = append(all, rest{fronts, leases, 12 * time.Second})
 		}
 	}
 	series := fit.Series{}
@@ -204,7 +204,7 @@
 				if len(w.Wrong) > 0 {
 					b.Fatal(w.Wrong)
 				}
-				leader, follower, holder := w.Giver(), w.Hosts[11], w.Holder("list")
+				leader, follower, holder := w.Leader(), w.Hosts[11], w.Holder("list")
 				for _, x := range []struct {
 					name string
 					host *Host
--- a/lab/sim/rest_test.go
+++ b/lab/sim/rest_test.go
@@ -15,7 +15,7 @@
 	w, _ := declareEverywhere(fronts, leases)
 	w.Run(20 * time.Second)
 	require.Empty(t, w.Wrong)
-	for i, h := range []*Host{w.Giver(), w.Holder("list"), w.Hosts[fronts-1]} {
+	for i, h := range []*Host{w.Leader(), w.Holder("list"), w.Hosts[fronts-1]} {
 		now := h.Clock()
 		allocations[i] = testing.AllocsPerRun(200, func() {
 			h.Node.Tick(now)
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -57,20 +57,20 @@
 	records map[uint64]uint32
 	holders map[string][]*Host // who held a duty when it was looked at last
 	byName  map[string]*Host
-	keepers []fleet.Voter
-	duties  map[string]time.Duration
+	voters  []fleet.Voter
+	leases  map[string]time.Duration
 }
 
 // New makes a world of so many fronts, the first of which are keepers, spread over zones a, b and c.
-func New(seed uint64, fronts, keepers int, pace fleet.Timing, duties map[string]time.Duration) *World {
+func New(seed uint64, fronts, voters int, pace fleet.Timing, leases map[string]time.Duration) *World {
 	w := &World{Pace: pace, Delay: 200 * time.Microsecond, Jitter: calm, Rnd: rand.New(rand.NewPCG(seed, 3)),
-		cut: map[[2]string]bool{}, records: map[uint64]uint32{}, holders: map[string][]*Host{}, byName: map[string]*Host{}, duties: duties}
-	for i := range keepers {
-		w.keepers = append(w.keepers, fleet.Voter{Name: name(i), Address: name(i)})
+		cut: map[[2]string]bool{}, records: map[uint64]uint32{}, holders: map[string][]*Host{}, byName: map[string]*Host{}, leases: leases}
+	for i := range voters {
+		w.voters = append(w.voters, fleet.Voter{Name: name(i), Address: name(i)})
 	}
 	for i := range fronts {
 		h := &Host{Name: name(i), Zone: string(rune('a' + i%3)), w: w, Pace: 1}
-		if i < keepers {
+		if i < voters {
 			h.Disk = &Disk{}
 		}
 		w.add(h)
@@ -129,7 +129,7 @@
 // loses it as time goes on: so only this host may hold now what it did not hold before, and nobody has to be looked at but it
 // and who held the duty when last looked at.
 func (w *World) check(h *Host) {
-	for d := range w.duties {
+	for d := range w.leases {
 		holders := slices.DeleteFunc(w.holders[d], func(o *Host) bool { return o == h || !o.holds(d) })
 		if h.holds(d) {
 			for _, o := range holders {
@@ -159,10 +159,10 @@
 }
 
 // Holder is the front that holds a duty now, nil for none.
-func (w *World) Holder(duty string) *Host {
+func (w *World) Holder(lease string) *Host {
 	for _, h := range w.Hosts {
 		if h.Node != nil && !h.stopped {
-			if _, ok := h.Node.HoldsLease(h.Clock(), duty); ok {
+			if _, ok := h.Node.HoldsLease(h.Clock(), lease); ok {
 				return h
 			}
 		}
@@ -171,7 +171,7 @@
 }
 
 // Giver is the keeper that gives, nil for none that runs.
-func (w *World) Giver() *Host {
+func (w *World) Leader() *Host {
 	for _, h := range w.Hosts {
 		if h.Node != nil && !h.stopped && h.Node.IsLeader() {
 			return h
@@ -181,10 +181,10 @@
 }
 
 // LateAct stops a holder that has just looked whether it holds a duty; it acts without another look when it goes on.
-func (w *World) LateAct(h *Host, duty string, term uint64, late time.Duration) {
+func (w *World) LateAct(h *Host, lease string, term uint64, late time.Duration) {
 	turn := h.turn
 	h.Stop()
-	m := &fleet.Message{Kind: fleet.KindBroadcast, From: h.Name, Name: duty, Term: term, Number: 1 << 40, Data: []byte("late")}
+	m := &fleet.Message{Kind: fleet.KindBroadcast, From: h.Name, Name: lease, Term: term, Number: 1 << 40, Data: []byte("late")}
 	w.After(late, func() {
 		if h.Node == nil || h.turn != turn {
 			return
--- a/lab/sim/snapshot_test.go
+++ b/lab/sim/snapshot_test.go
@@ -16,7 +16,7 @@
 // A voter that lacks so much that it needs a snapshot is sent one; the link breaks before it arrives. The leader must send it anew.
 func TestAVoterWhoseSnapshotWasLostCatchesUp(t *testing.T) {
 	w := started(t, 9, 5)
-	leader := w.Giver()
+	leader := w.Leader()
 	var behind *Host
 	for _, h := range w.Hosts[:3] {
 		if h != leader {
@@ -31,7 +31,7 @@
 		}
 	}
 	w.Run(10 * time.Second)
-	require.Same(t, leader, w.Giver())
+	require.Same(t, leader, w.Leader())
 	require.Greater(t, leader.Node.State().Index, uint64(800))
 	lost := 0
 	w.Weigh = func(m *fleet.Message) int {
@@ -49,7 +49,7 @@
 	w.Heal()
 	w.Run(20 * time.Second)
 	require.Empty(t, w.Wrong)
-	require.Same(t, leader, w.Giver(), "no new leader begins it anew")
+	require.Same(t, leader, w.Leader(), "no new leader begins it anew")
 	assert.Equal(t, leader.Node.State().Index, behind.Node.State().Index)
 }
 
@@ -57,7 +57,7 @@
 // link at all. It is sent anew once there is one.
 func TestAVoterWhoseSnapshotFoundNoLinkCatchesUp(t *testing.T) {
 	w := started(t, 9, 5)
-	leader := w.Giver()
+	leader := w.Leader()
 	var behind *Host
 	for _, h := range w.Hosts[:3] {
 		if h != leader {
@@ -87,7 +87,7 @@
 	w.Heal()
 	w.Run(20 * time.Second)
 	require.Empty(t, w.Wrong)
-	require.Same(t, leader, w.Giver(), "no new leader begins it anew")
+	require.Same(t, leader, w.Leader(), "no new leader begins it anew")
 	assert.Positive(t, sent)
 	assert.Equal(t, leader.Node.State().Index, behind.Node.State().Index)
 }
