--- a/front/core.go
+++ b/front/core.go
@@ -86,21 +86,17 @@
 	unanswered int      // requests in hand without their final answer
 	older      int      // of these, on another version than the newest
 	alone      func()   // hears when there are none
-	mayProbe   bool
-
-	presentAt    int // a member that the list calls a primary, which knows the present
-	presentKnown bool
-	lapsed       bool // the right has run out, and what was in hand is ended
-	shut         bool // no request is taken any more
-	comeBack     time.Duration
-	entries      []port.Entry
+	lapsed     bool     // the right has run out, and what was in hand is ended
+	shut       bool     // no request is taken any more
+	comeBack   time.Duration
+	entries    []port.Entry
 }
 
 // NewCore makes a Core; born is the moment from which its clock counts. Where classing is nil, statements are served in
 // the one form that the users' protocol has.
 func NewCore(born time.Time, seed uint64, s *site.Site, decide New, links Pools, ask Directory, classing *Classing) *Core {
 	c := &Core{pools: links, ask: ask, events: make(chan Event, queued), timeline: timeline{zero: born.Round(0)}, types: s.RequestTypes,
-		most: s.Allowance.Attempts, patience: s.Allowance.DialTimeout, mayProbe: s.Allowance.Probes,
+		most: s.Allowance.Attempts, patience: s.Allowance.DialTimeout,
 		typeIDs: NewIndex(s.Types...), customers: NewIndex(s.Customers...), zones: NewIndex(s.Zones...),
 		kinds: NewIndex[string](), members: NewIndex[string](), groups: NewIndex[int64](), ids: map[string]struct{}{}, far: map[int]bool{}, turns: map[int]uint32{}}
 	if classing != nil {
@@ -275,6 +271,5 @@
 	c.decider.List(now, l.Kind, l.List.Index, c.entries)
 	if l.Kind != port.Failed {
 		c.cancelDrained()
-		c.askForPresent()
 	}
 }
--- a/front/route.go
+++ b/front/route.go
@@ -87,7 +87,6 @@
 	c.members.Free(member)
 	c.turns[member]++
 	c.pools.Forget(member)
-	c.presentKnown = c.presentKnown && c.presentAt != member
 	if member < len(c.places) {
 		c.places[member] = place{}
 	}
--- a/front/timeline.go
+++ b/front/timeline.go
@@ -74,22 +74,6 @@
 	return role == port.Primary || c.confirmed && position <= c.now+timelineSlack
 }
 
-// askForPresent probes a listed primary with each list while no primary has told of the present: reads alone need not bring such an
-// answer, and until then a server that has just started may look as if it had started long ago.
-func (c *Core) askForPresent() {
-	if c.confirmed || !c.mayProbe {
-		return
-	}
-	for _, e := range c.entries {
-		if e.Primary && e.State == port.Serving && !c.far[e.Member] {
-			c.presentAt, c.presentKnown = e.Member, true
-		}
-	}
-	if c.presentKnown {
-		c.Probe(c.presentAt)
-	}
-}
-
 // place is where a member is reached, and when it started last.
 type place struct {
 	address string
--- a/router/endpoints.go
+++ b/router/endpoints.go
@@ -61,6 +61,7 @@
 			r.groups[m.group].doubt(i)
 		}
 	}
+	r.askForPresent(now)
 }
 
 // listEntry takes one entry.
@@ -83,6 +84,7 @@
 		}
 	}
 	if e.HasStarted {
+		r.startsTold = true
 		r.listStart(now, m, e.Started)
 	}
 	if e.Primary && r.roles != port.RoleNever && !m.draining {
--- a/router/freshness.go
+++ b/router/freshness.go
@@ -39,6 +39,8 @@
 	positionsByReport bool          // positions stand in reports alone
 	reportAge         time.Duration // how old those are
 	mayProbe          bool
+	presentTold       bool // by some primary's position
+	startsTold        bool // by the list
 }
 
 // observePosition takes the position of an outcome, or of the report that rode on it.
--- a/router/primary.go
+++ b/router/primary.go
@@ -57,6 +57,7 @@
 			}
 			g.beginTerm(i, pos)
 		}
+		r.presentTold = r.presentTold || placed
 		g.claimPosition, m.role = max(g.claimPosition, pos), port.Primary
 		if !m.draining {
 			g.primary = i
--- a/router/probing.go
+++ b/router/probing.go
@@ -17,6 +17,21 @@
 
 var neverProbed = probing{probedAt: never}
 
+// askForPresent probes the first primary known with each list while starts are told, and no primary has told its position: until one
+// has, nobody knows where others' clocks stand, and a server that has just started may look as if it had started long ago
+// (front/timeline.go). Reads alone need not bring such an answer.
+func (r *Router) askForPresent(now time.Duration) {
+	if r.presentTold || !r.startsTold {
+		return
+	}
+	for k := range r.groups {
+		if primary := r.groups[k].primary; primary != none {
+			r.probe(now, primary)
+			return
+		}
+	}
+}
+
 // shortQueue is below two that a member holds: one at most, so no queue is there.
 const shortQueue = 1.5
 
--- a/router/redate_test.go
+++ b/router/redate_test.go
@@ -42,3 +42,20 @@
 	y.list(port.Changes, port.Entry{Member: 1, Zone: 1, HasStarted: true, Started: y.now + time.Hour})
 	assert.Equal(t, 0.2, y.capacityShare(y.now, &y.members[1]), "a start ahead of the clock has come no further than its beginning")
 }
+
+// Where the list tells of starts, one primary is asked for the present until one has told it; nobody is asked for nothing.
+func TestAPrimaryIsAskedForThePresentWhereStartsAreTold(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	assert.Zero(t, y.count("probe"), "no start is told")
+	start := port.Entry{Member: 2, HasStarted: true, Started: y.now}
+	y.list(port.Changes, start)
+	assert.Equal(t, "probe 0", y.last("probe"))
+	y.list(port.Changes, start)
+	assert.Equal(t, 1, y.count("probe"), "one at a time")
+	y.Probed(y.now, 0, port.Void, ms, port.Load{})
+	y.list(port.Changes, start)
+	assert.Equal(t, 2, y.count("probe"), "it is asked again")
+	y.knows(0, port.Primary, y.now)
+	y.list(port.Changes, start)
+	assert.Equal(t, 2, y.count("probe"), "it has told")
+}
