--- a/cmd/dapplerouter/large_list_test.go
+++ b/cmd/dapplerouter/large_list_test.go
@@ -140,30 +140,18 @@
 
 // answerAll answers each statement of a connection with one short row.
 func answerAll(c net.Conn, groupSize int) {
-	defer c.Close()
 	address := c.LocalAddr().(*net.TCPAddr).IP.To4()
 	name := role(int(address[2])<<8|int(address[3]), groupSize)
-	r := pgwire.NewReader(c, 4096, 1<<20)
-	if _, err := r.Startup(); err != nil {
-		return
-	}
-	c.Write(pgwire.Welcome(nil))
-	for {
-		if _, _, err := r.Next(); err != nil {
-			return
-		}
+	answerEach(c, func() []byte {
 		applied := strconv.FormatInt(time.Now().UnixMilli(), 10)
-		answer := bytes.Join([][]byte{
+		return bytes.Join([][]byte{
 			message('T', []byte("\x00\x01data\x00"+strings.Repeat("\x00", 9)+"\x11\xff\xff\xff\xff\xff\xff\x00\x01")),
 			message('D', []byte("\x00\x01\x00\x00\x00\x01x")),
 			message('S', []byte("role\x00"+name+"\x00")),
 			message('S', []byte("applied_ms\x00"+applied+"\x00")),
 			message('C', []byte("SELECT 1\x00")),
 			pgwire.Ready(nil)}, nil)
-		if _, err := c.Write(answer); err != nil {
-			return
-		}
-	}
+	}, func() {})
 }
 
 // runSpread has a front serve reads of all groups of a filled list, and counts the connections that it made.
--- a/cmd/dapplerouter/pipeline_flood_test.go
+++ b/cmd/dapplerouter/pipeline_flood_test.go
@@ -34,28 +34,31 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := pgwire.NewReader(c, 4096, 1<<20)
-				if _, err := r.Startup(); err != nil {
-					return
-				}
-				c.Write(pgwire.Welcome(nil))
-				for {
-					if _, _, err := r.Next(); err != nil {
-						return
-					}
-					if _, err := c.Write(answer); err != nil {
-						return
-					}
-					answered.Add(1)
-				}
-			}()
+			go answerEach(c, func() []byte { return answer }, func() { answered.Add(1) })
 		}
 	}()
 	return l.Addr().String()
 }
 
+// answerEach is a connection of a server that answers each statement alike; written follows each answer.
+func answerEach(c net.Conn, answer func() []byte, written func()) {
+	defer c.Close()
+	r := pgwire.NewReader(c, 4096, 1<<20)
+	if _, err := r.Startup(); err != nil {
+		return
+	}
+	c.Write(pgwire.Welcome(nil))
+	for {
+		if _, _, err := r.Next(); err != nil {
+			return
+		}
+		if _, err := c.Write(answer()); err != nil {
+			return
+		}
+		written()
+	}
+}
+
 func message(kind byte, body []byte) []byte {
 	return append(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4)), body...)
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -733,6 +733,13 @@
 	}
 	assert.Equal(t, play().asked, play().asked)
 
+	round := ordinaryPath()
+	round()
+	assert.Zero(t, testing.AllocsPerRun(1000, round))
+}
+
+// ordinaryPath is a round of four requests that are answered.
+func ordinaryPath() (round func()) {
 	q := quiet{}
 	p := littleSite()
 	r := New(&q, 7, p.at, p.types, nil, p.copies, p.rules, p.allowed, port.Tariff{})
@@ -742,7 +749,7 @@
 	}
 	r.List(0, port.Cached, 1, entries)
 	now, turn := time.Duration(0), uint32(0)
-	round := func() {
+	return func() {
 		for _, ty := range []int{write, session, anyRead, bounded} {
 			now, turn = now+5*ms, turn+1
 			ref := port.Ref{Place: turn % 8, Turn: turn}
@@ -753,8 +760,6 @@
 			r.Reconcile(now)
 		}
 	}
-	round()
-	assert.Zero(t, testing.AllocsPerRun(1000, round))
 }
 
 // quiet is a host that only notes where the last request went.
--- a/router/scale_bench_test.go
+++ b/router/scale_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"dapplerouter/port"
 )
@@ -32,27 +31,11 @@
 	}
 }
 
-// What the module takes for a request of the ordinary path: its arrival, its attempt and its answer.
-func BenchmarkARequestOfTheOrdinaryPath(b *testing.B) {
-	q := quiet{}
-	p := littleSite()
-	r := New(&q, 7, p.at, p.types, nil, p.copies, p.rules, p.allowed, port.Tariff{})
-	var entries []port.Entry
-	for i := range 4 {
-		entries = append(entries, port.Entry{Member: i, Primary: i == 0})
-	}
-	r.List(0, port.Cached, 1, entries)
-	now, turn := time.Duration(0), uint32(0)
+// What the module takes for four requests of the ordinary path: their arrival, their attempt and their answer.
+func BenchmarkFourRequestsOfTheOrdinaryPath(b *testing.B) {
+	round := ordinaryPath()
 	b.ReportAllocs()
 	for b.Loop() {
-		for _, ty := range []int{write, session, anyRead, bounded} {
-			now, turn = now+5*ms, turn+1
-			ref := port.Ref{Place: turn % 8, Turn: turn}
-			r.Begin(now, port.Request{Ref: ref, Type: ty, Customer: port.None, Session: uint64(turn), Budget: time.Second})
-			r.Reconcile(now)
-			r.Ended(now, port.Outcome{Ref: ref, Member: q.to, Ending: port.Succeeded, Closed: true, Latency: 20 * ms,
-				Role: port.Replica, Position: now, HasPosition: true})
-			r.Reconcile(now)
-		}
+		round()
 	}
 }
