--- a/router/router_test.go
+++ b/router/router_test.go
@@ -954,3 +954,14 @@
 	}
 	assert.Equal(t, part(0), part(40), "else a cold member gets four times its part, all of which counts against it")
 }
+
+// A request whose client leaves in the batch in which it came goes nowhere: its place is free again at once.
+func TestARequestThatLeavesInTheBatchOfItsArrivalGoesNowhere(t *testing.T) {
+	y := tell(t, littleSite()).group(3)
+	r := port.Ref{Place: 1, Turn: 1}
+	y.Begin(y.now, port.Request{Ref: r, Type: anyRead, Customer: port.None, Budget: time.Second})
+	y.Left(y.now, r)
+	y.settle()
+	y.pass(time.Second)
+	assert.Empty(t, y.asked)
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -43,7 +43,10 @@
 	}
 	d.ended <- o
 }
-func (d *direct) Left(_ time.Duration, r port.Ref)    { d.left <- r }
+func (d *direct) Left(_ time.Duration, r port.Ref) { // as the module does: what left in the batch in which it came goes nowhere
+	d.out = slices.DeleteFunc(d.out, func(begun port.Ref) bool { return begun == r })
+	d.left <- r
+}
 func (d *direct) Redate(time.Duration, time.Duration) {}
 func (d *direct) Heard(time.Duration, int, []byte)    {}
 func (d *direct) Woken(time.Duration)                 {}
