--- a/cmd/dapplerouter/limits_test.go
+++ b/cmd/dapplerouter/limits_test.go
@@ -181,7 +181,9 @@
 	}
 	time.Sleep(longestHoldUp)
 	require.NoError(t, p.cmd.Process.Signal(syscall.SIGCONT))
-	require.Eventually(t, func() bool { return p.asks("after") }, 5*time.Second, time.Millisecond)
+	if !assert.Eventually(t, func() bool { return p.asks("after") }, 5*time.Second, time.Millisecond) {
+		t.Fatalf("the front said:\n%s", p.said())
+	}
 	time.Sleep(200 * time.Millisecond)
 	for _, m := range g.Members {
 		for _, s := range m.Seen() {
