router: others' timeouts reject no request; they order unmarked retries under load

What callers saw: beside clients that ask with d=6000, each request with d=3000 or d=1000 got 53300 for good, at idle servers. Cause: what a request lacked of its type's typical timeout was taken for time that its client had waited, and its latency objective was moved back by it; shouldGiveUp then rejected what had seconds left. Why this holds: where retries are not marked the objective no longer moves, and half of a timeout ends only marked retries. For a marked retry, and for what is found after a stall (as long as the stall at most), the shift counts only before a loaded server. Timeouts that a ninth of the requests ask with are usual (Misra-Gries), so a client that always asks with its own is no retrier.

--- a/router/admission.go
+++ b/router/admission.go
@@ -8,27 +8,25 @@
 )
 
 // Which requests are sent first, and which wait or are shed? Inputs: each request's priority weight and expected work, the load of its
-// server, how its timeout compares with others'. Invariant: under load the requests with the highest weight for their work are sent
+// server, whether it is a retry. Invariant: under load the requests with the highest weight for their work are sent
 // (docs/design.md, order).
 
 // admission ranks requests.
 type admission struct {
-	workByDensity   [64]float64     // recent work in seconds, by the logarithm of its weight for its work
-	errorRate       float64         // of all servers
-	retryAfter      time.Duration   // sent to a rejected client
-	retriesMarked   bool            // clients mark their retries
-	typicalTimeouts []time.Duration // by request type
-	timeoutsSeen    []int           // by request type
+	workByDensity [64]float64     // recent work in seconds, by the logarithm of its weight for its work
+	errorRate     float64         // of all servers
+	retryAfter    time.Duration   // sent to a rejected client
+	retriesMarked bool            // clients mark their retries
+	usualTimeouts []usualTimeouts // by request type
 }
 
 func newAdmission(types []routing.RequestType, topology routing.Topology, limits routing.Limits) admission {
 	return admission{retryAfter: limits.MaxRetryAfter / 2, retriesMarked: topology.RetriesMarked,
-		typicalTimeouts: make([]time.Duration, len(types)), timeoutsSeen: make([]int, len(types))}
+		usualTimeouts: make([]usualTimeouts, len(types))}
 }
 
 const (
 	minAdmittedShare = 1.0 / 20 // share of the work that is sent under any load
-	timeoutSteps     = 50       // requests after which a typical timeout moves by its smallest step
 	retryDiscount    = 4        // divisor of a retry's weight
 )
 
@@ -64,29 +62,24 @@
 	return rank
 }
 
-// timeoutDeviation is how far a timeout is from its type's typical one, 0 until enough were seen. Clients give a first
-// attempt a fixed part of their deadline and a retry what is left: so the deviation identifies retries that clients don't
-// mark, and says how long a request waited that was received while this instance was stalled.
-func (r *Router) timeoutDeviation(in *routing.Request) time.Duration {
-	typical, seen := &r.typicalTimeouts[in.Type], &r.timeoutsSeen[in.Type]
-	deviation := in.Timeout - *typical
-	*seen++
-	step := r.requestTypes[in.Type].Deadline / time.Duration(min(*seen+1, timeoutSteps))
-	if *typical += max(min(deviation, step), -step); *seen < 2*priorWeight {
-		return 0
-	}
-	return deviation
-}
-
-// discountRetry counts the time that a retry has already waited against its latency objective, and lowers its weight: its
-// client has a rejection already, so a second one costs less.
+// discountRetry lowers the weight of a retry: its client has a rejection already, so a second one costs less. It also notes how
+// long the client has probably waited: a marked retry since its first attempt, a request that was found after a stall since
+// some moment of the stall. What a request lacks of others' timeouts is an inference: where retries are not marked it lowers the
+// weight, and nothing is rejected for it, since its client may simply ask with less time.
 func (r *Router) discountRetry(now time.Duration, req *request) {
-	deviation := r.timeoutDeviation(&req.Request)
-	retry := r.retriesMarked && req.Retry
-	if retry || !r.retriesMarked || r.stalled(now) {
-		req.objectiveAt += min(deviation, 0)
+	usual := &r.usualTimeouts[req.Type]
+	markedRetry, stalled := r.retriesMarked && req.Retry, r.stalled(now)
+	if !markedRetry && !stalled {
+		usual.observe(req.Timeout)
 	}
-	if retry || !r.retriesMarked && !r.stalled(now) && max(deviation, -deviation) > req.Timeout/20 {
+	spent := usual.timeSpent(req.Timeout)
+	switch {
+	case markedRetry:
+		req.probableObjectiveAt -= spent
+		req.weight /= retryDiscount
+	case stalled:
+		req.probableObjectiveAt -= min(spent, r.stallDuration)
+	case !r.retriesMarked && spent > 0:
 		req.weight /= retryDiscount
 	}
 }
--- a/router/admission_test.go
+++ b/router/admission_test.go
@@ -66,3 +66,20 @@
 	last = h.receive(anyRead, func(in *routing.Request) { in.Timeout = 300 * ms })
 	assert.Equal(t, 1.0, h.slots[last.Slot].weight, "where clients mark retries, only the mark counts")
 }
+
+func TestClientThatAlwaysAsksWithItsOwnTimeoutIsNoRetrier(t *testing.T) {
+	h := newHarness(testDeployment()).withGroup(1)
+	var own routing.RequestRef
+	for i := range 300 {
+		timeout := 800 * ms
+		if i%9 == 0 {
+			timeout = 300 * ms
+		}
+		if ref := h.receive(anyRead, func(in *routing.Request) { in.Timeout = timeout }); timeout < 800*ms {
+			own = ref
+		}
+	}
+	assert.Equal(t, 1.0, h.slots[own.Slot].weight)
+	retry := h.receive(anyRead, func(in *routing.Request) { in.Timeout = 600 * ms })
+	assert.Equal(t, 1.0/4, h.slots[retry.Slot].weight)
+}
--- a/router/planning.go
+++ b/router/planning.go
@@ -21,6 +21,10 @@
 	}
 	g := r.group(req.Group)
 	to := r.destination(now, req, t, g)
+	if r.probablyTooLate(now, req, to) {
+		req.giveUp(t)
+		return
+	}
 	if to == none {
 		// A primary behind a network partition keeps its role, so no new one is elected that could be reached: waiting is of no use.
 		if g.partitioned && g.primary == none && (t.Consistency >= routing.Strong || req.misrouted || len(g.servers) == 1) {
--- a/router/request.go
+++ b/router/request.go
@@ -30,12 +30,15 @@
 
 // schedule is by when a request is to be answered, in what order, and by what servers.
 type schedule struct {
-	receivedAt       time.Duration
-	objectiveAt      time.Duration // when its latency objective ends
-	deadline         time.Duration
-	rank             float64       // among recent requests, 0 for the best
-	weight           float64       // its type's, less for a retry
-	requiredPosition time.Duration // log position that a read must see; never for none
+	receivedAt  time.Duration
+	objectiveAt time.Duration // when its latency objective ends
+	// probableObjectiveAt is the same with what its client has probably waited before: earlier for a marked retry, and for a
+	// request that was found after a stall.
+	probableObjectiveAt time.Duration
+	deadline            time.Duration
+	rank                float64       // among recent requests, 0 for the best
+	weight              float64       // its type's, less for a retry
+	requiredPosition    time.Duration // log position that a read must see; never for none
 }
 
 // attemptState is a request's attempts. The difference between sentTo and planned is what emit brings about.
@@ -84,6 +87,7 @@
 	if t.Consistency == routing.ReadYourWrites {
 		req.requiredPosition = r.requiredPosition(now, &in, r.group(in.Group))
 	}
+	req.probableObjectiveAt = req.objectiveAt
 	r.discountRetry(now, req)
 	req.rank = r.rankOf(req)
 	r.earnRetry()
--- a/router/retry.go
+++ b/router/retry.go
@@ -42,13 +42,24 @@
 // in flight are never cut short: clients would retry at once. A write or a retry that was never sent is given up at half its
 // timeout, so that its client has time to try elsewhere.
 func (r *Router) shouldGiveUp(now time.Duration, req *request, t *routing.RequestType) bool {
-	unsentTooLong := (t.Consistency == routing.Write || req.weight < t.PriorityWeight) && !req.mayHaveRun && !req.misrouted &&
+	unsentTooLong := (t.Consistency == routing.Write || r.retriesMarked && req.Retry) && !req.mayHaveRun && !req.misrouted &&
 		now > req.receivedAt+req.Timeout/2-2*r.tickInterval
 	ownFault := req.errorCount > 1 || req.errorCount > 0 && r.errorRate > 1.0/4 // at the first, where errors are common
-	// A typical latency over the objective must not keep a type out for good: what is never sent is never measured.
-	tooLate := t.LateFraction == 0 && now > req.objectiveAt-min(r.typicalLatency[req.Type], t.LatencyObjective/2)
 	return unsentTooLong || req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
-		now > req.deadline-2*r.tickInterval || tooLate
+		now > req.deadline-2*r.tickInterval || r.tooLate(now, req, req.objectiveAt)
+}
+
+// tooLate reports whether an answer that is begun now would miss an objective behind which it is worth nothing. A typical
+// latency over the objective must not keep a type out for good: what is never sent is never measured.
+func (r *Router) tooLate(now time.Duration, req *request, objectiveAt time.Duration) bool {
+	t := &r.requestTypes[req.Type]
+	return t.LateFraction == 0 && now > objectiveAt-min(r.typicalLatency[req.Type], t.LatencyObjective/2)
+}
+
+// probablyTooLate reports whether a request is to be given up since its client has probably waited for too long already. How
+// long is an inference from the timeouts of others: so a server that is not loaded is sent the request all the same.
+func (r *Router) probablyTooLate(now time.Duration, req *request, to int) bool {
+	return r.tooLate(now, req, req.probableObjectiveAt) && (to == none || r.loadEstimate(now, &r.servers[to]) > normalLoad)
 }
 
 // retryUnsafe reports whether a request may have run, and a repeat might not be dropped.
--- a/router/stall.go
+++ b/router/stall.go
@@ -9,13 +9,15 @@
 type stallDetector struct {
 	nextTickAt time.Duration // when the next tick is due
 	resumedAt  time.Duration // when this instance last resumed after a stall
+	// stallDuration is how long that stall was: what was found then has waited no longer.
+	stallDuration time.Duration
 }
 
 // stalled reports whether this instance was stalled until now: its tick is long overdue. What it finds in this batch has
 // waited here for an unknown time, and says nothing about servers or clients.
 func (r *Router) stalled(now time.Duration) bool {
 	if r.nextTickAt != never && now > r.nextTickAt+2*r.tickInterval {
-		r.resumedAt = now
+		r.resumedAt, r.stallDuration = now, now-r.nextTickAt+r.tickInterval
 	}
 	return r.resumedAt == now
 }
