--- a/router/client_timeouts_test.go
+++ b/router/client_timeouts_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,53 @@
 		}
 	})
 }
+
+// A request with two tenths of the shortest latency objective or less was rejected as it came, at idle servers: that is two
+// ticks, the margin in which nothing was begun, since a queued request is looked at each tick. Seen on sockets with an
+// objective of 2 s: each request with d=400 got 53300, once others' timeouts no longer counted too.
+func TestTimeoutOfLessThanTwoTicksIsServedAtIdleServers(t *testing.T) {
+	for _, measured := range []bool{false, true} {
+		for _, timeout := range []time.Duration{40 * ms, 100 * ms, 200 * ms, 400 * ms} {
+			t.Run(fmt.Sprint(timeout, " measured ", measured), func(t *testing.T) {
+				o := longDeadlines()
+				for i := range o.RequestTypes {
+					o.RequestTypes[i].LatencyObjective = 2 * time.Second
+				}
+				h := withPrimary(o)
+				for _, ty := range []int{anyRead, sessionRead, write} {
+					for range 20 {
+						if measured {
+							h.answerFast(ty)
+						}
+					}
+					ref := h.receive(ty, func(in *routing.Request) { in.Timeout = timeout })
+					assert.Equal(t, 1, h.attempts[ref], "type %d", ty)
+				}
+			})
+		}
+	}
+}
+
+func TestWaitingRequestIsRejectedBeforeItsDeadline(t *testing.T) {
+	h := withPrimary(longDeadlines())
+	for i := range h.servers {
+		h.servers[i].inFlight = 9
+	}
+	h.receive(anyRead, func(in *routing.Request) { in.Timeout = 2 * h.tickInterval })
+	h.receive(anyRead, func(in *routing.Request) { in.Timeout = h.tickInterval })
+	assert.Equal(t, 1, h.countActions("reject"), "the next tick is the last before its deadline")
+	h.advance(h.tickInterval)
+	assert.Equal(t, 2, h.countActions("reject"))
+}
+
+func TestNoRetryIsBegunThatCannotBeAnsweredInTime(t *testing.T) {
+	h := withPrimary(longDeadlines())
+	for range 20 {
+		h.answerFast(anyRead)
+	}
+	ref := h.receive(anyRead, func(in *routing.Request) { in.Timeout = 100 * ms })
+	h.now += 90 * ms
+	h.finish(ref, routing.ConnectionLost, routing.UnknownRole, 0)
+	assert.Equal(t, 1, h.attempts[ref], "10 ms are left, and answers take 30 ms")
+	assert.Equal(t, 1, h.countActions("reject"))
+}
