router: a timeout of two ticks or less is served; only what waits ends by ticks

What callers saw: each request with d=400 got 53300 before idle servers of a site whose shortest latency objective is 2 s; writes with d=800 or less too. Cause: two ticks before the deadline (for a write, before half of its timeout) a request was given up, also in the moment it came in and though a server would have taken it; a tick is a tenth of the shortest latency objective. Why this holds: the margin binds what has to wait, a quarter of a short timeout at most, and a wait that ends between ticks has a timer of its own. What a server takes at once needs its typical latency, a first attempt half of its timeout at most, so that no type is kept from being measured.

--- a/router/retry.go
+++ b/router/retry.go
@@ -16,6 +16,9 @@
 	retryBudget float64 // retries that are still allowed
 }
 
+// shortWaitMargin is the part of a short timeout that is left when a wait ends.
+const shortWaitMargin = 4
+
 // Retries stay a fraction of first attempts: timeouts must not cause more work than they save.
 const (
 	retryShare   = 1.0 / 5
@@ -38,15 +41,38 @@
 func (p *retryPolicy) refundRetry() { p.retryBudget++ }
 
 // shouldGiveUp reports whether to end a request that has no attempt in flight: after two errors, since the fault is then its
-// own; shortly before its deadline; or, where a late answer has no value, when it can't meet its latency objective. Attempts
-// in flight are never cut short: clients would retry at once. A write or a retry that was never sent is given up at half its
-// timeout, so that its client has time to try elsewhere.
+// own; when an answer would come behind its deadline; or, where a late answer has no value, when it can't meet its latency
+// objective. Attempts in flight are never cut short: clients would retry at once.
 func (r *Router) shouldGiveUp(now time.Duration, req *request, t *routing.RequestType) bool {
-	unsentTooLong := (t.Consistency == routing.Write || r.retriesMarked && req.Retry) && !req.mayHaveRun && !req.misrouted &&
-		now > req.receivedAt+req.Timeout/2-2*r.tickInterval
 	ownFault := req.errorCount > 1 || req.errorCount > 0 && r.errorRate > 1.0/4 // at the first, where errors are common
-	return unsentTooLong || req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
-		now > req.deadline-2*r.tickInterval || r.tooLate(now, req, req.objectiveAt)
+	return req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
+		now > req.deadline-r.answerTime(req) || r.tooLate(now, req, req.objectiveAt)
+}
+
+// answerTime is the time before its deadline that a request has to be sent by. A first attempt is owed half of the timeout:
+// a type whose clients have little time would never be measured otherwise.
+func (r *Router) answerTime(req *request) time.Duration {
+	needed := min(r.typicalLatency[req.Type], 2*r.tickInterval)
+	if req.attempts == 0 {
+		needed = min(needed, req.Timeout/2)
+	}
+	return needed
+}
+
+// waitsUntil is the time until which a request may wait for a server: until shortly before its deadline, or, for a write or a
+// marked retry that was never sent, before half of its timeout, so that its client has time to try elsewhere.
+func (r *Router) waitsUntil(req *request) time.Duration {
+	end := req.deadline
+	neverRan := !req.mayHaveRun && !req.misrouted
+	if neverRan && (r.requestTypes[req.Type].Consistency == routing.Write || r.retriesMarked && req.Retry) {
+		end = req.receivedAt + req.Timeout/2
+	}
+	return end - min(2*r.tickInterval, req.Timeout/shortWaitMargin)
+}
+
+// endsBetweenTicks reports whether a request's timeout is so short that ticks alone would end its wait too late.
+func (r *Router) endsBetweenTicks(req *request) bool {
+	return req.Timeout < 2*shortWaitMargin*r.tickInterval
 }
 
 // tooLate reports whether an answer that is begun now would miss an objective behind which it is worth nothing. A typical
