router: a client that leaves counts for the time that its attempt was out

Cause: each departure with an attempt in flight counted as the greatest load and halved the server's limit, however short a time the attempt had been out: loads of 4.44 and limits of 0.25 with nothing in flight, where one request in twenty is sent and no answer comes that could lower the estimate. Why this holds: the attempt has shown only that it takes longer than it was out. It counts as an answer of that moment, and not at all where that would not have been late; what gave up behind a queue counts as late as it was.

--- a/router/concurrency.go
+++ b/router/concurrency.go
@@ -12,11 +12,11 @@
 const (
 	lateLoad         = 1.75    // of an answer that is late: a quarter of the way to the latency objective
 	lateReduction    = 0.75    // of the limit, for an answer that is late
-	failureReduction = 1.0 / 2 // of the limit, for an attempt without an answer
+	failureReduction = 1.0 / 2 // of the limit, for an attempt without an answer, or with an error
 	normalLoad       = 1.3     // load up to which everything is sent: chance alone makes means of this size
 	overloadedLoad   = 2.5     // load from which next to nothing is sent
 	objectiveLoad    = 4.0     // of an answer that took its latency objective
-	maxLoad          = 5.0     // of one answer at most, and of one that never came
+	maxLoad          = 5.0     // of one answer at most
 	priorWeight      = 5.0     // answers that weigh as much as what is known of all servers
 	minFleetLimit    = 4.0     // attempts that all instances together may always have at a server: a slow one must not idle
 	initialLimit     = 4
@@ -66,6 +66,17 @@
 	}
 }
 
+// observeUnanswered counts an attempt that was given up without an answer. How long it would have taken is not known, only that
+// it would have taken longer: so it counts as an answer of that moment, and not at all where that would not have been late.
+func (r *Router) observeUnanswered(now time.Duration, s *server, requestType int, waited time.Duration) {
+	load := r.loadFromLatency(requestType, waited)
+	if load <= lateLoad {
+		return
+	}
+	r.reduceLimit(s, failureReduction)
+	r.observeLoad(now, s, load)
+}
+
 // loadFromLatency is a latency as load: 1 for the type's minimum latency, rising evenly to objectiveLoad at its objective.
 func (r *Router) loadFromLatency(requestType int, latency time.Duration) float64 {
 	minimum, objective := r.minimumLatency[requestType], r.requestTypes[requestType].LatencyObjective
--- a/router/request.go
+++ b/router/request.go
@@ -116,7 +116,7 @@
 	req.attempts++
 }
 
-// ClientGone ends a request. An attempt that was in flight then is a sign of a queue, and of no use any more.
+// ClientGone ends a request. An attempt that was in flight then is of no use any more.
 func (r *Router) ClientGone(now time.Duration, ref routing.RequestRef) {
 	req := &r.slots[ref.Slot]
 	if req.Ref != ref || req.state == finished {
@@ -124,9 +124,7 @@
 	}
 	req.state = finished
 	if req.sentTo != none && !r.stalled(now) {
-		s := &r.servers[req.sentTo]
-		r.reduceLimit(s, failureReduction)
-		r.observeLoad(now, s, maxLoad)
+		r.observeUnanswered(now, &r.servers[req.sentTo], req.Type, now-req.sentAt)
 	}
 	r.cancel(req)
 }
