Test, failing: timeouts shorter than answers have servers ejected

Clients that ask with 100 ms before servers that answer in 300 ms: each attempt times out, counts as the greatest load, and the second in a row ejects its server, so that clients with time are rejected too. Two further tests hold what ejections are for.

--- /dev/null
+++ b/router/short_attempts_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"dapplerouter/routing"
+)
+
+// Clients that allow less time than answers usually take had their servers ejected, and everybody rejected.
+//
+// An attempt that ran out of its client's time counted as the greatest load, halved its server's limit, and the second in a
+// row ejected the server, however little time that client had allowed. Behind some requests with 100 ms before servers that
+// answer in 300 ms, all three were ejected.
+
+// withAnswersOf is three servers that answer reads after that long, as the router knows.
+func withAnswersOf(latency time.Duration) *harness {
+	o := longDeadlines()
+	for i := range o.RequestTypes {
+		o.RequestTypes[i].LatencyObjective = 2 * time.Second
+	}
+	h := withPrimary(o)
+	for range 100 {
+		ref := h.receive(anyRead)
+		h.advance(latency)
+		h.AttemptFinished(h.now, routing.AttemptOutcome{Ref: ref, AttemptNumber: h.attempts[ref] - 1, Server: h.sentTo[ref],
+			Result: routing.Succeeded, RequestFinished: true, Latency: latency})
+		h.reconcile()
+	}
+	return h
+}
+
+// timeOut asks with little time, and the attempt times out behind it.
+func (h *harness) timeOut(timeout time.Duration) {
+	ref := h.receive(anyRead, func(in *routing.Request) { in.Timeout = timeout })
+	h.advance(timeout)
+	if h.attempts[ref] > 0 {
+		h.AttemptFinished(h.now, routing.AttemptOutcome{Ref: ref, AttemptNumber: h.attempts[ref] - 1, Server: h.sentTo[ref],
+			Result: routing.TimedOut, Latency: timeout})
+	}
+	h.reconcile()
+}
+
+func (h *harness) ejectedServers() (n int) {
+	for i := range h.servers {
+		if h.servers[i].ejected {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTimeoutsShorterThanAnswersSayNothingOfTheServers(t *testing.T) {
+	h := withAnswersOf(300 * ms)
+	for range 50 {
+		h.timeOut(100 * ms)
+	}
+	assert.Zero(t, h.ejectedServers())
+	assert.Equal(t, 1, h.attempts[h.receive(anyRead)])
+	assert.Positive(t, h.countActions("check"), "what hangs is found by health checks")
+}
+
+func TestServersThatHangAreEjectedByShortTimeoutsToo(t *testing.T) {
+	h := withAnswersOf(20 * ms)
+	for range 20 {
+		h.timeOut(400 * ms)
+	}
+	assert.Equal(t, 3, h.ejectedServers(), "400 ms without an answer where answers take 20 ms")
+}
+
+func TestTimeoutAtTheLatencyObjectiveCountsWhateverAnswersUsuallyTake(t *testing.T) {
+	h := withAnswersOf(1500 * ms)
+	for range 20 {
+		h.timeOut(2100 * ms)
+	}
+	assert.Positive(t, h.ejectedServers())
+}
