router: a front that began no attempt for 2 s sends one request of any rank

What callers saw: behind an overload a front with few requests went on rejecting all of them for seconds, before servers that were well. Cause: at a load over 2.5 one request in twenty is sent by a rank drawn for each; with nothing in flight no answer comes that could lower the estimate, which decays over ten shortest latency objectives only. Why this holds: after 2 s without any attempt the next request is sent whatever its rank, and its answer moves the estimate. It binds the whole front and not a group, so a fleet sends no more than half a request a second a front by it.

--- a/router/admission.go
+++ b/router/admission.go
@@ -14,6 +14,7 @@
 // admission ranks requests.
 type admission struct {
 	workByDensity [64]float64     // recent work in seconds, by the logarithm of its weight for its work
+	attemptAt     time.Duration   // when the latest attempt began, at any server
 	errorRate     float64         // of all servers
 	retryAfter    time.Duration   // sent to a rejected client
 	retriesMarked bool            // clients mark their retries
@@ -28,6 +29,10 @@
 const (
 	minAdmittedShare = 1.0 / 20 // share of the work that is sent under any load
 	retryDiscount    = 4        // divisor of a retry's weight
+
+	// After maxTimeWithoutAttempt one request of any rank is sent: a load estimate that no answer can lower would have an instance
+	// with few requests reject them all (STANDING: none does so for 4 s). Instances that send something need no more than their rank.
+	maxTimeWithoutAttempt = 2 * time.Second
 )
 
 // admits reports whether a server may be sent a request now.
@@ -36,7 +41,7 @@
 		return false
 	}
 	admittedShare := max((overloadedLoad-r.loadEstimate(now, s))/(overloadedLoad-normalLoad), minAdmittedShare)
-	return req.rank <= admittedShare && r.slowStartAdmits(now, s, r.typicalLatency[req.Type].Seconds())
+	return (req.rank <= admittedShare || now-r.attemptAt >= maxTimeWithoutAttempt) && r.slowStartAdmits(now, s, r.typicalLatency[req.Type].Seconds())
 }
 
 // weightPerWork is a request's weight for each second of its type's typical latency.
--- a/router/router.go
+++ b/router/router.go
@@ -174,6 +174,7 @@
 	case req.state == pending && req.sentTo == none && req.planned != none:
 		s := &r.servers[req.planned]
 		s.attemptStarted(now)
+		r.attemptAt = now
 		s.spend(r.typicalLatency[req.Type])
 		if s.ejected {
 			s.trialAt = now + r.ejectionTime(s)
