sqlclass: a quoted field is looked up as it stands among names that read

What callers saw: (x)."Seat_Name" was a read where seat_name is listed as reading, so a statement that writes could go to a replica and be repeated. Cause: analyzer.field looked up reads and columns in lower case too. Why this holds: the server tells "Seat_Name" from seat_name, and only writing names go by lower case, which errs on the strict side. Calls, casts and schemas went by the exact name already.

--- a/sqlclass/names.go
+++ b/sqlclass/names.go
@@ -148,13 +148,15 @@
 		a.unknown(name.last.Start, "a field whose name is written with U&: "+a.excerpt(name.last))
 		return
 	}
+	// A quoted name in other capitals is another: it may write, or be no column.
+	listed := a.lists.reads[string(last)] || a.lists.columns[string(last)]
 	low := a.lowered(last)
 	ofTable := name.precededBy == "from" || name.precededBy == "join" || name.precededBy == "only" ||
 		name.afterComma && a.top().inFromList // schema.table
 	switch {
 	case a.lists.writes[string(low)]:
 		a.write(name.last.Start, "calls "+a.excerpt(name.last)+" in field notation, which the operator's file lists as writing")
-	case a.lists.reads[string(low)] || a.lists.columns[string(low)]:
+	case listed:
 	case name.ofExpression, a.lists.columns != nil && !ofTable:
 		a.unknown(name.last.Start, "may call "+a.excerpt(name.last)+" in field notation: list it under columns or reads")
 	}
