sqlclass: a list is folded only where its brackets match

What callers saw: behind SELECT lower(1], next_seat[1), which no server accepts, SELECT lower[1], next_seat(1) was a read, though next_seat writes: it would go to a replica and be repeated after a failure. Cause: closeList folded whatever stood between two brackets, so texts that differ in one shared a normal form and so a cached class; the analyzer counted parentheses only, and took the first text for a read. Why this holds: a fold needs brackets that match, so each bracket shows in the normal form; a text with one too many is not understood.

--- a/sqlclass/analyzer.go
+++ b/sqlclass/analyzer.go
@@ -30,6 +30,7 @@
 	explainOptions   bool // options of EXPLAIN
 	aliasColumns     bool // the column list of an alias
 	yieldsOperand    bool // the parenthesis as a whole is an operand, so an alias may follow
+	openBrackets     int  // [ without their ]
 	block            queryBlock
 }
 
@@ -77,8 +78,8 @@
 		more = a.next(t)
 		a.previous.token = t
 	}
-	if a.depth > 0 && a.result.Class == Read {
-		a.unknown(len(text), "a ( without its )")
+	if a.depth > 0 || a.top().openBrackets != 0 {
+		a.unknown(len(text), "a ( or [ without its ) or ]")
 	}
 	for ; a.depth >= 0; a.depth-- {
 		a.scopes[a.depth].block.close(&a.rows)
@@ -203,7 +204,13 @@
 		} else if a.result.Verb != "" || a.result.Class != Read {
 			a.afterSemicolon = true
 		}
+	case '[':
+		scope.openBrackets++
+		a.previous.set(false, "")
 	case ']':
+		if scope.openBrackets--; scope.openBrackets < 0 {
+			a.unknown(t.Start, "a ] without its [")
+		}
 		a.previous.set(true, "")
 	default:
 		a.previous.set(false, "")
@@ -217,6 +224,9 @@
 		return
 	}
 	scope := a.top()
+	if scope.openBrackets != 0 {
+		a.unknown(t.Start, "a [ without its ]")
+	}
 	scope.block.close(&a.rows)
 	a.depth--
 	a.previous.set(scope.yieldsOperand, "")
--- a/sqlclass/normalize.go
+++ b/sqlclass/normalize.go
@@ -149,9 +149,9 @@
 	switch c {
 	case '[':
 		n.rowsStart = -1
-		n.openList("[ ")
+		n.openList('[')
 	case ']':
-		n.closeList("[?+] ", "] ", n.listStart)
+		n.closeList(']', n.listStart)
 	case '(':
 		switch {
 		case n.previous == previousValues:
@@ -159,13 +159,13 @@
 		case n.previous != previousRowComma:
 			n.rowsStart = -1
 		}
-		n.openList("( ")
+		n.openList('(')
 	case ')':
 		start := n.listStart
 		if n.rowsStart >= 0 && n.rowsStart < start { // a further row of VALUES: one form for all
 			start = n.rowsStart
 		}
-		if n.closeList("(?+) ", ") ", start) {
+		if n.closeList(')', start) {
 			n.previous = previousRow
 		} else {
 			n.rowsStart = -1
@@ -185,24 +185,28 @@
 	n.afterLimit, n.afterLiteral = false, false
 }
 
-func (n *normalizer) openList(mark string) {
+func (n *normalizer) openList(bracket byte) {
 	n.inLiteralList, n.items, n.listStart, n.previous = true, 0, len(n.out), previousOther
-	n.out = append(n.out, mark...)
+	n.out = append(n.out, bracket, ' ')
 }
 
-// closeList ends a list. One of nothing but literals is folded from start on.
-func (n *normalizer) closeList(folded, mark string, start int) (isFolded bool) {
-	isFolded = n.inLiteralList && n.afterLiteral
+// closeList ends a list. One of nothing but literals is folded from start on, if its brackets match: a text that no server
+// accepts must not share a normal form, and so a class, with one that is executed.
+func (n *normalizer) closeList(bracket byte, start int) (isFolded bool) {
+	isFolded = n.inLiteralList && n.afterLiteral && bracketsMatch(n.out[n.listStart], bracket)
 	if isFolded {
 		n.details.ListItems = min(n.details.ListItems+n.items, maxListItems)
-		n.out = append(n.out[:start], folded...)
+		n.out = append(n.out[:start], n.out[n.listStart], '?', '+', bracket, ' ')
 	} else {
-		n.out = append(n.out, mark...)
+		n.out = append(n.out, bracket, ' ')
 	}
 	n.inLiteralList, n.previous = false, previousOther
 	return isFolded
 }
 
+// bracketsMatch reports whether one bracket closes what the other opened.
+func bracketsMatch(opened, closed byte) bool { return (opened == '(') == (closed == ')') }
+
 // literal notes a literal.
 func (n *normalizer) literal() {
 	n.inLiteralList = n.inLiteralList && !n.afterLiteral
