fleet/agent: a front acts on a stored version's number only with its rules

What operators saw: a front whose stored version no longer fits said in load reports and audit that it acts on it, while it acted on the operator's own file; its leases were for version 0, which its core did not have.

--- a/fleet/agent/rollout_host.go
+++ b/fleet/agent/rollout_host.go
@@ -53,16 +53,14 @@
 	if err != nil {
 		return initial, err
 	}
-	h.current = storedVersion{Version: stored.Version, Text: stored.Text}
-	initial = front.AdoptConfig{Version: stored.Version, Rules: h.ownRules}
-	participantVersion := stored.Version
+	initial = front.AdoptConfig{Rules: h.ownRules}
 	if stored.Version != 0 {
 		rules, err := h.parseRules(h.path(), []byte(stored.Text))
-		if err != nil { // the deployment's own settings have changed
+		if err != nil { // the deployment's own settings have changed: the front must not say that it acts on a version whose rules it lacks
 			slog.Warn("fleet: stored configuration version does not fit; starting with the operator's file", "version", stored.Version, "err", err)
-			participantVersion, h.current = 0, storedVersion{} // the core's number stays
 		} else {
-			initial.Rules = rules
+			initial = front.AdoptConfig{Version: stored.Version, Rules: rules}
+			h.current = storedVersion{Version: stored.Version, Text: stored.Text}
 		}
 	}
 	h.participant = rollout.NewParticipant(rollout.Options{
@@ -72,7 +70,7 @@
 		StopWhenIsolated:   h.config.StopWhenIsolated,
 		InForceWithin:      h.config.InForceWithin,
 		Rules:              deployment.RulesText{},
-		InitialVersion:     participantVersion,
+		InitialVersion:     initial.Version,
 		UnconfirmedVersion: stored.Tried,
 	}, rollout.Hooks{
 		Adopt:     func(adoption rollout.Adoption) { go h.adopt(adoption) }, // the mesh's lock is held
