fleet audit: what could not be read is named, with exit code 1

What operators saw: with a segment that cannot be opened at, front and versions exited 0 or said that nothing of it is in these logs; request did so too with an index that is missing, cannot be opened or was cut short. Cause: the commands threw away what the reading had found, and Find took a missing index, or one it could not decode, for its end. Why this holds: where an index has to end is known from the segment's last interval line, so a search that stops before it is a finding; a match whose line is not there is one too. A segment that was removed meanwhile is none.

--- a/cmd/dapplerouter/fleet_audit.go
+++ b/cmd/dapplerouter/fleet_audit.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +35,7 @@
 	errNoAuditFolder = errors.New("no folder is named: give --dir DIR, or --file with a form audit")
 	errNoAuditLogs   = errors.New("there are no audit logs")
 	errNothingLogged = errors.New("nothing of it is in these logs")
+	errNothingRead   = errors.New("nothing of it is in the segments that could be read")
 )
 
 // open opens the logs of all folders.
@@ -69,6 +72,36 @@
 	return all, append(found, l.Conflicts...), nil
 }
 
+// reportUnread prints the findings on what was not read, and reports whether there are any: then results may lack something, so that a
+// command that succeeds exits with exitNegative.
+func reportUnread(found []audit.Finding) (incomplete bool) {
+	for _, f := range found {
+		if f.Unread {
+			fmt.Fprintf(os.Stderr, "dapplerouter: %v\n", f)
+			incomplete = true
+		}
+	}
+	return incomplete
+}
+
+// exitOf is the exit code of a command that found something to show, or not; where it found nothing that is said too, of subject
+// where one is named.
+func exitOf(shown, incomplete bool, subject string, nothing error) int {
+	if !shown {
+		if incomplete {
+			nothing = errNothingRead
+		}
+		if subject != "" {
+			nothing = fmt.Errorf("%s: %w", subject, nothing)
+		}
+		printError(nothing)
+	}
+	if !shown || incomplete {
+		return exitNegative
+	}
+	return exitOK
+}
+
 // formatMicros formats a time in Unix microseconds.
 func formatMicros(micros int64) string {
 	return time.UnixMicro(micros).UTC().Format("2006-01-02T15:04:05.000Z")
@@ -127,18 +160,15 @@
 		printError(fmt.Errorf("write a time as 2026-12-01T18:00:00Z: %w", err))
 		return exitUnusable
 	}
-	all, _, err := c.read()
+	all, found, err := c.read()
 	if err != nil {
 		printError(err)
 		return exitUnusable
 	}
+	incomplete := reportUnread(found)
 	uses, sure := audit.UsesAt(audit.VersionUses(all), at.UnixMicro())
 	c.printUses(uses, sure)
-	if len(uses) == 0 {
-		printError(errNothingLogged)
-		return exitNegative
-	}
-	return exitOK
+	return exitOf(len(uses) > 0, incomplete, "", errNothingLogged)
 }
 
 type auditFrontCommand struct {
@@ -147,11 +177,12 @@
 }
 
 func (c *auditFrontCommand) run() int {
-	all, _, err := c.read()
+	all, found, err := c.read()
 	if err != nil {
 		printError(err)
 		return exitUnusable
 	}
+	incomplete := reportUnread(found)
 	var its []audit.VersionUse
 	for _, u := range audit.VersionUses(all) {
 		if u.Front == c.Name {
@@ -159,27 +190,28 @@
 		}
 	}
 	c.printUses(its, nil)
-	if len(its) == 0 {
-		printError(fmt.Errorf("%s: %w", c.Name, errNothingLogged))
-		return exitNegative
-	}
-	return exitOK
+	return exitOf(len(its) > 0, incomplete, c.Name, errNothingLogged)
 }
 
 type auditVersionsCommand struct{ auditFolders }
 
 func (c *auditVersionsCommand) run() int {
-	all, _, err := c.read()
+	all, found, err := c.read()
 	if err != nil {
 		printError(err)
 		return exitUnusable
 	}
-	versions := audit.SummarizeVersions(all, audit.VersionUses(all))
+	incomplete := reportUnread(found)
+	c.print(audit.SummarizeVersions(all, audit.VersionUses(all)))
+	return exitOf(true, incomplete, "", nil)
+}
+
+func (c *auditVersionsCommand) print(versions []audit.VersionSummary) {
 	if c.JSON {
 		for _, v := range versions {
 			printJSON(v)
 		}
-		return exitOK
+		return
 	}
 	t := newTable(append([]string{"VERSION", "RULES", "FIRST", "LAST", "FRONTS"}, outcomeColumns...)...)
 	for _, v := range versions {
@@ -187,7 +219,6 @@
 			formatOutcomes(v.Outcomes)))
 	}
 	t.flush()
-	return exitOK
 }
 
 type auditRequestCommand struct {
@@ -208,11 +239,12 @@
 }
 
 func (c *auditRequestCommand) run() int {
-	found, matched, err := c.find()
+	found, unread, err := c.find()
 	if err != nil {
 		printError(err)
 		return exitUnusable
 	}
+	incomplete := reportUnread(unread)
 	if c.JSON {
 		for _, x := range found {
 			printJSON(x)
@@ -220,39 +252,47 @@
 	} else {
 		printRequestIntervals(found)
 	}
-	if !matched {
-		printError(fmt.Errorf("%s: %w", c.ID, errNoInterval))
-		return exitNegative
-	}
-	return exitOK
+	return exitOf(len(found) > 0, incomplete, c.ID, errNoInterval)
 }
 
 var errNoInterval = errors.New("no interval in these logs accepted this request; one that is not closed yet, or that was lost by a crash, is not in them")
 
-// find returns the intervals whose index has the request's id, and whether an index has it at all.
-func (c *auditRequestCommand) find() (found []requestInterval, matched bool, err error) {
+// find returns the intervals whose index has the request's id, and what could not be read.
+func (c *auditRequestCommand) find() (found []requestInterval, unread []audit.Finding, err error) {
 	l, err := c.open()
 	if err != nil {
-		return nil, false, err
-	}
-	matches, err := l.Find(c.ID)
-	if err != nil {
-		return nil, false, err
+		return nil, nil, err
 	}
+	matches, unread := l.Find(c.ID)
 	for _, m := range matches {
 		b, err := l.Lines(m.Segment)
-		if err != nil {
+		if errors.Is(err, os.ErrNotExist) {
 			continue // the segment was removed since its index was read, to stay within the audit's size
 		}
-		for _, text := range strings.Split(string(b), "\n") {
-			var x audit.Line
-			if json.Unmarshal([]byte(text), &x) != nil || x.Event != audit.EventInterval || x.IndexOffset != m.IndexOffset+1 {
-				continue // another line, or one that is damaged, which fleet audit verify reports
-			}
-			found = append(found, requestInterval{x.Front, x.Incarnation, x.Interval, x.Version, x.Start, x.End, x.Index, x.Requests})
+		if err != nil {
+			unread = append(unread, audit.UnreadSegment(m.Segment, fmt.Sprintf("the segment can't be read: %v", err)))
+			continue
+		}
+		interval, ok := intervalAt(b, m)
+		if !ok {
+			unread = append(unread, audit.UnreadSegment(m.Segment, fmt.Sprintf("the index has the request in interval %d, whose line is damaged or not written yet", m.Interval)))
+			continue
+		}
+		found = append(found, interval)
+	}
+	return found, unread, nil
+}
+
+// intervalAt returns the interval of a match from its segment's lines.
+func intervalAt(lines []byte, m disk.Match) (interval requestInterval, ok bool) {
+	for text := range bytes.Lines(lines) {
+		var x audit.Line
+		if json.Unmarshal(text, &x) != nil || x.Event != audit.EventInterval || x.IndexOffset != m.IndexOffset+1 {
+			continue // another line, or one that is damaged, which fleet audit verify reports
 		}
+		return requestInterval{x.Front, x.Incarnation, x.Interval, x.Version, x.Start, x.End, x.Index, x.Requests}, true
 	}
-	return found, len(matches) > 0, nil
+	return requestInterval{}, false
 }
 
 func printRequestIntervals(all []requestInterval) {
--- a/fleet/audit/read.go
+++ b/fleet/audit/read.go
@@ -21,6 +21,13 @@
 	Line      int    `json:"line"` // within the segment, from 1; 0 for the whole of it
 	Violation bool   `json:"wrong"`
 	Message   string `json:"what"`
+
+	Unread bool `json:"-"` // the segment, or a part of it, was not read: what it has is in no other result
+}
+
+// UnreadSegment is the finding that a segment, or a part of it, was not read.
+func UnreadSegment(segment, message string) Finding {
+	return Finding{Segment: segment, Violation: true, Message: message, Unread: true}
 }
 
 // String is the finding as a line of text: place, kind and message.
@@ -92,11 +99,11 @@
 }
 
 func (r *logReader) violation(format string, args ...any) {
-	r.findings = append(r.findings, Finding{r.segment, r.line, true, fmt.Sprintf(format, args...)})
+	r.findings = append(r.findings, Finding{Segment: r.segment, Line: r.line, Violation: true, Message: fmt.Sprintf(format, args...)})
 }
 
 func (r *logReader) note(format string, args ...any) {
-	r.findings = append(r.findings, Finding{r.segment, r.line, false, fmt.Sprintf(format, args...)})
+	r.findings = append(r.findings, Finding{Segment: r.segment, Line: r.line, Message: fmt.Sprintf(format, args...)})
 }
 
 // readSegment reads the next segment.
@@ -108,7 +115,7 @@
 	place := r.segments.advance(r.log.Front, number)
 	text, err := source.Lines(name)
 	if err != nil {
-		r.violation("the segment can't be read: %v", err)
+		r.findings = append(r.findings, UnreadSegment(name, fmt.Sprintf("the segment can't be read: %v", err)))
 		return
 	}
 	index := segmentIndex{}
--- a/fleet/audit/verify.go
+++ b/fleet/audit/verify.go
@@ -14,7 +14,7 @@
 		place = afterMissing
 	}
 	for k := s.last + 1; k < number; k++ {
-		s.missing = append(s.missing, Finding{SegmentName(front, k), 0, true, "the segment is missing"})
+		s.missing = append(s.missing, Finding{Segment: SegmentName(front, k), Violation: true, Message: "the segment is missing"})
 	}
 	s.last = number
 	return place
--- a/fleet/disk/audit_logs.go
+++ b/fleet/disk/audit_logs.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -97,20 +99,21 @@
 var indexHeadBytes = audit.IndexSize(0)
 
 // Find looks for a request's id in all indexes, in as many goroutines as there are processors. An interval of n requests that did not
-// take it is returned by mistake with a chance of n in 2^40.
-func (l *AuditLogs) Find(id string) (matches []Match, err error) {
+// take it is returned by mistake with a chance of n in 2^40. unread are the segments whose index could not be searched to its end: the
+// request may be there.
+func (l *AuditLogs) Find(id string) (matches []Match, unread []audit.Finding) {
 	hash := audit.HashID([]byte(id))
-	var mu sync.Mutex // guards matches and err
+	var mu sync.Mutex // guards matches and unread
 	var workers sync.WaitGroup
 	names := make(chan string)
 	for range runtime.GOMAXPROCS(0) {
 		workers.Go(func() {
 			for name := range names {
-				found, findErr := l.find(name, hash)
+				found, err := l.find(name, hash)
 				mu.Lock()
 				matches = append(matches, found...)
-				if findErr != nil && !errors.Is(findErr, os.ErrNotExist) {
-					err = errors.Join(err, findErr)
+				if err != nil {
+					unread = append(unread, audit.UnreadSegment(name, err.Error()))
 				}
 				mu.Unlock()
 			}
@@ -122,16 +125,42 @@
 	close(names)
 	workers.Wait()
 	slices.SortFunc(matches, func(a, b Match) int { return strings.Compare(a.Segment, b.Segment) })
-	return matches, err
+	slices.SortFunc(unread, func(a, b audit.Finding) int { return strings.Compare(a.Segment, b.Segment) })
+	return matches, unread
 }
 
-// find looks for a hash in a segment's index. What is behind an incomplete part of the index is passed over.
+// find looks for a hash in a segment's index. A segment that was removed since OpenAuditLogs has none. What the index holds behind the
+// segment's lines is of a line that is not written yet, or never was.
 func (l *AuditLogs) find(name string, hash uint64) (matches []Match, err error) {
+	needed, err := indexBytesOf(filepath.Join(l.dirs[name], name+audit.LogSuffix))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("the segment can't be read: %w", err)
+	}
 	f, err := os.Open(filepath.Join(l.dirs[name], name+audit.IndexSuffix))
+	if errors.Is(err, os.ErrNotExist) && needed == 0 {
+		return nil, nil
+	}
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("the index can't be read: %w", err)
 	}
 	defer func() { _ = f.Close() }() // it was read
+	matches, end, err := searchIndex(f, name, hash)
+	if err == nil && end < needed {
+		err = errIndexIncomplete
+	}
+	if err != nil && end < needed {
+		return matches, fmt.Errorf("the index can't be read behind byte %d of %d: %w", end, needed, err)
+	}
+	return matches, nil
+}
+
+var errIndexIncomplete = errors.New("it ends there, or is damaged")
+
+// searchIndex looks for a hash in an index, part by part. end is behind the last part that was searched.
+func searchIndex(f io.ReaderAt, name string, hash uint64) (matches []Match, end int64, err error) {
 	var buffer [512]byte
 	read := func(offset int64, n int) ([]byte, error) {
 		b := buffer[:]
@@ -141,22 +170,65 @@
 		_, err := f.ReadAt(b[:n], offset)
 		return b[:n], err
 	}
-	for offset := int64(0); ; {
-		n, err := f.ReadAt(buffer[:indexHeadBytes], offset)
-		if n == 0 && errors.Is(err, io.EOF) {
-			return matches, nil
+	for {
+		n, err := f.ReadAt(buffer[:indexHeadBytes], end)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return matches, end, err
 		}
 		interval, ids, ok := audit.DecodeIndexHead(buffer[:n])
 		if !ok {
-			return matches, nil
+			return matches, end, nil
+		}
+		next := end + audit.IndexSize(ids)
+		if _, err := f.ReadAt(buffer[:1], next-1); err != nil { // the part is not there to its end
+			return matches, end, err
 		}
-		found, err := audit.FindID(hash, ids, offset+indexHeadBytes, read)
+		found, err := audit.FindID(hash, ids, end+indexHeadBytes, read)
 		if err != nil {
-			return matches, nil
+			return matches, end, err
 		}
 		if found {
-			matches = append(matches, Match{name, interval, offset})
+			matches = append(matches, Match{name, interval, end})
+		}
+		end = next
+	}
+}
+
+// tailBytes is how much of a segment is read at first to find the last interval.
+const tailBytes = 16 << 10
+
+// indexBytesOf returns how many bytes of index a segment's lines tell of, by the last interval among them.
+func indexBytesOf(path string) (int64, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = f.Close() }() // it was read
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	for size := min(info.Size(), tailBytes); size > 0; size = min(info.Size(), 4*size) {
+		tail := make([]byte, size)
+		if _, err := f.ReadAt(tail, info.Size()-size); err != nil && !errors.Is(err, io.EOF) {
+			return 0, err
+		}
+		if end := lastIndexEnd(tail); end > 0 || size == info.Size() {
+			return end, nil
+		}
+	}
+	return 0, nil
+}
+
+// lastIndexEnd returns where the index of the last interval among lines ends, 0 for none. Lines that can't be read are passed over.
+func lastIndexEnd(text []byte) int64 {
+	for len(text) > 0 {
+		begin := bytes.LastIndexByte(bytes.TrimSuffix(text, []byte{'\n'}), '\n') + 1
+		var l audit.Line
+		if json.Unmarshal(text[begin:], &l) == nil && l.IndexOffset > 0 {
+			return l.IndexOffset - 1 + audit.IndexSize(l.Requests)
 		}
-		offset += audit.IndexSize(ids)
+		text = text[:begin]
 	}
+	return 0
 }
--- a/fleet/disk/audit_logs_bench_test.go
+++ b/fleet/disk/audit_logs_bench_test.go
@@ -67,9 +67,9 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		hits, err := l.Find("the-one")
-		if err != nil || len(hits) != 1 {
-			b.Fatal(hits, err)
+		hits, unread := l.Find("the-one")
+		if unread != nil || len(hits) != 1 {
+			b.Fatal(hits, unread)
 		}
 	}
 }
--- a/fleet/disk/format_test.go
+++ b/fleet/disk/format_test.go
@@ -135,7 +135,7 @@
 	all, _ := audit.ReadLogs(l)
 	require.Len(t, all, 1)
 	assert.Len(t, all[0].Lines, 11)
-	hits, err := l.Find("order-2")
-	require.NoError(t, err)
+	hits, unread := l.Find("order-2")
+	assert.Empty(t, unread)
 	assert.Equal(t, []Match{{Segment: "n1.00000001", Interval: 1}}, hits)
 }
--- a/fleet/disk/segments_test.go
+++ b/fleet/disk/segments_test.go
@@ -65,8 +65,8 @@
 		}
 	}
 	assert.LessOrEqual(t, sum, int64(22<<10), "the maximum, and the open segment")
-	hits, err := l.Find("t200-3")
-	require.NoError(t, err)
+	hits, unread := l.Find("t200-3")
+	assert.Empty(t, unread)
 	require.Len(t, hits, 1)
 	assert.EqualValues(t, 200, hits[0].Interval)
 	hits, _ = l.Find("t9999-1")
--- a/lab/processtest/checks_audits.go
+++ b/lab/processtest/checks_audits.go
@@ -59,7 +59,7 @@
 		if i%7 != 0 || q.code != "" || q.connectionLost || c.restarted(q.front) {
 			continue
 		}
-		matches, _ := logs.Find(q.id) // a log that cannot be read has been reported by ReadLogs
+		matches, _ := logs.Find(q.id) // what can't be read is reported by ReadLogs
 		if !slices.ContainsFunc(matches, func(m disk.Match) bool {
 			front, _, _ := audit.ParseLogName(m.Segment + audit.LogSuffix)
 			return front == q.front && intervals[position(m.Segment, m.IndexOffset)]
