fleet/mesh: leases and requests are told whatever else is dropped

What operators saw: behind a disk that hung for minutes a front could hold a lease without acting on it, act for a lease that had ended, or lack a change of the endpoint list until the next one. Cause: beyond 16,384 waiting events all were dropped alike, what is told once too, and nobody read the count. Why this holds: the queue keeps what is told once without a bound of its own (a front acquires and loses few leases), drops the excess of what comes often, and tells of it: the warning names how many, and the follower passes on the whole list, which the node has.

--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -181,7 +181,7 @@
 // meshOptions are the mesh's, with keys where the form names them.
 func (a *Agent) meshOptions(node *fleet.Node) mesh.Options {
 	c := a.config
-	o := mesh.Options{Listen: c.Listen, PeerAddresses: c.AddressOverrides, Node: node, Timing: a.timing(), OnEvent: a.onEvent}
+	o := mesh.Options{Listen: c.Listen, PeerAddresses: c.AddressOverrides, Node: node, Timing: a.timing(), OnEvent: a.onEvent, OnDropped: a.onDroppedEvents}
 	if a.disk != nil {
 		o.Disk = a.disk
 	}
--- a/fleet/agent/endpoint_follower.go
+++ b/fleet/agent/endpoint_follower.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// resync passes on the whole shared list, where this front uses it: changes may have been missed.
+func (f *endpointFollower) resync() {
+	if f.watcher.UsesSharedList() {
+		f.watcher.SharedListChanged(f.known())
+	}
+}
+
 // known returns the endpoint list as the fleet has it.
 func (f *endpointFollower) known() (l discovery.List) {
 	f.agent.mesh.Do(func(*fleet.Node, time.Duration) { l = f.list.List() })
--- a/fleet/agent/events.go
+++ b/fleet/agent/events.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// onDroppedEvents catches up with events that never came: of the endpoint list this front may lack changes. Probe results and datagrams
+// come again by themselves.
+func (a *Agent) onDroppedEvents(events uint64) {
+	slog.Warn("fleet: events dropped; this front's disk or processor did not keep up", "events", events)
+	a.endpoints.resync()
+}
+
 func (a *Agent) onBroadcast(e fleet.BroadcastReceived) {
 	switch {
 	case e.Lease == fleet.EndpointListLease:
--- a/fleet/mesh/counters.go
+++ b/fleet/mesh/counters.go
@@ -32,7 +32,6 @@
 type counters struct {
 	sent, received, sentBytes, receivedBytes atomic.Uint64
 	shed, rejected, dials                    atomic.Uint64
-	lostEvents                               atomic.Uint64 // for which OnEvent's queue had no room
 	kinds                                    [maxKinds]kindCounter
 }
 
--- a/fleet/mesh/event_queue_test.go
+++ b/fleet/mesh/event_queue_test.go
@@ -17,20 +17,20 @@
 // once: the front would go on following the endpoint list for a fleet that had another leaseholder, or have a rollout's lease and no
 // controller, for as long as it kept the lease. The count of lost events was read by nobody.
 func TestEndOfLeaseIsDeliveredThoughEventsAreDropped(t *testing.T) {
-	m, events, release := startBlockedVoter(t)
+	m, events, dropped, release := startBlockedVoter(t)
 	for range 20_000 {
 		require.True(t, m.Broadcast("list", nil))
 	}
 	m.Leave(time.Second)
 	release()
 	assert.Equal(t, "list", awaitEvent[fleet.LeaseEnded](t, events).Lease)
-	assert.Positive(t, m.counters.lostEvents.Load())
+	assert.Positive(t, <-dropped, "and what was dropped is told")
 }
 
 // startBlockedVoter is startVoter whose OnEvent is held up from the first lease on, until release.
-func startBlockedVoter(t *testing.T) (m *Mesh, events chan fleet.Event, release func()) {
+func startBlockedVoter(t *testing.T) (m *Mesh, events chan fleet.Event, dropped chan uint64, release func()) {
 	t.Helper()
-	events = make(chan fleet.Event, 1<<16)
+	events, dropped = make(chan fleet.Event, 1<<16), make(chan uint64, 1<<10)
 	held, blocked := make(chan struct{}), make(chan struct{})
 	var once, unblock sync.Once
 	release = func() { unblock.Do(func() { close(blocked) }) }
@@ -40,8 +40,8 @@
 			once.Do(func() { close(held) })
 			<-blocked
 		}
-	})
+	}, func(n uint64) { dropped <- n })
 	t.Cleanup(release) // before the mesh is closed, which waits for OnEvent
 	<-held
-	return m, events, release
+	return m, events, dropped, release
 }
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -36,6 +36,7 @@
 	Timing        fleet.Timing
 	Disk          Disk                                  // nil for a follower
 	OnEvent       func(at time.Duration, e fleet.Event) // what happened, and when on this front's clock
+	OnDropped     func(events uint64)                   // so many broadcasts, datagrams and the like never came to OnEvent; may be nil
 }
 
 const (
@@ -43,7 +44,6 @@
 	maxQueuedMessages = 512      // messages for a peer
 	maxQueuedBytes    = 8 << 20  // bytes of messages for a peer
 	maxWriteBytes     = 64 << 10 // of messages in one write, and the last one
-	maxQueuedEvents   = 1 << 14  // events for OnEvent; more are dropped
 	leavePollInterval = 5 * time.Millisecond
 )
 
@@ -52,7 +52,7 @@
 	options   Options
 	listener  net.Listener
 	startedAt time.Time // zero of Now
-	events    chan timedEvent
+	events    *eventQueue
 	counters  counters
 
 	mu          sync.Mutex // guards the fields below, and the node
@@ -67,12 +67,6 @@
 	goroutines sync.WaitGroup
 }
 
-// timedEvent is an event that waits for Options.OnEvent.
-type timedEvent struct {
-	at    time.Duration
-	event fleet.Event
-}
-
 // New makes a Mesh that listens; Run starts it. The error names the address that can't be listened on.
 func New(o Options) (*Mesh, error) {
 	l, err := net.Listen("tcp", o.Listen)
@@ -83,7 +77,7 @@
 		options:   o,
 		listener:  l,
 		startedAt: time.Now(),
-		events:    make(chan timedEvent, maxQueuedEvents),
+		events:    newEventQueue(),
 		node:      o.Node,
 		links:     map[string]*link{},
 		dialling:  map[string]bool{},
@@ -108,15 +102,26 @@
 	m.goroutines.Go(m.deliverEvents)
 }
 
-// deliverEvents hands events to OnEvent, in their order.
+// deliverEvents hands events to OnEvent, in their order, and tells OnDropped of those that had no room.
 func (m *Mesh) deliverEvents() {
+	told := uint64(0)
 	for {
 		select {
-		case e := <-m.events:
-			m.options.OnEvent(e.at, e.event)
+		case <-m.events.wake:
 		case <-m.ctx.Done():
 			return
 		}
+		events, dropped := m.events.take()
+		for _, e := range events {
+			if m.ctx.Err() != nil {
+				return
+			}
+			m.options.OnEvent(e.at, e.event)
+		}
+		if dropped > told && m.options.OnDropped != nil {
+			m.options.OnDropped(dropped - told)
+		}
+		told = dropped
 	}
 }
 
@@ -167,11 +172,7 @@
 	m.writePending()
 	now := m.Now()
 	for _, e := range m.node.Events() { // before any peer receives what follows from them
-		select {
-		case m.events <- timedEvent{now, e}:
-		default:
-			m.counters.lostEvents.Add(1)
-		}
+		m.events.add(timedEvent{now, e})
 	}
 	for _, out := range m.node.Outgoing() {
 		if l := m.links[out.To]; l != nil && !l.enqueue(out.Message) {
--- a/fleet/mesh/mesh_test.go
+++ b/fleet/mesh/mesh_test.go
@@ -30,17 +30,17 @@
 func startVoter(t *testing.T, disk Disk, maxFollowers int) (m *Mesh, events chan fleet.Event) {
 	t.Helper()
 	events = make(chan fleet.Event, 1000)
-	return runVoter(t, disk, maxFollowers, func(_ time.Duration, e fleet.Event) { events <- e }), events
+	return runVoter(t, disk, maxFollowers, func(_ time.Duration, e fleet.Event) { events <- e }, nil), events
 }
 
-// runVoter is startVoter with a handler of events.
-func runVoter(t *testing.T, disk Disk, maxFollowers int, onEvent func(time.Duration, fleet.Event)) *Mesh {
+// runVoter is startVoter with handlers of events.
+func runVoter(t *testing.T, disk Disk, maxFollowers int, onEvent func(time.Duration, fleet.Event), onDropped func(uint64)) *Mesh {
 	t.Helper()
 	n, err := fleet.New(fleet.Options{Fleet: "x", Name: "a", Incarnation: 7, InitialVoters: []fleet.Voter{{Name: "a"}}, Timing: timing, Seed: 1, AcceptsLeases: true, MaxFollowers: maxFollowers},
 		&fleet.DiskState{OpenCount: 1})
 	require.NoError(t, err)
 	n.DeclareLease("list", 0)
-	m, err := New(Options{Listen: "127.0.0.1:0", Node: n, Timing: timing, Disk: disk, OnEvent: onEvent})
+	m, err := New(Options{Listen: "127.0.0.1:0", Node: n, Timing: timing, Disk: disk, OnEvent: onEvent, OnDropped: onDropped})
 	require.NoError(t, err)
 	m.Run()
 	t.Cleanup(m.Close)
