--- a/gateway/link/connection.go
+++ b/gateway/link/connection.go
@@ -75,7 +75,7 @@
 			slog.Error("link: panic", "panic", p, "trace", string(debug.Stack()))
 		}
 	}()
-	stop := context.AfterFunc(l.ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(l.ctx, func() { _ = socket.Close() }) // c changes below, in another goroutine than this call's
 	defer stop()
 	_ = c.SetDeadline(time.Now().Add(handshakeTimeout)) // fails on a closed connection alone, as does what follows
 	if c, err = l.startTLS(c); err != nil {
