--- a/cmd/dapplerouter/totals.go
+++ b/cmd/dapplerouter/totals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"syscall"
 	"time"
 
 	"dapplerouter/front"
@@ -19,7 +20,16 @@
 	runtime.ReadMemStats(&m)
 	clients, links, peak := s.descriptors.InUse()
 	return []any{"clients", clients, "links", links, "peak", peak, "goroutines", runtime.NumGoroutine(),
-		"memory", m.Sys - m.HeapReleased, "collections", m.NumGC}
+		"memory", m.Sys - m.HeapReleased, "collections", m.NumGC, "cpu", processorTime()}
+}
+
+// processorTime is what the process has used since its start, in user and system mode; 0 where the system does not tell.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // runPeriodically calls a function at intervals until ctx ends.
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -14,6 +14,7 @@
 	results                                                   [routing.Misrouted + 1]int // of attempts
 	unreadable                                                int                        // responses of servers
 	maxTimerDelay, maxBatchTime                               time.Duration              // since the last totals
+	batches, timersFired                                      int                        // since the last totals
 }
 
 // responded counts a response.
@@ -30,8 +31,15 @@
 	}
 }
 
-func (m *metrics) timerFired(late time.Duration) { m.maxTimerDelay = max(m.maxTimerDelay, late) }
-func (m *metrics) batchDone(took time.Duration)  { m.maxBatchTime = max(m.maxBatchTime, took) }
+func (m *metrics) timerFired(late time.Duration) {
+	m.timersFired++
+	m.maxTimerDelay = max(m.maxTimerDelay, late)
+}
+
+func (m *metrics) batchDone(took time.Duration) {
+	m.batches++
+	m.maxBatchTime = max(m.maxBatchTime, took)
+}
 
 // noteResult logs when a server begins to fail and when it has recovered.
 func (c *Core) noteResult(server int, result routing.AttemptResult, err error) {
@@ -65,10 +73,10 @@
 		"overloaded", m.results[routing.Overloaded], "timed_out", m.results[routing.TimedOut],
 		"unreachable", m.results[routing.Unreachable], "connection_lost", m.results[routing.ConnectionLost],
 		"cancelled", m.results[routing.Cancelled], "misrouted", m.results[routing.Misrouted],
-		"max_timer_delay", m.maxTimerDelay, "max_batch_time", m.maxBatchTime}
+		"max_timer_delay", m.maxTimerDelay, "max_batch_time", m.maxBatchTime, "batches", m.batches, "timers", m.timersFired}
 	if c.classifier != nil {
 		attributes = append(attributes, c.classifier.totals()...)
 	}
 	slog.Info("totals", append(attributes, l.Extra...)...)
-	m.maxTimerDelay, m.maxBatchTime = 0, 0
+	m.maxTimerDelay, m.maxBatchTime, m.batches, m.timersFired = 0, 0, 0, 0
 }
