--- a/fleet/mesh/link.go
+++ b/fleet/mesh/link.go
@@ -58,7 +58,7 @@
 		}
 	}()
 	_ = c.SetDeadline(time.Now().Add(m.options.Timing.HandshakeTimeout())) // fails for a closed connection, as the next read will
-	stop := context.AfterFunc(m.ctx, func() { _ = raw.Close() }) // c changes below, in another goroutine than this call's
+	stop := context.AfterFunc(m.ctx, func() { _ = raw.Close() })           // c changes below, in another goroutine than this call's
 	defer stop()
 	secured, mayHaveName, err := m.secure(c, to)
 	if err != nil {
