router: the inference from timeouts counts before loaded servers; timeouts count as before

Idle servers reject nothing: property, 3,000 checks, harness and sockets as before. Red again, and listed: a client with a timeout of its own comes behind others under load; timeouts shorter than answers eject servers.

--- a/router/admission.go
+++ b/router/admission.go
@@ -13,21 +13,25 @@
 
 // admission ranks requests.
 type admission struct {
-	workByDensity [64]float64     // recent work in seconds, by the logarithm of its weight for its work
-	attemptAt     time.Duration   // when the latest attempt began, at any server
-	errorRate     float64         // of all servers
-	retryAfter    time.Duration   // sent to a rejected client
-	retriesMarked bool            // clients mark their retries
-	usualTimeouts []usualTimeouts // by request type
+	workByDensity [64]float64   // recent work in seconds, by the logarithm of its weight for its work
+	attemptAt     time.Duration // when the latest attempt began, at any server
+	errorRate     float64       // of all servers
+	retryAfter    time.Duration // sent to a rejected client
+	retriesMarked bool          // clients mark their retries
+
+	typicalTimeouts []time.Duration // by request type
+	timeoutsSeen    []int           // by request type
 }
 
 func newAdmission(types []routing.RequestType, topology routing.Topology, limits routing.Limits) admission {
 	return admission{retryAfter: limits.MaxRetryAfter / 2, retriesMarked: topology.RetriesMarked,
-		usualTimeouts: make([]usualTimeouts, len(types))}
+		typicalTimeouts: make([]time.Duration, len(types)), timeoutsSeen: make([]int, len(types))}
 }
 
 const (
 	minAdmittedShare = 1.0 / 20 // share of the work that is sent under any load
+	timeoutSteps     = 50       // requests after which a typical timeout moves by its smallest step
+	minDeviationPart = 20       // a retry's timeout differs from the typical one by this part of it at least
 	retryDiscount    = 4        // divisor of a retry's weight
 
 	// After maxTimeWithoutAttempt one request of any rank is sent: a load estimate that no answer can lower would have an instance
@@ -67,24 +71,34 @@
 	return rank
 }
 
+// timeoutDeviation is how far a timeout is from its type's typical one, 0 until enough were seen. Clients give a first attempt a
+// fixed part of their deadline and a retry what is left.
+func (r *Router) timeoutDeviation(in *routing.Request) time.Duration {
+	typical, seen := &r.typicalTimeouts[in.Type], &r.timeoutsSeen[in.Type]
+	deviation := in.Timeout - *typical
+	*seen++
+	step := r.requestTypes[in.Type].Deadline / time.Duration(min(*seen+1, timeoutSteps))
+	if *typical += max(min(deviation, step), -step); *seen < 2*priorWeight {
+		return 0
+	}
+	return deviation
+}
+
 // discountRetry lowers the weight of a retry: its client has a rejection already, so a second one costs less. It also notes how
-// long the client has probably waited: a marked retry since its first attempt, a request that was found after a stall since
-// some moment of the stall. What a request lacks of others' timeouts is an inference: where retries are not marked it lowers the
-// weight, and nothing is rejected for it, since its client may simply ask with less time.
+// long the client has probably waited: a retry since its first attempt, a request that was found after a stall since some
+// moment of the stall. That is an inference from others' timeouts, since a client may just ask with less time: no server that is
+// not loaded is spared a request for it.
 func (r *Router) discountRetry(now time.Duration, req *request) {
-	usual := &r.usualTimeouts[req.Type]
-	markedRetry, stalled := r.retriesMarked && req.Retry, r.stalled(now)
-	if !markedRetry && !stalled {
-		usual.observe(req.Timeout)
-	}
-	spent := usual.timeSpent(req.Timeout)
+	deviation := r.timeoutDeviation(&req.Request)
+	waited := max(-deviation, 0)
+	markedRetry := r.retriesMarked && req.Retry
 	switch {
-	case markedRetry:
-		req.probableObjectiveAt -= spent
-		req.weight /= retryDiscount
-	case stalled:
-		req.probableObjectiveAt -= min(spent, r.stallDuration)
-	case !r.retriesMarked && spent > 0:
-		req.weight /= retryDiscount
+	case r.stalled(now) && !markedRetry:
+		req.probableObjectiveAt -= min(waited, r.stallDuration)
+	case markedRetry || !r.retriesMarked:
+		req.probableObjectiveAt -= waited
+		if markedRetry || max(deviation, -deviation) > req.Timeout/minDeviationPart {
+			req.weight /= retryDiscount
+		}
 	}
 }
--- a/router/concurrency.go
+++ b/router/concurrency.go
@@ -83,8 +83,13 @@
 	return 1 + (objectiveLoad-1)*float64(latency-minimum)/float64(max(objective-minimum, objective/4))
 }
 
-// loadEstimate is a server's load, drawn towards its group's, and that towards the load of all servers.
+// loadEstimate is a server's load, drawn towards its group's.
 func (r *Router) loadEstimate(now time.Duration, s *server) float64 {
+	return s.load.mean(now, priorWeight, r.groupLoad(now, r.group(s.group)), &r.latencies)
+}
+
+// groupLoad is the load of a group's servers, drawn towards the load of all servers.
+func (r *Router) groupLoad(now time.Duration, g *group) float64 {
 	all := r.overallLoad.mean(now, 3*priorWeight, 1, &r.latencies)
-	return s.load.mean(now, priorWeight, r.group(s.group).load.mean(now, 2*priorWeight, all, &r.latencies), &r.latencies)
+	return g.load.mean(now, 2*priorWeight, all, &r.latencies)
 }
--- a/router/outlier_detection.go
+++ b/router/outlier_detection.go
@@ -29,9 +29,6 @@
 // maxEjectionDoublings is how often the shortest ejection is doubled at most.
 const maxEjectionDoublings = 4
 
-// patienceLatencies is how many typical latencies a server has time for.
-const patienceLatencies = 4.0
-
 // lossThreshold is the loss rate over which an attempt that takes long is taken for lost.
 const lossThreshold = 1.0 / 20
 
@@ -80,7 +77,7 @@
 	if s.inFlight < 2 || s.ejected || r.stalled(now) || now-max(s.waitingSince, r.resumedAt) <= 2*r.shortestObjective {
 		return false
 	}
-	patience := time.Duration(patienceLatencies * r.loadEstimate(now, s) * float64(slices.Max(r.typicalLatency)))
+	patience := time.Duration(4 * r.loadEstimate(now, s) * float64(slices.Max(r.typicalLatency)))
 	return now-max(s.waitingSince, r.resumedAt) > patience
 }
 
@@ -112,7 +109,7 @@
 	case routing.Unreachable, routing.ConnectionLost:
 		r.observeConnectionFailure(now, s, &o)
 	case routing.TimedOut:
-		r.observeTimeout(now, s, &o, requestType)
+		r.observeTimeout(now, s, &o)
 	case routing.Cancelled, routing.NotSent: // by this side: nothing is learnt of the server
 	}
 }
@@ -164,24 +161,19 @@
 	}
 }
 
-// observeTimeout takes an attempt that ran out of time. Its client may have allowed less time than answers take: how long it was
-// out decides what it says of the server.
-func (r *Router) observeTimeout(now time.Duration, s *server, o *routing.AttemptOutcome, requestType int) {
-	if r.stalled(now) || requestType == none {
+func (r *Router) observeTimeout(now time.Duration, s *server, o *routing.AttemptOutcome) {
+	if r.stalled(now) {
 		return
 	}
 	if s.fastAnswerSentAt > now-o.Latency { // later ones were answered fast: this one was lost, not queued
 		r.observeFaults(s, 0, 1)
 		return
 	}
-	r.observeUnanswered(now, s, requestType, o.Latency)
+	r.reduceLimit(s, failureReduction)
+	r.observeLoad(now, s, maxLoad)
 	if now-s.answeredAt <= o.Latency {
 		return
 	}
-	if o.Latency < r.answerPatience(now, s, requestType) {
-		r.startHealthCheck(now, o.Server)
-		return
-	}
 	if s.consecutiveFailures++; s.consecutiveFailures > 1 { // a single one may be lost or long
 		r.eject(now, o.Server)
 	} else {
@@ -189,13 +181,6 @@
 	}
 }
 
-// answerPatience is how long an attempt is out before its silence is held against its server: a few typical latencies by the
-// server's load, the latency objective at most.
-func (r *Router) answerPatience(now time.Duration, s *server, requestType int) time.Duration {
-	usual := time.Duration(patienceLatencies * r.loadEstimate(now, s) * float64(r.typicalLatency[requestType]))
-	return min(usual, r.requestTypes[requestType].LatencyObjective)
-}
-
 // observeFaults updates the error rates of the server and of all servers, and the server's loss rate, by an attempt that
 // counts as 0 or 1 for each.
 func (r *Router) observeFaults(s *server, failed, lost float64) {
--- a/router/planning.go
+++ b/router/planning.go
@@ -21,7 +21,7 @@
 	}
 	g := r.group(req.Group)
 	to := r.destination(now, req, t, g)
-	if r.probablyTooLate(now, req, to) || to == none && now >= r.waitsUntil(req) {
+	if r.probablyTooLate(now, req, to) {
 		req.giveUp(t)
 		return
 	}
--- a/router/retry.go
+++ b/router/retry.go
@@ -41,30 +41,22 @@
 func (p *retryPolicy) refundRetry() { p.retryBudget++ }
 
 // shouldGiveUp reports whether to end a request that has no attempt in flight: after two errors, since the fault is then its
-// own; when an answer would come behind its deadline; or, where a late answer has no value, when it can't meet its latency
-// objective. Attempts in flight are never cut short: clients would retry at once.
+// own; shortly before its deadline; or, where a late answer has no value, when it can't meet its latency objective. Attempts
+// in flight are never cut short: clients would retry at once. A write or a retry that was never sent is given up at half its
+// timeout, so that its client has time to try elsewhere.
 func (r *Router) shouldGiveUp(now time.Duration, req *request, t *routing.RequestType) bool {
 	ownFault := req.errorCount > 1 || req.errorCount > 0 && r.errorRate > 1.0/4 // at the first, where errors are common
-	return req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
-		now > req.deadline-r.answerTime(req) || r.tooLate(now, req, req.objectiveAt)
+	return now > r.waitsUntil(req) || req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
+		r.tooLate(now, req, req.objectiveAt)
 }
 
-// answerTime is the time before its deadline that a request has to be sent by. A first attempt is owed half of the timeout:
-// a type whose clients have little time would never be measured otherwise.
-func (r *Router) answerTime(req *request) time.Duration {
-	needed := min(r.typicalLatency[req.Type], 2*r.tickInterval)
-	if req.attempts == 0 {
-		needed = min(needed, req.Timeout/2)
-	}
-	return needed
-}
-
-// waitsUntil is the time until which a request may wait for a server: until shortly before its deadline, or, for a write or a
-// marked retry that was never sent, before half of its timeout, so that its client has time to try elsewhere.
+// waitsUntil is the time until which a request may wait for a server: until two ticks before its deadline, or, for a write or a
+// retry that was never sent, before half of its timeout. A short timeout leaves less: what a server takes at once is sent.
 func (r *Router) waitsUntil(req *request) time.Duration {
 	end := req.deadline
 	neverRan := !req.mayHaveRun && !req.misrouted
-	if neverRan && (r.requestTypes[req.Type].Consistency == routing.Write || r.retriesMarked && req.Retry) {
+	t := &r.requestTypes[req.Type]
+	if neverRan && (t.Consistency == routing.Write || req.weight < t.PriorityWeight) {
 		end = req.receivedAt + req.Timeout/2
 	}
 	return end - min(2*r.tickInterval, req.Timeout/shortWaitMargin)
@@ -83,9 +75,15 @@
 }
 
 // probablyTooLate reports whether a request is to be given up since its client has probably waited for too long already. How
-// long is an inference from the timeouts of others: so a server that is not loaded is sent the request all the same.
+// long is an inference from the timeouts of others: so servers that are not loaded are waited for, and sent it, all the same.
 func (r *Router) probablyTooLate(now time.Duration, req *request, to int) bool {
-	return r.tooLate(now, req, req.probableObjectiveAt) && (to == none || r.loadEstimate(now, &r.servers[to]) > normalLoad)
+	if !r.tooLate(now, req, req.probableObjectiveAt) {
+		return false
+	}
+	if to == none {
+		return r.groupLoad(now, r.group(req.Group)) > normalLoad
+	}
+	return r.loadEstimate(now, &r.servers[to]) > normalLoad
 }
 
 // retryUnsafe reports whether a request may have run, and a repeat might not be dropped.
