discovery: the counter of a jitter is atomic

Cause: two watches behind a reload draw from one counter in goroutines of their own. Nothing that callers notice: two waits could be alike. Why this holds: each draw has a number of its own; one goroutine draws the same numbers as before.

--- a/discovery/jitter.go
+++ b/discovery/jitter.go
@@ -3,14 +3,15 @@
 import (
 	"hash/crc32"
 	"strconv"
+	"sync/atomic"
 )
 
 // NewJitter returns a function that gives numbers evenly spread between 0 and 1, other ones for each seed, so that instances do not
 // call a service all at once. It is not safe for concurrent use.
 func NewJitter(seed uint64) func() float64 {
-	n := uint64(0)
+	var draws atomic.Uint64 // watches of several addresses draw side by side
 	return func() float64 {
-		n++
+		n := draws.Add(1)
 		sum := crc32.ChecksumIEEE([]byte(strconv.FormatUint(seed, 16) + "." + strconv.FormatUint(n, 10)))
 		return float64(sum) / (1 << 32)
 	}
