--- a/discovery/jitter.go
+++ b/discovery/jitter.go
@@ -7,7 +7,7 @@
 )
 
 // NewJitter returns a function that gives numbers evenly spread between 0 and 1, other ones for each seed, so that instances do not
-// call a service all at once. It is not safe for concurrent use.
+// call a service all at once. It may be called from several goroutines.
 func NewJitter(seed uint64) func() float64 {
 	var draws atomic.Uint64 // watches of several addresses draw side by side
 	return func() float64 {
