--- a/front/wallclock_test.go
+++ b/front/wallclock_test.go
@@ -111,3 +111,28 @@
 	c.batch(30 * ms)
 	assert.False(t, m.outcomes[0].HasPosition)
 }
+
+// Where the servers' clocks are stepped by less than a replica lags, its position looks fresher by the step and yet lies in the past. The
+// first response of a primary behind the step contradicts what is known; the step is believed behind the third only, and until then
+// replicas' positions counted as before: a read with a bound could be as much older than it.
+func TestReplicaPositionsDoNotCountWhilePrimariesContradictTheClock(t *testing.T) {
+	l := newTestClock()
+	l.observePresent(epochMillis+40, 30*ms, 50*ms)
+	const replica, primary = 100 * ms, 150 * ms
+	assert.True(t, l.trusts(routing.Replica, replica, 150*ms))
+	for n := range correctionQuorum {
+		at := time.Duration(200+10*n) * ms
+		shift := l.observePresent(epochMillis+500+at.Milliseconds(), at-5*ms, at)
+		if n < correctionQuorum-1 {
+			assert.Zero(t, shift)
+			assert.False(t, l.trusts(routing.Replica, replica, at), "behind %d responses that contradict", n+1)
+			assert.True(t, l.trusts(routing.Primary, primary, at))
+		}
+	}
+	assert.True(t, l.trusts(routing.Replica, replica, 300*ms), "the step is known")
+	l.observePresent(epochMillis+90_000, 300*ms, 310*ms)
+	assert.False(t, l.trusts(routing.Replica, replica, 310*ms))
+	at := l.at(epochMillis + 500 + 320)
+	l.observePresent(epochMillis+500+320, at-5*ms, at+5*ms)
+	assert.True(t, l.trusts(routing.Replica, replica, at), "one corrupt response holds nothing up for longer than the next")
+}
