front: no replica's position counts while a primary contradicts the clock

Cause: the step is believed behind the third response only, so that a corrupt one moves nothing, and replicas' positions were placed by the old clock meanwhile. Why this holds: a contradiction that is not settled is enough to place no position by that clock; the next consistent response, or the third contradicting one, settles it. Reads go to the primary meanwhile.

--- a/front/wallclock.go
+++ b/front/wallclock.go
@@ -70,7 +70,8 @@
 }
 
 // trusts reports whether a server's log position may count. A primary's is the present. Another's counts only once the present is
-// confirmed, and never where it lies in the future: then a clock was stepped, and how far the server is behind is not known.
+// confirmed, not while a primary's response contradicts it, and never where it lies in the future: then a clock was stepped, and how
+// far the server is behind is not known.
 func (w *wallClock) trusts(role routing.Role, position, now time.Duration) bool {
-	return role == routing.Primary || w.confirmed && position <= now+clockSlack
+	return role == routing.Primary || w.confirmed && w.contradicting == 0 && position <= now+clockSlack
 }
