--- a/cmd/dapplerouter/busy_loop_test.go
+++ b/cmd/dapplerouter/busy_loop_test.go
@@ -70,6 +70,7 @@
 				c := dial(t, p.address)
 				go func() {
 					for n := 0; ; n++ {
+						time.Sleep(20 * time.Millisecond) // a rejection comes at once: without a pause the clients are the load
 						if _, err := c.Query(readStatement(fmt.Sprint("short", i, "-", n), 150)); err != nil {
 							return
 						}
