--- a/router/request.go
+++ b/router/request.go
@@ -32,7 +32,7 @@
 type schedule struct {
 	receivedAt  time.Duration
 	objectiveAt time.Duration // when its latency objective ends
-	// probableObjectiveAt is the same with what its client has probably waited before: earlier for a marked retry, and for a
+	// probableObjectiveAt is the same with what its client has probably waited before: earlier for a retry, and for a
 	// request that was found after a stall.
 	probableObjectiveAt time.Duration
 	deadline            time.Duration
