agent: one wiring of the prober, so that the laboratory's probers hear of answers

Cause: lab/proxysim gave servers' answers to the core past the prober, which then reported "no answer" to the whole fleet. Prober.Connect puts the prober between core and pools; the program, the laboratory and the simulated followers use it, and its ends are not exported any more. A gateway's answers go through the prober too.

--- a/cmd/dapplerouter/service.go
+++ b/cmd/dapplerouter/service.go
@@ -75,7 +75,8 @@
 	endpoints   *discovery.Watcher // follows the endpoint list
 	classifier  *front.Classifier
 	parse       func([]byte) (pgwire.Statement, error)
-	maxDeadline time.Duration // of all request types
+	observe     func(front.Event) // takes what servers and the endpoint list tell, to the core
+	maxDeadline time.Duration     // of all request types
 }
 
 // runService serves until a stop is signalled or no more clients can be accepted, and returns the error of the latter. Requests that
@@ -103,8 +104,6 @@
 	instance := o.instance
 	s.clock = monotonic.NewClock()
 	s.descriptors = limits.NewDescriptors(limits.SharesOf(instance.MaxDescriptors, deployment.ReservedDescriptors))
-	s.upstream = upstream.NewPools(upstream.Options{Post: s.observe, Limiter: s.descriptors, User: upstreamUser, Database: upstreamDatabase,
-		DialTimeout: instance.Settings.Limits.DialTimeout, IdleTimeout: instance.Settings.Limits.IdleConnTimeout, MemoryBytes: instance.MemoryBytes})
 	s.endpoints = discovery.NewWatcher(ctx, discovery.NewClient(instance.Discovery, instance.CachedList.Index), s.updateEndpoints,
 		discovery.NewJitter(instance.Seed))
 	s.classifier, s.parse = o.operator.newClassifier(), pgwire.ParseStatement
@@ -113,18 +112,9 @@
 			return pgwire.ParseClassified(body, s.classifier.Classifier)
 		}
 	}
-	var pools front.Pools = s.upstream
-	if o.operator.gateway != nil {
-		if err := s.addGatewayLink(); err != nil {
-			return nil, err
-		}
-		pools = s.link.dispatcher
-	}
-	if o.operator.fleet != nil {
-		if err := s.addFleet(pools); err != nil {
-			return nil, err
-		}
-		pools = s.fleet.Prober
+	pools, err := s.connectPools()
+	if err != nil {
+		return nil, err
 	}
 	s.core = front.NewCore(front.Options{StartedAt: s.clock.StartedAt, Seed: instance.Seed, Settings: instance.Settings,
 		NewRouter: router.New, Pools: pools, Endpoints: s.endpoints, Classifier: s.classifier})
@@ -147,13 +137,33 @@
 // post gives the core an event.
 func (s *service) post(e front.Event) { s.core.Post(e) }
 
-// observe takes the events of servers and endpoint lists: to the core, by way of the fleet's prober where there is a fleet.
-func (s *service) observe(e front.Event) {
-	if s.operator.fleet != nil {
-		s.fleet.Prober.OnFrontEvent(e)
-		return
+// connectPools makes the pools and the subsystems that take part in carrying attempts, and returns the core's pools. The prober of a
+// fleet is between the core and all that it is told of.
+func (s *service) connectPools() (front.Pools, error) {
+	if s.operator.fleet == nil {
+		return s.newPools(s.post)
+	}
+	if err := s.newFleet(); err != nil {
+		return nil, err
+	}
+	pools, err := s.fleet.Prober.Connect(s.post, s.newPools)
+	s.subsystems = append(s.subsystems, s.fleet)
+	return pools, err
+}
+
+// newPools makes the pools of this site, and with a gateway those of its peer's too, whose events go to observe.
+func (s *service) newPools(observe func(front.Event)) (front.Pools, error) {
+	l := s.instance.Settings.Limits
+	s.observe = observe
+	s.upstream = upstream.NewPools(upstream.Options{Post: observe, Limiter: s.descriptors, User: upstreamUser, Database: upstreamDatabase,
+		DialTimeout: l.DialTimeout, IdleTimeout: l.IdleConnTimeout, MemoryBytes: s.instance.MemoryBytes})
+	if s.operator.gateway == nil {
+		return s.upstream, nil
 	}
-	s.post(e)
+	if err := s.addGatewayLink(); err != nil {
+		return nil, err
+	}
+	return s.link.dispatcher, nil
 }
 
 // updateEndpoints passes on what the watcher received.
@@ -162,7 +172,7 @@
 }
 
 func (s *service) addGatewayLink() (err error) {
-	s.link, err = newGatewayLink(gatewayLinkOptions{config: s.operator.gateway, instance: s.instance, clock: s.clock, post: s.post,
+	s.link, err = newGatewayLink(gatewayLinkOptions{config: s.operator.gateway, instance: s.instance, clock: s.clock, post: s.observe,
 		local: s.upstream, parse: s.parse})
 	if err == nil {
 		s.subsystems = append(s.subsystems, s.link)
@@ -170,15 +180,13 @@
 	return err
 }
 
-// addFleet makes this front a member of its fleet; the fleet's prober stands before the pools.
-func (s *service) addFleet(pools front.Pools) (err error) {
+// newFleet makes this front a member of its fleet.
+func (s *service) newFleet() (err error) {
 	c := agent.Config{Fleet: s.operator.fleet, Rollout: s.operator.rollout, Audit: s.operator.audit, Rules: s.operator.rules}
 	if s.fleet, err = agent.New(c, s.instance, s.endpoints, version); err != nil {
 		return err
 	}
 	s.fleet.Clock, s.fleet.StartedAt, s.fleet.Post = s.clock.Now, s.clock.StartedAt, s.post
-	s.fleet.Prober.Pools, s.fleet.Prober.Post = pools, s.post
-	s.subsystems = append(s.subsystems, s.fleet)
 	return nil
 }
 
--- a/fleet/agent/admin_test.go
+++ b/fleet/agent/admin_test.go
@@ -39,7 +39,7 @@
 	require.NoError(t, err)
 	began := time.Now()
 	a.Clock, a.StartedAt, a.Post = func() time.Duration { return time.Since(began) }, began, post
-	a.Prober.Post = post
+	a.Prober.post = post
 	require.NoError(t, a.Start())
 	t.Cleanup(a.Close)
 	require.Eventually(t, func() (held bool) {
--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -15,8 +15,9 @@
 // looks at nothing but probes. What is probed, and when, is the routing module's decision; the holder of a group's probe lease
 // broadcasts how its probes ended, and the other fronts' probes are answered from that.
 type Prober struct {
-	front.Pools
-	Post         func(front.Event)                        // sends an event to the front's core
+	pools front.Pools       // set by Connect, as is post
+	post  func(front.Event) // sends an event to the front's core
+
 	Broadcast    func(leaseName string, data []byte) bool // sends a broadcast under a lease, where this front holds it
 	DeclareLease func(leaseName string)                   // declares a lease
 	Now          func() time.Duration                     // the front's clock in the fleet
@@ -99,6 +100,19 @@
 	}
 }
 
+// Connect puts the prober between a front's core and its pools, and returns the pools that the core is made with. newPools makes the
+// pools that the prober stands before: they, and whoever follows the endpoint list, tell what happens to observe. post sends an event
+// to the core. The error is that of newPools.
+func (p *Prober) Connect(post func(front.Event), newPools func(observe func(front.Event)) (front.Pools, error)) (front.Pools, error) {
+	p.post = post
+	pools, err := newPools(p.OnFrontEvent)
+	if err != nil {
+		return nil, err
+	}
+	p.pools = pools
+	return p, nil
+}
+
 // SetAddress implements front.Pools.
 func (p *Prober) SetAddress(server int, address string, age time.Duration) {
 	p.mu.Lock()
@@ -107,13 +121,16 @@
 	}
 	p.servers.addresses[server] = address
 	p.mu.Unlock()
-	p.Pools.SetAddress(server, address, age)
+	p.pools.SetAddress(server, address, age)
 }
 
+// Remove implements front.Pools.
+func (p *Prober) Remove(server int) { p.pools.Remove(server) }
+
 // Send implements front.Pools. A probe is sent, answered with another front's result, or held back until that comes.
 func (p *Prober) Send(server int, attempt *front.Attempt) {
 	if _, probe := attempt.Forwarded(); !probe {
-		p.Pools.Send(server, attempt)
+		p.pools.Send(server, attempt)
 		return
 	}
 	p.mu.Lock() // the core must not wait for the mesh: the state as of the fleet's last event is enough here
@@ -129,13 +146,13 @@
 	p.mu.Unlock()
 	switch decision {
 	case fleet.ProbeNow:
-		p.Pools.Send(server, attempt)
+		p.pools.Send(server, attempt)
 		if ours {
 			p.After(p.probeTimeout/4, func() { p.publishResult(attempt, fleet.ProbeResult{Pending: true}) })
 			p.After(p.probeTimeout, func() { p.publishResult(attempt, fleet.ProbeResult{}) }) // no answer
 		}
 	case fleet.UseResult:
-		p.After(0, func() { p.Post(probeFinished(attempt, result)) }) // the caller is the core, which reads what is posted
+		p.After(0, func() { p.post(probeFinished(attempt, result)) }) // the caller is the core, which reads what is posted
 	case fleet.AwaitResult:
 		p.After(0, func() { p.RequestProbe(holder, target.name) })
 		sendExpired := func() { p.sendExpired(server) }
@@ -150,7 +167,7 @@
 	expired := p.cache.Expired(p.Now())
 	p.mu.Unlock()
 	for _, attempt := range expired {
-		p.Pools.Send(server, attempt)
+		p.pools.Send(server, attempt)
 	}
 }
 
@@ -163,12 +180,12 @@
 		if _, probe := e.Attempt.Forwarded(); probe {
 			result := fleet.ProbeResult{Healthy: e.Err == nil && e.Answer.Code == "" && e.Answer.Complete, Code: e.Answer.Code}
 			result.ConnectionLost = e.Err != nil && e.Err.Stage == front.StageRead
-			p.Post(e)
+			p.post(e)
 			p.publishResult(e.Attempt, result)
 			return
 		}
 	}
-	p.Post(e)
+	p.post(e)
 }
 
 // OnFleetEvent handles an event of the fleet; self is this front's name.
@@ -211,7 +228,7 @@
 	accepted := ours && p.cache.AcceptRequest(p.Now(), server)
 	p.mu.Unlock()
 	if accepted {
-		p.Post(front.HealthCheckRequested{Server: server})
+		p.post(front.HealthCheckRequested{Server: server})
 	}
 }
 
@@ -225,7 +242,7 @@
 	answered := p.cache.AddResult(p.Now(), term, result)
 	p.mu.Unlock()
 	for _, attempt := range answered {
-		p.Post(probeFinished(attempt, result))
+		p.post(probeFinished(attempt, result))
 	}
 }
 
--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -31,7 +31,7 @@
 func TestProbeLeaseIsDeclaredForEachGroupOfTheEndpointList(t *testing.T) {
 	var declared []string
 	s := NewProber(time.Second, time.Second)
-	s.DeclareLease, s.Post = func(lease string) { declared = append(declared, lease) }, func(front.Event) {}
+	s.DeclareLease, s.post = func(lease string) { declared = append(declared, lease) }, func(front.Event) {}
 	entries := []discovery.Endpoint{{Name: "a", Address: "x:1", Group: 3}, {Name: "b", Address: "x:2", Group: 3}, {Name: "c", Address: "x:3", Group: 4}}
 	s.OnFrontEvent(front.EndpointsChanged{Kind: routing.Snapshot, List: discovery.List{Endpoints: entries}})
 	s.OnFrontEvent(front.EndpointsChanged{Kind: routing.Delta, List: discovery.List{Endpoints: entries[:1]}})
--- a/lab/capacity/simulated_follower.go
+++ b/lab/capacity/simulated_follower.go
@@ -59,21 +59,26 @@
 	}
 	ctx := context.Background() // nothing ends a follower but the end of its process
 	clock := monotonic.NewClock()
-	deliver := func(e front.Event) { f.agent.Prober.OnFrontEvent(e) }
-	pools := newPools(instance, deliver)
+	var observe func(front.Event)
 	watcher := discovery.NewWatcher(ctx, discovery.NewClient(instance.Discovery, instance.CachedList.Index),
-		func(u discovery.Update) { deliver(front.EndpointsChanged{Kind: u.Kind, List: u.List}) }, discovery.NewJitter(instance.Seed))
+		func(u discovery.Update) { observe(front.EndpointsChanged{Kind: u.Kind, List: u.List}) }, discovery.NewJitter(instance.Seed))
 	if f.agent, err = agent.New(agent.Config{Fleet: fleetConfig, Rollout: rolloutConfig}, instance, watcher, "hollow"); err != nil {
 		return err
 	}
 	var core *front.Core
 	post := func(e front.Event) { core.Post(f.recordArrival(e)) }
 	f.agent.Clock, f.agent.StartedAt, f.agent.Post = clock.Now, clock.StartedAt, post
-	f.agent.Prober.Pools, f.agent.Prober.Post = pools, post
+	pools, err := f.agent.Prober.Connect(post, func(o func(front.Event)) (front.Pools, error) {
+		observe = o
+		return newPools(instance, observe), nil
+	})
+	if err != nil {
+		return err
+	}
 	core = front.NewCore(front.Options{StartedAt: clock.StartedAt, Seed: instance.Seed, Settings: instance.Settings,
-		NewRouter: router.New, Pools: f.agent.Prober, Endpoints: watcher})
+		NewRouter: router.New, Pools: pools, Endpoints: watcher})
 	core.JoinFleet(f.agent.CoreHooks())
-	deliver(front.EndpointsChanged{Kind: routing.CachedSnapshot, List: instance.CachedList})
+	observe(front.EndpointsChanged{Kind: routing.CachedSnapshot, List: instance.CachedList})
 	go core.Run(clock, ctx.Done())
 	if err := f.agent.Start(); err != nil {
 		return err
--- a/lab/proxysim/endpoints.go
+++ b/lab/proxysim/endpoints.go
@@ -26,14 +26,9 @@
 	lastUpdate     time.Duration
 }
 
-// postEndpoints gives the Core an endpoint list, past the prober if there is one.
+// postEndpoints gives the Core an endpoint list.
 func (f *Front) postEndpoints(kind routing.UpdateKind, l discovery.List) {
-	e := front.EndpointsChanged{Kind: kind, List: l}
-	if f.host.Node != nil {
-		f.prober.OnFrontEvent(e)
-	} else {
-		f.post(e)
-	}
+	f.observe(front.EndpointsChanged{Kind: kind, List: l})
 }
 
 func (f *Front) postSnapshot(l discovery.List) { f.postEndpoints(routing.Snapshot, l) }
--- a/lab/proxysim/front.go
+++ b/lab/proxysim/front.go
@@ -35,9 +35,10 @@
 // frontProcess is the state of a front's process.
 type frontProcess struct {
 	incarnation int
-	startedAt   time.Duration // virtual time
-	timerAt     time.Duration // of the Core's timer, by the host's clock; -1 for none
-	stepping    bool          // within Core.Step
+	startedAt   time.Duration     // virtual time
+	timerAt     time.Duration     // of the Core's timer, by the host's clock; -1 for none
+	stepping    bool              // within Core.Step
+	observe     func(front.Event) // takes what servers and the endpoint list tell; see connectPools
 }
 
 // start starts the front's process on its host, whose node, if any, is new.
@@ -45,17 +46,15 @@
 	c := f.cluster
 	f.incarnation++
 	f.startedAt, f.timerAt = c.Now, -1
-	var pools front.Pools = &serverPools{front: f}
 	f.endpoints = &endpointSource{front: f}
 	s := c.deploymentSettings(f.ordinal)
 	if f.host.Node != nil {
 		f.endpointList = fleet.NewEndpointList()
 		f.host.Node.SetMirror(fleet.EndpointListLease, f.endpointList)
-		f.startProber(pools, s.Limits.DialTimeout)
-		pools = f.prober
+		f.startProber(s.Limits.DialTimeout)
 	}
 	startedAt := time.UnixMilli(c.wallMillis(c.Now)).Add(-f.host.Clock())
-	f.Core = front.NewCore(front.Options{StartedAt: startedAt, Seed: c.Rand.Uint64(), Settings: s, NewRouter: router.New, Pools: pools, Endpoints: f.endpoints})
+	f.Core = front.NewCore(front.Options{StartedAt: startedAt, Seed: c.Rand.Uint64(), Settings: s, NewRouter: router.New, Pools: f.connectPools(), Endpoints: f.endpoints})
 	if c.Options.Rollout.ConfigLease > 0 && f.host.Node != nil {
 		f.participate(s)
 	}
@@ -70,10 +69,24 @@
 	}
 }
 
-// startProber makes the prober between the Core and its pools, as package main does.
-func (f *Front) startProber(pools front.Pools, dialTimeout time.Duration) {
+// connectPools returns the Core's pools, and sets observe: the prober of a fleet is between the two.
+func (f *Front) connectPools() front.Pools {
+	newPools := func(observe func(front.Event)) (front.Pools, error) {
+		f.observe = observe
+		return &serverPools{front: f}, nil
+	}
+	if f.host.Node == nil {
+		pools, _ := newPools(f.post) // never fails
+		return pools
+	}
+	pools, _ := f.prober.Connect(f.post, newPools)
+	return pools
+}
+
+// startProber makes the prober of a fleet.
+func (f *Front) startProber(dialTimeout time.Duration) {
 	p := agent.NewProber(f.cluster.Timing.LeaseDuration, dialTimeout)
-	p.Pools, p.Post, p.Now = pools, f.post, f.host.Clock
+	p.Now = f.host.Clock
 	p.RequestProbe = func(to, server string) {
 		f.host.Do(func(n *fleet.Node, now time.Duration) { n.SendDatagram(now, to, probeSubsystem, []byte(server)) })
 	}
--- /dev/null
+++ b/lab/proxysim/prober_test.go
@@ -0,0 +1,79 @@
+package proxysim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dapplerouter/fleet"
+	"dapplerouter/front"
+	"dapplerouter/lab/fleetsim"
+)
+
+// recordProbeResults returns the results of probes that fronts receive from others, pending ones left out.
+func recordProbeResults(cluster *Cluster) *[]fleet.ProbeResult {
+	results, onEvent := new([]fleet.ProbeResult), cluster.OnEvent
+	cluster.OnEvent = func(h *fleetsim.Host, e fleet.Event) {
+		if b, ok := e.(fleet.BroadcastReceived); ok && fleet.LeaseKind(b.Lease) == probeLeaseKind && b.From != h.Name {
+			if result, ok := fleet.DecodeProbeResult(b.Data); ok && !result.Pending {
+				*results = append(*results, result)
+			}
+		}
+		onEvent(h, e)
+	}
+	return results
+}
+
+// Guards against a leaseholder that reports answered probes as failed: all fronts then ejected servers that were well.
+func TestAnsweredProbesAreReportedHealthy(t *testing.T) {
+	cluster := New(smallOptions(7, true))
+	results := recordProbeResults(cluster)
+	cluster.StartAll()
+	cluster.Run(10 * time.Second)
+	for range 10 {
+		for _, f := range cluster.Fronts {
+			for _, s := range cluster.Servers {
+				f.prober.OnProbeRequest(s.Name)
+			}
+		}
+		cluster.Run(2 * time.Second)
+	}
+	require.Empty(t, cluster.Violations)
+	assert.NotEmpty(t, *results)
+	unhealthy := 0
+	for _, result := range *results {
+		if !result.Healthy {
+			unhealthy++
+		}
+	}
+	assert.Zero(t, unhealthy, "of %d results", len(*results))
+}
+
+// Guards against the same where requests with too little time start the probes: one of them had primaries ejected for good.
+func TestRequestsWithTooLittleTimeEjectNoServer(t *testing.T) {
+	o := smallOptions(61, true)
+	o.Fronts = 12
+	cluster := New(o)
+	results := recordProbeResults(cluster)
+	for _, f := range cluster.Fronts {
+		f.FailureRate = func(uint64) float64 { return 0.2 }
+	}
+	cluster.StartAll()
+	cluster.Run(40 * time.Second)
+	require.Empty(t, cluster.Violations)
+	for _, result := range *results {
+		assert.True(t, result.Healthy, "%+v", result)
+	}
+	writes, succeeded := 0, 0
+	for _, x := range cluster.Requests {
+		if x.Write && x.ReceivedAt > 10*time.Second && x.Timeout == cluster.Options.Load.Deadline && x.Responses > 0 {
+			writes++
+			if x.Status == front.StatusSucceeded {
+				succeeded++
+			}
+		}
+	}
+	assert.Greater(t, succeeded, writes*98/100, "of %d writes with time", writes)
+}
--- a/lab/proxysim/requests.go
+++ b/lab/proxysim/requests.go
@@ -19,6 +19,7 @@
 	ID, Front  string
 	Type       string
 	ReceivedAt time.Duration
+	Timeout    time.Duration // that the client allows
 	FinishedAt time.Duration
 	Responses  int
 	Status     front.Status // of the last response
@@ -41,11 +42,11 @@
 func (f *Front) SendRequest(group int64, write bool) *Request {
 	c := f.cluster
 	c.requestCount++
-	x := &Request{ID: fmt.Sprint("t", c.requestCount), Front: f.Name, ReceivedAt: c.Now, Type: Browse, Write: write}
-	deadline := c.Options.Load.Deadline.Milliseconds()
+	x := &Request{ID: fmt.Sprint("t", c.requestCount), Front: f.Name, ReceivedAt: c.Now, Timeout: c.Options.Load.Deadline, Type: Browse, Write: write}
 	if f.FailureRate != nil && c.Rand.Float64() < f.FailureRate(f.Core.ConfigVersion()) {
-		deadline = 1 // too short for any server
+		x.Timeout = time.Millisecond // too short for any server
 	}
+	deadline := x.Timeout.Milliseconds()
 	sql := fmt.Sprintf("SELECT 'x' /* id=%s,c=%s,d=%d,cluster=%d */", x.ID, Browse, deadline, group)
 	if write {
 		x.Type = Book
--- a/lab/proxysim/server.go
+++ b/lab/proxysim/server.go
@@ -189,7 +189,7 @@
 	s := c.serversByName[p.addresses[server]]
 	f.host.After(c.networkDelay(), func(time.Duration) {
 		if s == nil || s.Down {
-			f.post(&front.AttemptFinished{Attempt: a, Err: &front.ConnectionError{Stage: front.StageDial, Err: errRefused}})
+			f.observe(&front.AttemptFinished{Attempt: a, Err: &front.ConnectionError{Stage: front.StageDial, Err: errRefused}})
 			return
 		}
 		cancelled := new(bool)
@@ -201,7 +201,7 @@
 			s.receive(f.Name, message, cancelled, func(r pgwire.QueryResult) {
 				c.After(c.networkDelay(), func() {
 					if !*cancelled {
-						f.host.After(0, func(time.Duration) { f.post(&front.AttemptFinished{Attempt: a, Answer: r}) })
+						f.host.After(0, func(time.Duration) { f.observe(&front.AttemptFinished{Attempt: a, Answer: r}) })
 					}
 				})
 			})
