router: a timeout of two ticks or less is served; only what waits ends by ticks

Callers saw: a request with two tenths of the shortest latency objective or less got 53300 as it came, at idle servers (each of 100 with d=400 before three idle servers, objective 2 s). Cause: waitsUntil ended two ticks before the deadline also for what a server would take at once.

--- a/router/request.go
+++ b/router/request.go
@@ -64,8 +64,9 @@
 	requestTypes []routing.RequestType
 	mayCancel    bool
 	slots        []request
-	queue        []uint32 // slots to be planned: new, or without a server that takes them
-	toCancel     []uint32 // slots of which an attempt is to be cancelled
+	queue        []uint32      // slots to be planned: new, or without a server that takes them
+	toCancel     []uint32      // slots of which an attempt is to be cancelled
+	wakeAt       time.Duration // of the timer that was last set for a wait that ends between ticks
 }
 
 var noAttempt = attemptState{sentTo: none, planned: none, lastServer: none}
--- a/router/retry.go
+++ b/router/retry.go
@@ -16,6 +16,9 @@
 	retryBudget float64 // retries that are still allowed
 }
 
+// shortWaitMargin is the part of a short timeout that is left when a wait ends.
+const shortWaitMargin = 4
+
 // Retries stay a fraction of first attempts: timeouts must not cause more work than they save.
 const (
 	retryShare   = 1.0 / 5
@@ -48,7 +51,7 @@
 }
 
 // waitsUntil is the time until which a request may wait for a server: until two ticks before its deadline, or, for a write or a
-// retry that was never sent, before half of its timeout.
+// retry that was never sent, before half of its timeout. A short timeout leaves less: what a server takes at once is sent.
 func (r *Router) waitsUntil(req *request) time.Duration {
 	end := req.deadline
 	neverRan := !req.mayHaveRun && !req.misrouted
@@ -56,7 +59,12 @@
 	if neverRan && (t.Consistency == routing.Write || req.weight < t.PriorityWeight) {
 		end = req.receivedAt + req.Timeout/2
 	}
-	return end - 2*r.tickInterval
+	return end - min(2*r.tickInterval, req.Timeout/shortWaitMargin)
+}
+
+// endsBetweenTicks reports whether a request's timeout is so short that ticks alone would end its wait too late.
+func (r *Router) endsBetweenTicks(req *request) bool {
+	return req.Timeout < 2*shortWaitMargin*r.tickInterval
 }
 
 // tooLate reports whether an answer that is begun now would miss an objective behind which it is worth nothing. A typical
--- a/router/router.go
+++ b/router/router.go
@@ -129,6 +129,7 @@
 		r.emit(now, req)
 		if req.queued = req.state == pending && req.sentTo == none; req.queued {
 			waiting = append(waiting, slot)
+			r.wakeAtEndOfWait(now, req)
 		}
 	}
 	r.queue = waiting
@@ -146,6 +147,17 @@
 	}
 }
 
+// wakeAtEndOfWait has the queue looked at when a request that waits is to be given up, where no tick is near enough to that.
+func (r *Router) wakeAtEndOfWait(now time.Duration, req *request) {
+	if !r.endsBetweenTicks(req) {
+		return
+	}
+	if until := r.waitsUntil(req) + 1; r.wakeAt <= now || until < r.wakeAt {
+		r.wakeAt = until
+		r.host.SetTimer(until - now)
+	}
+}
+
 // emit calls the host for the difference between a request's planned state and its present one.
 func (r *Router) emit(now time.Duration, req *request) {
 	if req.sentTo != none && req.planned != req.sentTo && !req.cancelling {
