agent: a probe that waited for a shared result is sent to its own server

Cause: sendExpired took every probe whose wait was over and sent it to the server of the timer that fired. Evidence: TestProbeThatWaitedIsSentToItsOwnServer, red before: the probe of server 1 went to the pool of server 0 where the leaseholder reported two pending probes in a row. Now a probe that waits keeps its server's index, so no timer can mix them.

--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -26,7 +26,7 @@
 	probeTimeout time.Duration                            // after which the core ends a probe by itself
 
 	mu      sync.Mutex // guards the fields below
-	cache   *fleet.ProbeCache[*front.Attempt]
+	cache   *fleet.ProbeCache[heldProbe]
 	servers serverTable
 	leases  probeLeases
 	pending map[*front.Attempt]probedServer // own probes as the leaseholder, not answered yet
@@ -85,6 +85,12 @@
 	}
 }
 
+// heldProbe is the core's probe of a server, by the core's index, that waits for another front's result.
+type heldProbe struct {
+	server  int
+	attempt *front.Attempt
+}
+
 // errSharedProbe is the cause of a probe's failure that another front's probe showed.
 var errSharedProbe = errors.New("probe of another front failed")
 
@@ -93,7 +99,7 @@
 	return &Prober{
 		After:        func(d time.Duration, call func()) { time.AfterFunc(d, call) },
 		probeTimeout: probeTimeout,
-		cache:        fleet.NewProbeCache[*front.Attempt](leaseDuration, probeTimeout/2),
+		cache:        fleet.NewProbeCache[heldProbe](leaseDuration, probeTimeout/2),
 		servers:      serverTable{byAddress: map[string]probedServer{}, groups: map[int64]bool{}},
 		leases:       probeLeases{own: map[string]bool{}, holders: map[string]string{}, isolated: true},
 		pending:      map[*front.Attempt]probedServer{},
@@ -138,7 +144,7 @@
 	leaseName := fleet.ProbeLease(target.group)
 	ours := ok && p.leases.own[leaseName]
 	holder := p.leases.holders[leaseName]
-	decision, result := p.cache.Decide(p.Now(), target.name, attempt, ok && !ours && holder != "" && !p.leases.isolated)
+	decision, result := p.cache.Decide(p.Now(), target.name, heldProbe{server, attempt}, ok && !ours && holder != "" && !p.leases.isolated)
 	if ours {
 		p.pending[attempt] = target
 		p.cache.AcceptRequest(p.Now(), target.name)
@@ -155,19 +161,18 @@
 		p.After(0, func() { p.post(probeFinished(attempt, result)) }) // the caller is the core, which reads what is posted
 	case fleet.AwaitResult:
 		p.After(0, func() { p.RequestProbe(holder, target.name) })
-		sendExpired := func() { p.sendExpired(server) }
-		p.After(p.cache.MaxWait, sendExpired)
-		p.After(2*p.cache.MaxWait, sendExpired)
+		p.After(p.cache.MaxWait, p.sendExpired)
+		p.After(2*p.cache.MaxWait, p.sendExpired)
 	}
 }
 
 // sendExpired sends the probes for which no result came in time.
-func (p *Prober) sendExpired(server int) {
+func (p *Prober) sendExpired() {
 	p.mu.Lock()
 	expired := p.cache.Expired(p.Now())
 	p.mu.Unlock()
-	for _, attempt := range expired {
-		p.pools.Send(server, attempt)
+	for _, probe := range expired {
+		p.pools.Send(probe.server, probe.attempt)
 	}
 }
 
@@ -241,8 +246,8 @@
 	p.mu.Lock()
 	answered := p.cache.AddResult(p.Now(), term, result)
 	p.mu.Unlock()
-	for _, attempt := range answered {
-		p.post(probeFinished(attempt, result))
+	for _, probe := range answered {
+		p.post(probeFinished(probe.attempt, result))
 	}
 }
 
--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,128 @@
 	s.OnFleetEvent(fleet.LeaseAcquired{Lease: "scout/3"}, "n1")
 	assert.True(t, s.leases.own["scout/3"] && s.leases.holders["scout/3"] == "")
 }
+
+// proberHarness is the prober of front n1 between a core and pools, with a clock that the test moves. It records what the prober sends,
+// posts and publishes. The list has servers "a" and "b" of one group, as 0 and 1.
+type proberHarness struct {
+	*Prober
+	now       time.Duration
+	timers    []harnessTimer
+	sent      []sentProbe
+	posted    []front.Event
+	published []fleet.ProbeResult
+	requested []string // servers that the leaseholder was asked to probe
+}
+
+// sentProbe is a probe that reached the pool of a server.
+type sentProbe struct {
+	server  int
+	attempt *front.Attempt
+}
+
+type harnessTimer struct {
+	at   time.Duration
+	call func()
+}
+
+// recordingPools are the harness's pools.
+type recordingPools struct{ h *proberHarness }
+
+// SetAddress implements front.Pools.
+func (recordingPools) SetAddress(int, string, time.Duration) {}
+
+// Remove implements front.Pools.
+func (recordingPools) Remove(int) {}
+
+// Send implements front.Pools.
+func (p recordingPools) Send(server int, a *front.Attempt) {
+	p.h.sent = append(p.h.sent, sentProbe{server, a})
+}
+
+const (
+	harnessLeaseDuration = 3 * time.Second
+	harnessProbeTimeout  = 500 * time.Millisecond
+)
+
+// newProberHarness is a prober whose group's probe lease the named front holds.
+func newProberHarness(leaseholder string) *proberHarness {
+	h := &proberHarness{Prober: NewProber(harnessLeaseDuration, harnessProbeTimeout)}
+	h.Now = func() time.Duration { return h.now }
+	h.After = func(d time.Duration, call func()) { h.timers = append(h.timers, harnessTimer{h.now + d, call}) }
+	h.DeclareLease = func(string) {}
+	h.RequestProbe = func(_, server string) { h.requested = append(h.requested, server) }
+	h.Broadcast = func(_ string, data []byte) bool {
+		result, _ := fleet.DecodeProbeResult(data)
+		h.published = append(h.published, result)
+		return true
+	}
+	pools, _ := h.Connect(func(e front.Event) { h.posted = append(h.posted, e) },
+		func(func(front.Event)) (front.Pools, error) { return recordingPools{h}, nil })
+	h.OnFrontEvent(front.EndpointsChanged{Kind: routing.Snapshot, List: discovery.List{Endpoints: []discovery.Endpoint{
+		{Name: "a", Address: "x:1", Group: 3}, {Name: "b", Address: "x:2", Group: 3}}}})
+	pools.SetAddress(0, "x:1", 0)
+	pools.SetAddress(1, "x:2", 0)
+	h.posted = nil
+	h.OnFleetEvent(fleet.FleetReached{}, "n1")
+	h.OnFleetEvent(fleet.LeaseGranted{Lease: "scout/3", Leaseholder: leaseholder}, "n1")
+	if leaseholder == "n1" {
+		h.OnFleetEvent(fleet.LeaseAcquired{Lease: "scout/3"}, "n1")
+	}
+	return h
+}
+
+// run moves the clock and calls what falls due, in order.
+func (h *proberHarness) run(d time.Duration) {
+	for end := h.now + d; ; {
+		next := -1
+		for i, t := range h.timers {
+			if t.at <= end && (next < 0 || t.at < h.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			h.now = end
+			return
+		}
+		t := h.timers[next]
+		h.timers = slices.Delete(h.timers, next, next+1)
+		h.now = max(h.now, t.at)
+		t.call()
+	}
+}
+
+// probe has the core's probe of a server sent.
+func (h *proberHarness) probe(server int) *front.Attempt {
+	a := front.NewHealthCheck(nil)
+	h.Send(server, a)
+	return a
+}
+
+// receive delivers the leaseholder's result of a probe.
+func (h *proberHarness) receive(result fleet.ProbeResult) { h.OnProbeResult(1, result.Encode()) }
+
+// answered returns the event that ended a probe, nil where none did.
+func (h *proberHarness) answered(a *front.Attempt) *front.AttemptFinished {
+	for _, e := range h.posted {
+		if f, ok := e.(*front.AttemptFinished); ok && f.Attempt == a {
+			return f
+		}
+	}
+	return nil
+}
+
+// Guards against a probe that is sent to another server, whose role and position would count as this one's.
+func TestProbeThatWaitedIsSentToItsOwnServer(t *testing.T) {
+	h := newProberHarness("n2")
+	h.receive(fleet.ProbeResult{Server: "b", Pending: true})
+	b := h.probe(1)
+	h.run(harnessProbeTimeout / 5)
+	h.receive(fleet.ProbeResult{Server: "b", Pending: true}) // of the leaseholder's next probe
+	h.run(harnessProbeTimeout / 2)
+	h.probe(0)
+	h.run(2 * harnessProbeTimeout)
+	assert.NotEmpty(t, h.sent)
+	for _, s := range h.sent {
+		assert.Equal(t, s.attempt == b, s.server == 1, "server %d", s.server)
+	}
+}
