agent: a probe that waits for another front's ends in time, and as not sent

Cause: a wait of half of the core's time, doubled while the leaseholder's probe is pending, is all of it. Evidence: TestProbeThatWaitsIsSentInTimeOrEndsAsNotSent, three of four cases red before. Now the wait is two fifths, so that a probe that is sent has three fifths left, and one that waited twice ends as not sent, from which nothing is learnt of the server.

--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -85,21 +85,30 @@
 	}
 }
 
-// heldProbe is the core's probe of a server, by the core's index, that waits for another front's result.
+// heldProbe is the core's probe of a server that waits for another front's result.
 type heldProbe struct {
-	server  int
-	attempt *front.Attempt
+	server    int // the core's index
+	attempt   *front.Attempt
+	startedAt time.Duration
 }
 
-// errSharedProbe is the cause of a probe's failure that another front's probe showed.
-var errSharedProbe = errors.New("probe of another front failed")
+var (
+	// errSharedProbe is the cause of a probe's failure that another front's probe showed.
+	errSharedProbe = errors.New("probe of another front failed")
+	// errProbePending is the cause of a probe's end that waited for another front's until too little time was left.
+	errProbePending = errors.New("probe of another front is pending")
+)
+
+// waitFraction is the part of a probe's timeout for which it waits for a result, twice that while the other front's probe is
+// pending: less than half, so that it ends before the core takes its silence for the server's.
+const waitFraction = 2.0 / 5
 
 // NewProber makes a Prober for a fleet's lease duration; probeTimeout is how long the core waits for a probe.
 func NewProber(leaseDuration, probeTimeout time.Duration) *Prober {
 	return &Prober{
 		After:        func(d time.Duration, call func()) { time.AfterFunc(d, call) },
 		probeTimeout: probeTimeout,
-		cache:        fleet.NewProbeCache[heldProbe](leaseDuration, probeTimeout/2),
+		cache:        fleet.NewProbeCache[heldProbe](leaseDuration, time.Duration(waitFraction*float64(probeTimeout))),
 		servers:      serverTable{byAddress: map[string]probedServer{}, groups: map[int64]bool{}},
 		leases:       probeLeases{own: map[string]bool{}, holders: map[string]string{}, isolated: true},
 		pending:      map[*front.Attempt]probedServer{},
@@ -144,7 +153,7 @@
 	leaseName := fleet.ProbeLease(target.group)
 	ours := ok && p.leases.own[leaseName]
 	holder := p.leases.holders[leaseName]
-	decision, result := p.cache.Decide(p.Now(), target.name, heldProbe{server, attempt}, ok && !ours && holder != "" && !p.leases.isolated)
+	decision, result := p.cache.Decide(p.Now(), target.name, heldProbe{server, attempt, p.Now()}, ok && !ours && holder != "" && !p.leases.isolated)
 	if ours {
 		p.pending[attempt] = target
 		p.cache.AcceptRequest(p.Now(), target.name)
@@ -161,18 +170,24 @@
 		p.After(0, func() { p.post(probeFinished(attempt, result)) }) // the caller is the core, which reads what is posted
 	case fleet.AwaitResult:
 		p.After(0, func() { p.RequestProbe(holder, target.name) })
-		p.After(p.cache.MaxWait, p.sendExpired)
-		p.After(2*p.cache.MaxWait, p.sendExpired)
+		p.After(p.cache.MaxWait, p.endWaits)
+		p.After(2*p.cache.MaxWait, p.endWaits)
 	}
 }
 
-// sendExpired sends the probes for which no result came in time.
-func (p *Prober) sendExpired() {
+// endWaits ends the waits of the probes for which no result came in time. They are sent, or end as not sent where they have waited so
+// long, for another front's pending probe, that the server could not answer in the time that is left.
+func (p *Prober) endWaits() {
 	p.mu.Lock()
-	expired := p.cache.Expired(p.Now())
+	now := p.Now()
+	expired := p.cache.Expired(now)
 	p.mu.Unlock()
 	for _, probe := range expired {
-		p.pools.Send(probe.server, probe.attempt)
+		if now-probe.startedAt < 2*p.cache.MaxWait {
+			p.pools.Send(probe.server, probe.attempt)
+			continue
+		}
+		p.post(&front.AttemptFinished{Attempt: probe.attempt, Err: &front.ConnectionError{Stage: front.StageLocal, Err: errProbePending}})
 	}
 }
 
--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -169,3 +169,40 @@
 		assert.Equal(t, s.attempt == b, s.server == 1, "server %d", s.server)
 	}
 }
+
+// Guards against a probe that waits for another front's until its own time is over, and then counts as the server's silence.
+func TestProbeThatWaitsIsSentInTimeOrEndsAsNotSent(t *testing.T) {
+	pending := fleet.ProbeResult{Server: "b", Pending: true}
+	for _, x := range []struct {
+		name           string
+		before, during bool // when the leaseholder reports that its own probe is pending
+		sent           bool
+	}{
+		{name: "nothing is reported", sent: true},
+		{name: "pending as it begins", before: true},
+		{name: "pending while it waits", during: true},
+		{name: "pending twice", before: true, during: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			h := newProberHarness("n2")
+			if x.before {
+				h.receive(pending)
+			}
+			probe := h.probe(1)
+			h.run(harnessProbeTimeout / 4)
+			if x.during {
+				h.receive(pending)
+			}
+			h.run(harnessProbeTimeout/4 + harnessProbeTimeout/2 - 1) // right before the core ends it
+			if x.sent {
+				assert.Equal(t, []sentProbe{{1, probe}}, h.sent)
+				return
+			}
+			assert.Empty(t, h.sent, "it could not be answered in time")
+			finished := h.answered(probe)
+			if assert.NotNil(t, finished) && assert.NotNil(t, finished.Err) {
+				assert.Equal(t, front.StageLocal, finished.Err.Stage, "the server is not to blame")
+			}
+		})
+	}
+}
--- a/fleet/probe_cache.go
+++ b/fleet/probe_cache.go
@@ -61,8 +61,8 @@
 
 // waitingQuery is a probe that waits for a result.
 type waitingQuery[Q any] struct {
-	query Q
-	until time.Duration
+	query         Q
+	until, latest time.Duration // until when it waits, and at the latest while the prober's own is pending
 }
 
 // NewProbeCache returns an empty cache.
@@ -99,14 +99,20 @@
 	if len(s.waiting) >= maxKnownFronts {
 		return ProbeNow, result
 	}
-	until := now + s.MaxWait
-	if at, ok := s.pending[server]; ok && now-at < 2*s.MaxWait {
-		until += s.MaxWait
+	waiting := waitingQuery[Q]{query, now + s.MaxWait, now + 2*s.MaxWait}
+	if s.probePending(now, server) {
+		waiting.until = waiting.latest
 	}
-	s.waiting[server] = append(s.waiting[server], waitingQuery[Q]{query, until})
+	s.waiting[server] = append(s.waiting[server], waiting)
 	return AwaitResult, result
 }
 
+// probePending reports whether the prober's own probe of a server is under way, as far as it has reported.
+func (s *ProbeCache[Q]) probePending(now time.Duration, server string) bool {
+	at, ok := s.pending[server]
+	return ok && now-at < 2*s.MaxWait
+}
+
 // AddResult adds a prober's result of a lease term, and returns the probes that it answers. A result of an older term than the
 // last one's is ignored.
 func (s *ProbeCache[Q]) AddResult(now time.Duration, term uint64, result ProbeResult) (answers []Q) {
@@ -117,7 +123,8 @@
 	if result.Pending { // waiting probes go on waiting
 		s.pending[result.Server] = now
 		for i := range s.waiting[result.Server] {
-			s.waiting[result.Server][i].until += s.MaxWait
+			waiting := &s.waiting[result.Server][i]
+			waiting.until = waiting.latest
 		}
 		return nil
 	}
