fleet: a shared probe's result spares no probe of a server that may be the primary

Cause: an ejected primary is found again by the role in a health check; all fronts but the leaseholder had theirs answered by its results, which carry no role. Evidence: TestWritesAloneFindThePrimaryBehindAnOutage, both fleet cases red before, both cases without a fleet green. Now a result has a last field, the role that the server claimed, and answers a probe only for a failure or a replica; the role goes no further, so a result still makes no primary. Older programs skip the field; their results spare no probe of a well server.

--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"dapplerouter/deployment"
 	"dapplerouter/discovery"
 	"dapplerouter/fleet"
 	"dapplerouter/front"
 	"dapplerouter/pgwire"
+	"dapplerouter/routing"
 )
 
 // Prober lets one front of a fleet run a group's health checks for all. It stands before the pools of connections to servers and
@@ -200,6 +202,9 @@
 		if _, probe := e.Attempt.Forwarded(); probe {
 			result := fleet.ProbeResult{Healthy: e.Err == nil && e.Answer.Code == "" && e.Answer.Complete, Code: e.Answer.Code}
 			result.ConnectionLost = e.Err != nil && e.Err.Stage == front.StageRead
+			if result.Healthy {
+				result.Role = claimedRole(&e.Answer)
+			}
 			p.post(e)
 			p.publishResult(e.Attempt, result)
 			return
@@ -259,10 +264,14 @@
 		return
 	}
 	p.mu.Lock()
-	answered := p.cache.AddResult(p.Now(), term, result)
+	waited := p.cache.AddResult(p.Now(), term, result)
 	p.mu.Unlock()
-	for _, probe := range answered {
-		p.post(probeFinished(probe.attempt, result))
+	for _, probe := range waited {
+		if result.Answers() {
+			p.post(probeFinished(probe.attempt, result))
+		} else {
+			p.pools.Send(probe.server, probe.attempt)
+		}
 	}
 }
 
@@ -273,6 +282,21 @@
 	return p.cache.ProbesAvoided
 }
 
+// claimedRole is the role that a load report claims for its server.
+func claimedRole(answer *pgwire.QueryResult) fleet.ClaimedRole {
+	report := deployment.EmptyLoad
+	if !pgwire.ParseLoadReport(answer.Value(), func(name string, v float64) { deployment.SetLoadField(&report, name, v, 0) }) {
+		return fleet.ClaimedUnknown
+	}
+	switch report.Role {
+	case routing.Primary:
+		return fleet.ClaimedPrimary
+	case routing.Replica:
+		return fleet.ClaimedReplica
+	}
+	return fleet.ClaimedUnknown
+}
+
 // probeFinished is a shared result as the end of a probe: without position, role or load, whatever the leaseholder received.
 func probeFinished(attempt *front.Attempt, result fleet.ProbeResult) *front.AttemptFinished {
 	switch {
--- a/fleet/compat_test.go
+++ b/fleet/compat_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/hex"
 	"testing"
 	"time"
 
@@ -129,3 +130,36 @@
 	require.Len(t, out, 1)
 	assert.Equal(t, &LeaderReply{RequestID: 9}, out[0].Message.Reply)
 }
+
+// oldProbeResult is a probe's result of the program before results had a role.
+type oldProbeResult struct {
+	//lint:ignore U1000 package msgpack reads this field's tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Server         string
+	Healthy        bool
+	Code           string
+	ConnectionLost bool
+	Pending        bool
+}
+
+func (result *oldProbeResult) DecodeMsgpack(d *msgpack.Decoder) error { // as that program did
+	return decodeLenient(d, &result.Server, &result.Healthy, &result.Code, &result.ConnectionLost, &result.Pending)
+}
+
+func TestProbeResultsBetweenVersions(t *testing.T) {
+	var old oldProbeResult
+	newer := ProbeResult{Server: "s-1", Healthy: true, Role: ClaimedPrimary}
+	require.NoError(t, msgpack.Unmarshal(newer.Encode(), &old))
+	assert.Equal(t, oldProbeResult{Server: "s-1", Healthy: true}, old)
+	same, ok := DecodeProbeResult(newer.Encode())
+	require.True(t, ok)
+	assert.Equal(t, newer, same)
+
+	b, err := hex.DecodeString("95a3732d31c3a53537503033c3c3") // as that program wrote it
+	require.NoError(t, err)
+	result, ok := DecodeProbeResult(b)
+	require.True(t, ok)
+	assert.Equal(t, ProbeResult{Server: "s-1", Healthy: true, Code: "57P03", ConnectionLost: true, Pending: true}, result)
+	assert.False(t, result.Answers(), "its server may be the primary")
+}
--- a/fleet/encoding_test.go
+++ b/fleet/encoding_test.go
@@ -134,7 +134,7 @@
 	all["initial snapshot"] = hex.EncodeToString(initialSnapshot([]Voter{{"n1", "10.0.0.1:7500"}, {"n2", "10.0.0.2:7500"}, {"n3", "10.0.0.3:7500"}}).GetData())
 	all["endpoint update"] = hex.EncodeToString(encodeEndpointUpdate(discovery.List{Index: 18, Snapshot: true, Endpoints: []discovery.Endpoint{
 		{Name: "s-1", Address: "10.0.1.1:5432", Zone: "a", ServerType: "k", Group: 4, State: routing.Serving, Weight: 0.5, Primary: true, StartedAtMillis: 99}}}, 17))
-	all["probe result"] = hex.EncodeToString(ProbeResult{Server: "s-1", Healthy: true, Code: "57P03", ConnectionLost: true, Pending: true}.Encode())
+	all["probe result"] = hex.EncodeToString(ProbeResult{Server: "s-1", Healthy: true, Code: "57P03", ConnectionLost: true, Pending: true, Role: ClaimedPrimary}.Encode())
 	all["history entry"] = hex.EncodeToString([]byte(HistoryEntry{At: 1, Front: "n1", Incarnation: 2, Kind: "held", Lease: "list", Term: 3, Name: "n2",
 		Since: 4, Until: 5, Number: 6, Index: 7, Reason: "y"}.String()))
 	return all
--- a/fleet/lenient_decode.go
+++ b/fleet/lenient_decode.go
@@ -85,5 +85,5 @@
 
 // DecodeMsgpack decodes a ProbeResult of this or another version of the program.
 func (result *ProbeResult) DecodeMsgpack(d *msgpack.Decoder) error {
-	return decodeLenient(d, &result.Server, &result.Healthy, &result.Code, &result.ConnectionLost, &result.Pending)
+	return decodeLenient(d, &result.Server, &result.Healthy, &result.Code, &result.ConnectionLost, &result.Pending, &result.Role)
 }
--- a/fleet/probe_cache.go
+++ b/fleet/probe_cache.go
@@ -10,8 +10,18 @@
 // ProbeLease is the lease of the front that probes a group's servers for all.
 func ProbeLease(group int64) string { return "scout/" + strconv.FormatInt(group, 10) }
 
-// ProbeResult is how a probe of a server ended; never a log position or a role. It may make another front try a server earlier or
-// later; it proves no freshness and makes no primary.
+// ClaimedRole is the role that a server claimed to a prober.
+type ClaimedRole uint8
+
+// The roles. A result of a program that knew none has ClaimedUnknown.
+const (
+	ClaimedUnknown ClaimedRole = iota
+	ClaimedReplica
+	ClaimedPrimary
+)
+
+// ProbeResult is how a probe of a server ended; never a log position. It may make another front try a server earlier or later; it
+// proves no freshness and makes no primary.
 type ProbeResult struct {
 	//lint:ignore U1000 package msgpack reads this field's tag
 	_msgpack struct{} `msgpack:",as_array"`
@@ -21,8 +31,13 @@
 	Code           string // of the server's refusal, "" for none
 	ConnectionLost bool   // after the probe was sent; else an unhealthy server refused the connection or did not answer
 	Pending        bool   // the probe was sent and is not answered yet: its result follows
+	Role           ClaimedRole
 }
 
+// Answers reports whether a result can stand for a probe of another front: a failure can, and the health of a replica. A server that may
+// be the primary is probed by each front itself, since only the server's own answer makes it the primary there.
+func (result *ProbeResult) Answers() bool { return !result.Healthy || result.Role == ClaimedReplica }
+
 // Encode encodes a result for a broadcast.
 func (result ProbeResult) Encode() []byte {
 	b, err := msgpack.Marshal(&result)
@@ -93,6 +108,9 @@
 		return ProbeNow, result
 	}
 	if cached, ok := s.results[server]; ok && now-cached.receivedAt < s.FreshFor+min(cached.interval, 4*s.FreshFor) {
+		if !cached.Answers() {
+			return ProbeNow, result
+		}
 		s.ProbesAvoided++
 		return UseResult, cached.ProbeResult
 	}
@@ -113,9 +131,9 @@
 	return ok && now-at < 2*s.MaxWait
 }
 
-// AddResult adds a prober's result of a lease term, and returns the probes that it answers. A result of an older term than the
-// last one's is ignored.
-func (s *ProbeCache[Q]) AddResult(now time.Duration, term uint64, result ProbeResult) (answers []Q) {
+// AddResult adds a prober's result of a lease term, and returns the probes that waited for it; where it does not answer them they are to
+// be sent. A result of an older term than the last one's is ignored.
+func (s *ProbeCache[Q]) AddResult(now time.Duration, term uint64, result ProbeResult) (waited []Q) {
 	previous, ok := s.results[result.Server]
 	if ok && term < previous.term || !ok && len(s.results) >= maxKnownFronts {
 		return nil
@@ -135,11 +153,13 @@
 	}
 	s.results[result.Server] = next
 	for _, query := range s.waiting[result.Server] {
-		answers = append(answers, query.query)
+		waited = append(waited, query.query)
+	}
+	if result.Answers() {
+		s.ProbesAvoided += len(waited)
 	}
-	s.ProbesAvoided += len(answers)
 	delete(s.waiting, result.Server)
-	return answers
+	return waited
 }
 
 // AcceptRequest reports whether another front's request to probe a server should be served: not where it was requested
--- a/lab/proxysim/prober_test.go
+++ b/lab/proxysim/prober_test.go
@@ -77,3 +77,39 @@
 	}
 	assert.Greater(t, succeeded, writes*98/100, "of %d writes with time", writes)
 }
+
+// Guards against fronts that stay without a primary: a result of another front's probe names none.
+func TestWritesAloneFindThePrimaryBehindAnOutage(t *testing.T) {
+	const outage, recovery = 5 * time.Second, 5 * time.Second
+	for _, x := range []struct {
+		name       string
+		newPrimary int
+	}{{"the primary returns", 0}, {"another server is primary", 1}} {
+		for _, withFleet := range []bool{false, true} {
+			t.Run(x.name+map[bool]string{true: ", in a fleet"}[withFleet], func(t *testing.T) {
+				o := smallOptions(8, withFleet)
+				o.Load.WriteFraction = 1
+				cluster := New(o)
+				cluster.StartAll()
+				cluster.Run(15 * time.Second)
+				group := cluster.Servers[:3]
+				group[0].Down = true
+				cluster.Run(outage)
+				for i, s := range group {
+					s.Primary, s.Down = i == x.newPrimary, false
+				}
+				cluster.Run(recovery)
+				from := cluster.Now
+				cluster.Run(10 * time.Second)
+				require.Empty(t, cluster.Violations)
+				failed := map[string]int{}
+				for _, r := range cluster.Requests {
+					if r.ReceivedAt > from && r.Responses > 0 && r.Status != front.StatusSucceeded {
+						failed[r.Front]++
+					}
+				}
+				assert.Empty(t, failed, "failed writes by front")
+			})
+		}
+	}
+}
