agent: a probe that this machine could not send is not reported as failed

Cause: OnFrontEvent published every error of a probe. Evidence: TestProbeThatWasNotSentIsNotReportedAsFailed, red before (one result "unhealthy" published). Now a local error is told to the core alone and the pending probe is dropped; the others' waits end and they probe for themselves. The result is read before the event is posted, as before, since the core releases the answer.

--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -200,19 +200,38 @@
 		p.onList(e.List)
 	case *front.AttemptFinished:
 		if _, probe := e.Attempt.Forwarded(); probe {
-			result := fleet.ProbeResult{Healthy: e.Err == nil && e.Answer.Code == "" && e.Answer.Complete, Code: e.Answer.Code}
-			result.ConnectionLost = e.Err != nil && e.Err.Stage == front.StageRead
-			if result.Healthy {
-				result.Role = claimedRole(&e.Answer)
-			}
+			result, known := probeResult(e) // first: the core releases the answer
 			p.post(e)
-			p.publishResult(e.Attempt, result)
+			if known {
+				p.publishResult(e.Attempt, result)
+			} else {
+				p.forget(e.Attempt)
+			}
 			return
 		}
 	}
 	p.post(e)
 }
 
+// probeResult is how an own probe ended. known is false where this machine could not send it, which says nothing of its server.
+func probeResult(e *front.AttemptFinished) (result fleet.ProbeResult, known bool) {
+	if e.Err != nil {
+		return fleet.ProbeResult{ConnectionLost: e.Err.Stage == front.StageRead}, e.Err.Stage != front.StageLocal
+	}
+	result = fleet.ProbeResult{Healthy: e.Answer.Code == "" && e.Answer.Complete, Code: e.Answer.Code}
+	if result.Healthy {
+		result.Role = claimedRole(&e.Answer)
+	}
+	return result, true
+}
+
+// forget drops a pending probe, of which nothing is published any more.
+func (p *Prober) forget(attempt *front.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, attempt)
+}
+
 // OnFleetEvent handles an event of the fleet; self is this front's name.
 func (p *Prober) OnFleetEvent(e fleet.Event, self string) {
 	p.mu.Lock()
--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -206,3 +206,14 @@
 		})
 	}
 }
+
+// Guards against a server that the whole fleet holds for dead since the leaseholder had no descriptor or port left.
+func TestProbeThatWasNotSentIsNotReportedAsFailed(t *testing.T) {
+	h := newProberHarness("n1")
+	probe := h.probe(0)
+	assert.Equal(t, []sentProbe{{0, probe}}, h.sent)
+	h.OnFrontEvent(&front.AttemptFinished{Attempt: probe, Err: &front.ConnectionError{Stage: front.StageLocal, Err: assert.AnError}})
+	h.run(2 * harnessProbeTimeout)
+	assert.Empty(t, h.published)
+	assert.NotNil(t, h.answered(probe), "the core hears of it")
+}
