fleet: shared results end with what they say; a later probe has the prober look again

Cause: Decide used a result for a lease duration and up to four times that more, by the interval of results, without a request to the prober. Evidence: TestSharedResultsDoNotOutliveWhatTheySay, both cases red before.

--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -217,3 +217,31 @@
 	assert.Empty(t, h.published)
 	assert.NotNil(t, h.answered(probe), "the core hears of it")
 }
+
+// Guards against one lost probe, or the role of a while ago, that stands for every front's probes for five lease durations.
+func TestSharedResultsDoNotOutliveWhatTheySay(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		result   fleet.ProbeResult
+		lifetime time.Duration
+	}{
+		{"a failure", fleet.ProbeResult{Server: "b"}, harnessLeaseDuration},
+		{"a replica that may become primary", fleet.ProbeResult{Server: "b", Healthy: true, Role: fleet.ClaimedReplica}, harnessProbeTimeout},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			h := newProberHarness("n2")
+			h.receive(x.result)
+			h.run(time.Minute)
+			h.receive(x.result) // the interval between results is long
+			h.run(x.lifetime / 2)
+			early := h.probe(1)
+			h.run(x.lifetime / 2)
+			assert.NotNil(t, h.answered(early))
+			assert.Empty(t, h.requested)
+			late := h.probe(1)
+			h.run(1)
+			assert.Nil(t, h.answered(late))
+			assert.Equal(t, []string{"b"}, h.requested, "the leaseholder is asked to look again")
+		})
+	}
+}
--- a/fleet/probe_cache.go
+++ b/fleet/probe_cache.go
@@ -56,7 +56,7 @@
 // ProbeCache lets a front use the prober's results: its own probes of a server wait a while for a result that may come, and are
 // sent where none does. Q is a probe that waits.
 type ProbeCache[Q any] struct {
-	FreshFor time.Duration // a result is used for so long, and longer by the interval of results, at most four times this
+	FreshFor time.Duration // a failure is used for so long; a replica's health for 2*MaxWait, since it may become primary
 	MaxWait  time.Duration // a probe waits so long for a result; twice as long while the prober's own is pending
 
 	results       map[string]cachedResult
@@ -71,7 +71,6 @@
 	ProbeResult
 	term       uint64
 	receivedAt time.Duration
-	interval   time.Duration // between the last two
 }
 
 // waitingQuery is a probe that waits for a result.
@@ -107,7 +106,7 @@
 	if !mayWait {
 		return ProbeNow, result
 	}
-	if cached, ok := s.results[server]; ok && now-cached.receivedAt < s.FreshFor+min(cached.interval, 4*s.FreshFor) {
+	if cached, ok := s.results[server]; ok && now-cached.receivedAt < s.lifetime(&cached.ProbeResult) {
 		if !cached.Answers() {
 			return ProbeNow, result
 		}
@@ -125,6 +124,14 @@
 	return AwaitResult, result
 }
 
+// lifetime is for how long a result is used. Behind it the prober is asked to look again.
+func (s *ProbeCache[Q]) lifetime(result *ProbeResult) time.Duration {
+	if result.Healthy {
+		return 2 * s.MaxWait
+	}
+	return s.FreshFor
+}
+
 // probePending reports whether the prober's own probe of a server is under way, as far as it has reported.
 func (s *ProbeCache[Q]) probePending(now time.Duration, server string) bool {
 	at, ok := s.pending[server]
@@ -147,11 +154,7 @@
 		return nil
 	}
 	delete(s.pending, result.Server)
-	next := cachedResult{result, term, now, 0}
-	if ok {
-		next.interval = now - previous.receivedAt
-	}
-	s.results[result.Server] = next
+	s.results[result.Server] = cachedResult{result, term, now}
 	for _, query := range s.waiting[result.Server] {
 		waited = append(waited, query.query)
 	}
