router: a timeout counts by what it waited beyond the typical latency, for load and ejection

Callers saw: behind clients that ask with 600 ms before servers that answer in 1.2 s all three servers were ejected, and clients with time rejected. Cause: observeTimeout counted each timeout as the greatest load, halved the limit and ejected at the second in a row, however little time the client had allowed. Now a timeout within the type's typical latency says nothing and has the server checked; from twice that or the latency objective on it is a failure as before; between, it adds up since the last answer. The load has the same line. Why it works: what ends before answers come is no sign of silence, and what has waited twice as long as answers take is.

--- a/router/health_check.go
+++ b/router/health_check.go
@@ -53,7 +53,8 @@
 	if load.Role != routing.UnknownRole {
 		r.observeRole(now, i, load.Role, load.Position, load.HasPosition)
 	}
-	s.trialAt, s.answeredAt = min(s.trialAt, now), now
+	s.trialAt = min(s.trialAt, now)
+	s.answered(now)
 	if !s.ejected {
 		s.consecutiveFailures = 0
 	}
--- a/router/outlier_detection.go
+++ b/router/outlier_detection.go
@@ -18,6 +18,7 @@
 	errorRate           float64       // fraction of its attempts that fail
 	lossRate            float64       // fraction of its attempts that are lost while others are answered
 	consecutiveFailures int
+	silence             float64       // evidence that it does not answer, 1 for a failure; since it last answered
 	ejected             bool          // it gets one trial request at a time
 	trialAt             time.Duration // earliest time of the next trial request
 	unreachableAt       time.Duration // when it last could not be reached
@@ -32,6 +33,9 @@
 // lossThreshold is the loss rate over which an attempt that takes long is taken for lost.
 const lossThreshold = 1.0 / 20
 
+// silenceLatencies is how many typical latencies without an answer count as a failure.
+const silenceLatencies = 2
+
 // ejectionTime is the time between trial requests to an ejected server.
 func (r *Router) ejectionTime(s *server) time.Duration {
 	return r.shortestObjective << min(s.consecutiveFailures, maxEjectionDoublings)
@@ -50,6 +54,9 @@
 	g.clearPrimary(i)
 }
 
+// answered notes an answer of any kind.
+func (h *health) answered(now time.Duration) { h.answeredAt, h.silence = now, 0 }
+
 // clearFailures ends an ejection.
 func (h *health) clearFailures() { h.ejected, h.consecutiveFailures = false, 0 }
 
@@ -102,20 +109,20 @@
 	case routing.ServerError: // fast, but no reason to send more
 		r.observeError(now, s)
 	case routing.Overloaded:
-		s.answeredAt = now
+		s.answered(now)
 		s.consecutiveFailures++
 		r.reduceLimit(s, failureReduction)
 		r.observeLoad(now, s, overloadedLoad)
 	case routing.Unreachable, routing.ConnectionLost:
 		r.observeConnectionFailure(now, s, &o)
 	case routing.TimedOut:
-		r.observeTimeout(now, s, &o)
+		r.observeTimeout(now, s, &o, requestType)
 	case routing.Cancelled, routing.NotSent: // by this side: nothing is learnt of the server
 	}
 }
 
 func (r *Router) observeResponse(now time.Duration, s *server, o *routing.AttemptOutcome, requestType int) {
-	s.answeredAt = now
+	s.answered(now)
 	if s.ejected && s.unreachableAt > s.startedAt { // it may have restarted while it was unreachable
 		r.beginSlowStart(now, s, now)
 	}
@@ -137,7 +144,7 @@
 }
 
 func (r *Router) observeError(now time.Duration, s *server) {
-	s.answeredAt = now
+	s.answered(now)
 	r.observeFaults(s, 1, 0)
 	if s.errorRate > 2*r.errorRate {
 		s.consecutiveFailures++
@@ -161,7 +168,9 @@
 	}
 }
 
-func (r *Router) observeTimeout(now time.Duration, s *server, o *routing.AttemptOutcome) {
+// observeTimeout takes an attempt that ended without an answer by its client's time, or this instance's. What that shows depends on how long
+// it had waited: an answer might have come behind it.
+func (r *Router) observeTimeout(now time.Duration, s *server, o *routing.AttemptOutcome, requestType int) {
 	if r.stalled(now) {
 		return
 	}
@@ -169,18 +178,51 @@
 		r.observeFaults(s, 0, 1)
 		return
 	}
-	r.reduceLimit(s, failureReduction)
-	r.observeLoad(now, s, maxLoad)
+	evidence := r.silenceEvidence(requestType, o.Latency)
+	if evidence > 0 {
+		r.reduceLimit(s, failureReduction)
+		r.observeLoad(now, s, maxLoad)
+	} else {
+		r.observeUnanswered(now, s, requestType, o.Latency)
+	}
 	if now-s.answeredAt <= o.Latency {
 		return
 	}
-	if s.consecutiveFailures++; s.consecutiveFailures > 1 { // a single one may be lost or long
+	if s.addSilence(evidence) && s.consecutiveFailures > 1 { // a single one may be lost or long
 		r.eject(now, o.Server)
 	} else {
 		r.startHealthCheck(now, o.Server)
 	}
 }
 
+// addSilence adds evidence of silence, and reports whether it makes another failure.
+func (h *health) addSilence(evidence float64) (failure bool) {
+	if h.silence += evidence; h.silence < 1 {
+		return false
+	}
+	h.silence--
+	h.consecutiveFailures++
+	return true
+}
+
+// silenceEvidence is how much an attempt without an answer shows that its server does not answer, from 0 to 1: nothing within the type's
+// typical latency, and all from its latency objective on, or from twice the typical latency. What lies between is a censored
+// observation: it adds to others. All where the type is not known.
+func (r *Router) silenceEvidence(requestType int, waited time.Duration) float64 {
+	if requestType == none {
+		return 1
+	}
+	typical := r.typicalLatency[requestType]
+	proof := min(silenceLatencies*typical, r.requestTypes[requestType].LatencyObjective)
+	switch {
+	case waited >= proof:
+		return 1
+	case waited <= typical:
+		return 0
+	}
+	return float64(waited-typical) / float64(proof-typical)
+}
+
 // observeFaults updates the error rates of the server and of all servers, and the server's loss rate, by an attempt that
 // counts as 0 or 1 for each.
 func (r *Router) observeFaults(s *server, failed, lost float64) {
--- a/router/short_attempts_test.go
+++ b/router/short_attempts_test.go
@@ -9,12 +9,6 @@
 	"dapplerouter/routing"
 )
 
-// Clients that allow less time than answers usually take had their servers ejected, and everybody rejected.
-//
-// An attempt that ran out of its client's time counted as the greatest load, halved its server's limit, and the second in a
-// row ejected the server, however little time that client had allowed. Behind some requests with 600 ms before servers that
-// answer in 1.2 s, all three were ejected.
-
 // withAnswersOf is three servers that answer reads after that long, as the router knows.
 func withAnswersOf(latency time.Duration) *harness {
 	o := longDeadlines()
@@ -55,6 +49,7 @@
 	return n
 }
 
+// Guards against servers that are ejected, and clients with time that are rejected, for clients that allow less than answers take.
 func TestTimeoutsShorterThanAnswersSayNothingOfTheServers(t *testing.T) {
 	h := withAnswersOf(1200 * ms)
 	for range 50 {
@@ -88,3 +83,58 @@
 	}
 	assert.Positive(t, h.ejectedServers())
 }
+
+// hungServer is what a server that answers neither requests nor health checks costs until it is ejected.
+type hungServer struct {
+	requests int           // that it was sent
+	took     time.Duration // from the first of them
+}
+
+// ejectHungServer asks three servers with a timeout until the third, which hangs, is ejected, for a minute at most. The others answer after
+// that latency, if the timeout lets them.
+func ejectHungServer(latency, timeout time.Duration) (cost hungServer) {
+	const hung = 2
+	h := withAnswersOf(latency)
+	began := h.now
+	for !h.servers[hung].ejected && h.now-began < time.Minute {
+		checked := h.servers[hung].checkInFlight
+		ref := h.receive(anyRead, func(in *routing.Request) { in.Timeout = timeout })
+		server, sent := h.sentTo[ref], h.attempts[ref] > 0
+		answers := sent && server != hung && latency <= timeout
+		h.advance(min(timeout, latency))
+		switch {
+		case answers:
+			h.finish(ref, routing.Succeeded, routing.Replica, h.now)
+		case sent:
+			h.advance(timeout - min(timeout, latency))
+			h.AttemptFinished(h.now, routing.AttemptOutcome{Ref: ref, AttemptNumber: h.attempts[ref] - 1, Server: server, Result: routing.TimedOut, Latency: timeout})
+		}
+		if sent && server == hung {
+			cost.requests++
+		}
+		for i := range h.servers {
+			switch {
+			case i != hung && h.servers[i].checkInFlight:
+				h.reportRole(i, routing.Replica, h.now)
+			case i == hung && checked:
+				h.HealthCheckFinished(h.now, hung, routing.TimedOut, timeout, routing.LoadReport{})
+			}
+		}
+		h.advance(50 * ms)
+	}
+	cost.took = h.now - began
+	return cost
+}
+
+// Guards against a server that hangs and is not found, since no server meets the timeouts that its requests have: they have it checked.
+func TestHungServerAmongWellOnesIsEjected(t *testing.T) {
+	const latency, objective = 200 * ms, 2 * time.Second
+	for _, factor := range []float64{0.1, 0.5, 1, 4} {
+		cost := ejectHungServer(latency, time.Duration(factor*float64(latency)))
+		t.Logf("timeout of %.1f typical latencies: %d requests, %v", factor, cost.requests, cost.took)
+		assert.Less(t, cost.took, 2*objective, "timeout of %.1f typical latencies", factor) // as a server with attempts in flight is, see unresponsive
+		if factor > silenceLatencies {
+			assert.LessOrEqual(t, cost.requests, 3, "what waited for long is proof: one, one while it last answered, and the second in a row")
+		}
+	}
+}
