--- a/cmd/dapplerouter/service.go
+++ b/cmd/dapplerouter/service.go
@@ -75,7 +75,7 @@
 	endpoints   *discovery.Watcher // follows the endpoint list
 	classifier  *front.Classifier
 	parse       func([]byte) (pgwire.Statement, error)
-	observe     func(front.Event) // takes what servers and the endpoint list tell, to the core
+	observe     func(front.Event) // takes the events of servers and of the endpoint list, to the core
 	maxDeadline time.Duration     // of all request types
 }
 
@@ -138,7 +138,7 @@
 func (s *service) post(e front.Event) { s.core.Post(e) }
 
 // connectPools makes the pools and the subsystems that take part in carrying attempts, and returns the core's pools. The prober of a
-// fleet is between the core and all that it is told of.
+// fleet is between the core and those events.
 func (s *service) connectPools() (front.Pools, error) {
 	if s.operator.fleet == nil {
 		return s.newPools(s.post)
--- a/fleet/agent/prober.go
+++ b/fleet/agent/prober.go
@@ -28,67 +28,14 @@
 	probeTimeout time.Duration                            // after which the core ends a probe by itself
 
 	mu      sync.Mutex // guards the fields below
-	cache   *fleet.ProbeCache[heldProbe]
+	cache   *fleet.ProbeCache[waitingProbe]
 	servers serverTable
 	leases  probeLeases
 	pending map[*front.Attempt]probedServer // own probes as the leaseholder, not answered yet
 }
 
-// serverTable are the servers that the core knows, as the endpoint list names them.
-type serverTable struct {
-	addresses []string // by the core's index of servers
-	byAddress map[string]probedServer
-	groups    map[int64]bool // whose probe lease is declared
-}
-
-// probedServer is a server as the endpoint list names it.
-type probedServer struct {
-	name  string
-	group int64
-}
-
-// add adds the servers of an endpoint list, and returns the groups that are new.
-func (t *serverTable) add(l discovery.List) (newGroups []int64) {
-	for _, e := range l.Endpoints {
-		if e.Address == "" {
-			continue
-		}
-		t.byAddress[e.Address] = probedServer{e.Name, e.Group}
-		if !t.groups[e.Group] {
-			t.groups[e.Group] = true
-			newGroups = append(newGroups, e.Group)
-		}
-	}
-	return newGroups
-}
-
-// probeLeases are the probe leases and their holders, by the fleet's events so far.
-type probeLeases struct {
-	own      map[string]bool   // that this front holds
-	holders  map[string]string // other fronts, by lease
-	isolated bool              // what others hold is not known
-}
-
-// onEvent follows the fleet's events; self is this front's name.
-func (l *probeLeases) onEvent(e fleet.Event, self string) {
-	switch e := e.(type) {
-	case fleet.LeaseAcquired:
-		l.own[e.Lease] = true
-	case fleet.LeaseEnded:
-		delete(l.own, e.Lease)
-	case fleet.LeaseGranted:
-		if l.holders[e.Lease] = e.Leaseholder; e.Leaseholder == "" || e.Leaseholder == self {
-			delete(l.holders, e.Lease)
-		}
-	case fleet.FleetLost, fleet.FrontDisplaced:
-		l.isolated = true
-	case fleet.FleetReached:
-		l.isolated = false
-	}
-}
-
-// heldProbe is the core's probe of a server that waits for another front's result.
-type heldProbe struct {
+// waitingProbe is the core's probe of a server that waits for another front's result.
+type waitingProbe struct {
 	server    int // the core's index
 	attempt   *front.Attempt
 	startedAt time.Duration
@@ -110,7 +57,7 @@
 	return &Prober{
 		After:        func(d time.Duration, call func()) { time.AfterFunc(d, call) },
 		probeTimeout: probeTimeout,
-		cache:        fleet.NewProbeCache[heldProbe](leaseDuration, time.Duration(waitFraction*float64(probeTimeout))),
+		cache:        fleet.NewProbeCache[waitingProbe](leaseDuration, time.Duration(waitFraction*float64(probeTimeout))),
 		servers:      serverTable{byAddress: map[string]probedServer{}, groups: map[int64]bool{}},
 		leases:       probeLeases{own: map[string]bool{}, holders: map[string]string{}, isolated: true},
 		pending:      map[*front.Attempt]probedServer{},
@@ -155,7 +102,7 @@
 	leaseName := fleet.ProbeLease(target.group)
 	ours := ok && p.leases.own[leaseName]
 	holder := p.leases.holders[leaseName]
-	decision, result := p.cache.Decide(p.Now(), target.name, heldProbe{server, attempt, p.Now()}, ok && !ours && holder != "" && !p.leases.isolated)
+	decision, result := p.cache.Decide(p.Now(), target.name, waitingProbe{server, attempt, p.Now()}, ok && !ours && holder != "" && !p.leases.isolated)
 	if ours {
 		p.pending[attempt] = target
 		p.cache.AcceptRequest(p.Now(), target.name)
@@ -213,7 +160,7 @@
 	p.post(e)
 }
 
-// probeResult is how an own probe ended. known is false where this machine could not send it, which says nothing of its server.
+// probeResult is how an own probe ended. known is false where this machine could not send it, from which nothing is learnt of its server.
 func probeResult(e *front.AttemptFinished) (result fleet.ProbeResult, known bool) {
 	if e.Err != nil {
 		return fleet.ProbeResult{ConnectionLost: e.Err.Stage == front.StageRead}, e.Err.Stage != front.StageLocal
--- a/lab/proxysim/cluster.go
+++ b/lab/proxysim/cluster.go
@@ -132,29 +132,10 @@
 
 // deploymentSettings are the settings of the front of an ordinal.
 func (c *Cluster) deploymentSettings(ordinal int) *deployment.Settings {
-	load := c.Options.Load
 	return &deployment.Settings{
-		TypeNames: []string{Browse, Book},
-		ZoneNames: zoneNames,
-		RequestTypes: []routing.RequestType{
-			{
-				LatencyObjective: load.LatencyObjective,
-				Deadline:         load.Deadline,
-				PriorityWeight:   1,
-				Idempotency:      routing.Idempotent,
-				DedupScope:       routing.ScopeAll,
-				Consistency:      routing.Eventual,
-			},
-			{
-				LatencyObjective: load.LatencyObjective,
-				Deadline:         load.Deadline,
-				PriorityWeight:   5,
-				Idempotency:      routing.IdempotencyKey,
-				DedupScope:       routing.ScopeGroup,
-				DedupWindow:      dedupWindow,
-				Consistency:      routing.Write,
-			},
-		},
+		TypeNames:    []string{Browse, Book},
+		ZoneNames:    zoneNames,
+		RequestTypes: c.requestTypes(),
 		Topology: routing.Topology{
 			Zone:          ordinal % len(zoneNames),
 			ZoneCount:     len(zoneNames),
@@ -185,6 +166,30 @@
 	}
 }
 
+// requestTypes are a type of reads and one of writes.
+func (c *Cluster) requestTypes() []routing.RequestType {
+	load := c.Options.Load
+	return []routing.RequestType{
+		{
+			LatencyObjective: load.LatencyObjective,
+			Deadline:         load.Deadline,
+			PriorityWeight:   1,
+			Idempotency:      routing.Idempotent,
+			DedupScope:       routing.ScopeAll,
+			Consistency:      routing.Eventual,
+		},
+		{
+			LatencyObjective: load.LatencyObjective,
+			Deadline:         load.Deadline,
+			PriorityWeight:   5,
+			Idempotency:      routing.IdempotencyKey,
+			DedupScope:       routing.ScopeGroup,
+			DedupWindow:      dedupWindow,
+			Consistency:      routing.Write,
+		},
+	}
+}
+
 // endpointList returns the endpoint service's complete list.
 func (c *Cluster) endpointList() discovery.List {
 	l := discovery.List{Index: c.EndpointService.Index, Snapshot: true}
