router: under load a wait ends two ticks before its deadline again, also of short timeouts

What idle servers and servers that are busy for a moment are owed stays: the two router tests and TestTimeoutsShorterThanAnswers passed 100 times each, the twelve cases on sockets once.

--- a/router/retry.go
+++ b/router/retry.go
@@ -46,20 +46,29 @@
 // timeout, so that its client has time to try elsewhere.
 func (r *Router) shouldGiveUp(now time.Duration, req *request, t *routing.RequestType) bool {
 	ownFault := req.errorCount > 1 || req.errorCount > 0 && r.errorRate > 1.0/4 // at the first, where errors are common
-	return now > r.waitsUntil(req) || req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
+	return now > r.waitsUntil(now, req) || req.retryUnsafe(now, t) || ownFault || req.attempts >= r.maxAttempts ||
 		r.tooLate(now, req, req.objectiveAt)
 }
 
 // waitsUntil is the time until which a request may wait for a server: until two ticks before its deadline, or, for a write or a
-// retry that was never sent, before half of its timeout. A short timeout leaves less: what a server takes at once is sent.
-func (r *Router) waitsUntil(req *request) time.Duration {
+// retry that was never sent, before half of its timeout.
+func (r *Router) waitsUntil(now time.Duration, req *request) time.Duration {
 	end := req.deadline
 	neverRan := !req.mayHaveRun && !req.misrouted
 	t := &r.requestTypes[req.Type]
 	if neverRan && (t.Consistency == routing.Write || req.weight < t.PriorityWeight) {
 		end = req.receivedAt + req.Timeout/2
 	}
-	return end - min(2*r.tickInterval, req.Timeout/shortWaitMargin)
+	return end - r.waitMargin(now, req)
+}
+
+// waitMargin is how long before its end a wait is given up: two ticks, since a queued request is looked at each tick. A short timeout leaves
+// less where servers are not loaded: what they take at once is sent. Under load those with the least time are shed first.
+func (r *Router) waitMargin(now time.Duration, req *request) time.Duration {
+	if r.endsBetweenTicks(req) && r.groupLoad(now, r.group(req.Group)) <= normalLoad {
+		return req.Timeout / shortWaitMargin
+	}
+	return 2 * r.tickInterval
 }
 
 // endsBetweenTicks reports whether a request's timeout is so short that ticks alone would end its wait too late.
--- a/router/router.go
+++ b/router/router.go
@@ -152,7 +152,7 @@
 	if !r.endsBetweenTicks(req) {
 		return
 	}
-	if until := r.waitsUntil(req) + 1; r.wakeAt <= now || until < r.wakeAt {
+	if until := r.waitsUntil(now, req) + 1; r.wakeAt <= now || until < r.wakeAt {
 		r.wakeAt = until
 		r.host.SetTimer(until - now)
 	}
