router: a shorter timeout than others' is not cut in half before servers that are not loaded

Trace: group loads of 0.72 to 1.06, every server at its limit of 4 to 5 attempts while connections come up, weight a quarter, wait over at half of the timeout less the margin. Cause: waitsUntil cut the wait of what is taken for an unmarked retry, at any load. TestShorterTimeoutIsNotCutInHalfBeforeServersThatAreNotLoaded: red before.

--- a/router/client_timeouts_test.go
+++ b/router/client_timeouts_test.go
@@ -182,6 +182,37 @@
 	}
 }
 
+// Guards against a client with less time than others that is given up at half of it, as a retry is, while servers are busy for a moment.
+func TestShorterTimeoutIsNotCutInHalfBeforeServersThatAreNotLoaded(t *testing.T) {
+	const usual, shorter = 6 * time.Second, time.Second
+	for _, load := range []float64{1, overloadedLoad} {
+		o := longDeadlines()
+		for i := range o.RequestTypes {
+			o.RequestTypes[i].LatencyObjective, o.RequestTypes[i].LateFraction = 2*time.Second, 0.5
+		}
+		h := withPrimary(o)
+		for range 50 {
+			h.answerFast(anyRead, func(in *routing.Request) { in.Timeout = usual })
+		}
+		for i := range h.servers {
+			h.servers[i].inFlight = 9
+			for range 50 {
+				h.observeLoad(h.now, &h.servers[i], load)
+			}
+		}
+		ref := h.receive(anyRead, func(in *routing.Request) { in.Timeout = shorter })
+		h.advanceToTimers(shorter * 7 / 10)
+		if load > normalLoad {
+			assert.Equal(t, 1, h.countActions("reject"), "before loaded servers it may be a retry, whose client tries elsewhere")
+			continue
+		}
+		assert.Zero(t, h.countActions("reject"))
+		h.servers[1].inFlight = 0
+		h.reconcile()
+		assert.Equal(t, 1, h.attempts[ref])
+	}
+}
+
 func TestNoRetryIsBegunThatCannotBeAnsweredInTime(t *testing.T) {
 	h := withPrimary(longDeadlines())
 	for range 20 {
--- a/router/retry.go
+++ b/router/retry.go
@@ -50,18 +50,25 @@
 		r.tooLate(now, req, req.objectiveAt)
 }
 
-// waitsUntil is the time until which a request may wait for a server: until two ticks before its deadline, or, for a write or a
-// retry that was never sent, before half of its timeout.
+// waitsUntil is the time until which a request may wait for a server: until shortly before its deadline, or, for a write or a retry that
+// was never sent, before half of its timeout.
 func (r *Router) waitsUntil(now time.Duration, req *request) time.Duration {
 	end := req.deadline
 	neverRan := !req.mayHaveRun && !req.misrouted
-	t := &r.requestTypes[req.Type]
-	if neverRan && (t.Consistency == routing.Write || req.weight < t.PriorityWeight) {
+	if neverRan && (r.requestTypes[req.Type].Consistency == routing.Write || r.countsAsRetry(now, req)) {
 		end = req.receivedAt + req.Timeout/2
 	}
 	return end - r.waitMargin(now, req)
 }
 
+// countsAsRetry reports whether a request is its client's retry, by the client's mark or, before loaded servers, by its timeout.
+func (r *Router) countsAsRetry(now time.Duration, req *request) bool {
+	if r.retriesMarked {
+		return req.Retry
+	}
+	return req.weight < r.requestTypes[req.Type].PriorityWeight && r.groupLoad(now, r.group(req.Group)) > normalLoad
+}
+
 // waitMargin is how long before its end a wait is given up: two ticks, since a queued request is looked at each tick. A short timeout leaves
 // less where servers are not loaded: what they take at once is sent. Under load those with the least time are shed first.
 func (r *Router) waitMargin(now time.Duration, req *request) time.Duration {
