router: without a client's mark a shorter timeout is rejected at once before overloaded servers alone

Cause: probablyTooLate took what the timeout lacks of the typical one for time that the client has waited, past an objective that had just begun. TestShorterTimeoutIsRejectedAtOnceBeforeOverloadedServersAlone: red before at 1.45 and 2.4.

--- a/router/client_timeouts_test.go
+++ b/router/client_timeouts_test.go
@@ -213,6 +213,24 @@
 	}
 }
 
+// Guards against a client with less time than others that is rejected as it comes, for servers that others are still sent to.
+func TestShorterTimeoutIsRejectedAtOnceBeforeOverloadedServersAlone(t *testing.T) {
+	for load, rejected := range map[float64]int{1: 0, 1.45: 0, 2.4: 0, maxLoad: 1} {
+		h := withPrimary(longDeadlines())
+		for range 50 {
+			h.answerFast(anyRead, func(in *routing.Request) { in.Timeout = 6 * time.Second })
+		}
+		for i := range h.servers {
+			h.servers[i].inFlight = 9
+			for range 200 {
+				h.observeLoad(h.now, &h.servers[i], load)
+			}
+		}
+		h.receive(anyRead, func(in *routing.Request) { in.Timeout = time.Second })
+		assert.Equal(t, rejected, h.countActions("reject"), "load of %.2f", load)
+	}
+}
+
 func TestNoRetryIsBegunThatCannotBeAnsweredInTime(t *testing.T) {
 	h := withPrimary(longDeadlines())
 	for range 20 {
--- a/router/retry.go
+++ b/router/retry.go
@@ -91,15 +91,20 @@
 }
 
 // probablyTooLate reports whether a request is to be given up since its client has probably waited for too long already. How
-// long is an inference from the timeouts of others: so servers that are not loaded are waited for, and sent it, all the same.
+// long is an inference from the timeouts of others: so where there is no mark of the client's, nor a stall, it counts at servers that are
+// overloaded alone; servers that are not loaded are waited for, and sent the request, in any case.
 func (r *Router) probablyTooLate(now time.Duration, req *request, to int) bool {
 	if !r.tooLate(now, req, req.probableObjectiveAt) {
 		return false
 	}
+	limit := overloadedLoad
+	if r.retriesMarked || r.stalled(now) {
+		limit = normalLoad
+	}
 	if to == none {
-		return r.groupLoad(now, r.group(req.Group)) > normalLoad
+		return r.groupLoad(now, r.group(req.Group)) > limit
 	}
-	return r.loadEstimate(now, &r.servers[to]) > normalLoad
+	return r.loadEstimate(now, &r.servers[to]) > limit
 }
 
 // retryUnsafe reports whether a request may have run, and a repeat might not be dropped.
