--- a/cmd/dapplerouter/soak_test.go
+++ b/cmd/dapplerouter/soak_test.go
@@ -21,11 +21,11 @@
 
 // The soak plays short lives of one front, each from a seed: servers hang, break and drain, discovery falls silent and moves, signals
 // come in series, the front is suspended for 0.15 s, its wall clock differs from all others', clients disconnect, pipeline, idle and crowd;
-// then SIGTERM, and SIGKILL at its earliest while all go on. Some clients ask with a quarter of the others' time. CI plays 24 seeds;
+// then SIGTERM, and SIGKILL at its earliest while all go on. Some clients ask with a quarter of the others' time. CI plays 60 seeds;
 // SOAK_SEEDS=200 go test ./cmd/dapplerouter -run Soak plays so many, SOAK_FIRST=17 from there on; make soak plays 200.
 
 const (
-	soakSeedsInCI = 24
+	soakSeedsInCI = 60
 	undisturbed   = 300 * time.Millisecond // at least, before the faults begin
 )
 
