agent: the audit's last line is written when nothing else of the agent is left

Evidence, the log of n5: "closed", and 1 ms later "adopted", version 1, with no request in between. Cause: Agent.Close wrote the line first and ended the rollout, the mesh and their goroutines afterwards. Now these end first.

--- a/fleet/agent/admin_test.go
+++ b/fleet/agent/admin_test.go
@@ -25,17 +25,25 @@
 )
 
 // startVoter starts the agent of a fleet's only voter n1, with an admin API, and waits until it holds the lease of the endpoint list.
-func startVoter(t *testing.T) *Agent {
+func startVoter(t *testing.T, forms ...func(*Config)) *Agent {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "agent") // short: a Unix socket's path has its limit
 	require.NoError(t, err)
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	post := func(front.Event) {}
+	post := func(e front.Event) {
+		if e, ok := e.(front.CloseAudit); ok {
+			e.OnClosed()
+		}
+	}
 	directory := discovery.NewWatcher(t.Context(), discovery.NewClient("127.0.0.1:1", 0), func(u discovery.Update) { post(front.EndpointsChanged{Kind: u.Kind, List: u.List}) }, discovery.NewJitter(1))
 	start := &deployment.Instance{Name: "n1", Discovery: "127.0.0.1:1", Settings: &deployment.Settings{}}
 	config := &fleet.Config{ID: "f", Listen: "127.0.0.1:0", Address: "127.0.0.1:1", InitialVoters: []fleet.Voter{{Name: "n1", Address: "127.0.0.1:1"}},
 		VoterPath: filepath.Join(dir, "fleet.db"), LeaseDuration: 600 * time.Millisecond, AcceptsLeases: true, Control: filepath.Join(dir, "s")}
-	a, err := New(Config{Fleet: config}, start, directory, "0.3.0")
+	all := Config{Fleet: config}
+	for _, form := range forms {
+		form(&all)
+	}
+	a, err := New(all, start, directory, "0.3.0")
 	require.NoError(t, err)
 	began := time.Now()
 	a.Clock, a.StartedAt, a.Post = func() time.Duration { return time.Since(began) }, began, post
--- a/fleet/agent/audit_writer_test.go
+++ b/fleet/agent/audit_writer_test.go
@@ -40,19 +40,44 @@
 	time.Sleep(100 * time.Millisecond) // the writer has had no turn so far
 	go w.run()
 	w.close()
-	names, err := disk.ListSegments(dir, "n1")
+	last := int64(0)
+	lines := auditLines(t, dir, "n1")
+	for i, l := range lines {
+		assert.LessOrEqual(t, last, l.At, "line %d", i)
+		last = l.At
+	}
+	assert.GreaterOrEqual(t, len(lines), 880)
+}
+
+// auditLines are the lines of a front's audit log.
+func auditLines(t *testing.T, dir, front string) (lines []audit.Line) {
+	t.Helper()
+	names, err := disk.ListSegments(dir, front)
 	require.NoError(t, err)
-	lines, last := 0, int64(0)
 	for _, name := range names {
 		text, err := os.ReadFile(filepath.Join(dir, name+audit.LogSuffix))
 		require.NoError(t, err)
 		for _, b := range bytes.Split(bytes.TrimSpace(text), []byte("\n")) {
 			var l audit.Line
 			require.NoError(t, json.Unmarshal(b, &l))
-			assert.LessOrEqual(t, last, l.At, "line %d", lines)
-			last = l.At
-			lines++
+			lines = append(lines, l)
 		}
 	}
-	assert.GreaterOrEqual(t, lines, 880)
+	return lines
+}
+
+// Guards against an audit that holds for wrong what a front did: a version was adopted behind the line that says that it stopped.
+func TestNothingIsAuditedBehindTheEndOfTheProcess(t *testing.T) {
+	dir := t.TempDir()
+	a := startVoter(t, func(c *Config) {
+		c.Audit = &audit.Config{LogDir: dir, SegmentBytes: disk.DefaultSegmentBytes, MaxTotalBytes: 1 << 24}
+	})
+	a.goroutines.Go(func() { // an adoption that is under way meanwhile
+		<-a.ctx.Done()
+		a.writeAudit(&audit.Line{Event: audit.EventVersionAdopted, Version: 1, RulesHash: "8899"})
+	})
+	a.Close()
+	lines := auditLines(t, dir, "n1")
+	require.NotEmpty(t, lines)
+	assert.Equal(t, audit.EventProcessStopped, lines[len(lines)-1].Event)
 }
--- a/fleet/agent/lifecycle.go
+++ b/fleet/agent/lifecycle.go
@@ -104,22 +104,13 @@
 	}
 }
 
-// Close stops the agent: it writes the last audit lines and closes links and files.
+// Close stops the agent: it closes links and files, and writes the last audit lines.
 func (a *Agent) Close() {
 	if a.rollout != nil {
 		var active uint64
 		a.mesh.Do(func(*fleet.Node, time.Duration) { active = a.rollout.participant.Adopter.Active() })
 		a.rollout.confirm(active)
 	}
-	if a.audit != nil { // what the core has counted, before it ends
-		closed := make(chan struct{})
-		a.Post(front.CloseAudit{OnClosed: func() { close(closed) }})
-		select {
-		case <-closed:
-			a.writeAudit(&audit.Line{Event: audit.EventProcessStopped})
-		case <-time.After(closeAuditTimeout):
-		}
-	}
 	a.cancel()
 	if a.admin != nil {
 		a.admin.Close()
@@ -133,11 +124,24 @@
 		}
 	}
 	if a.audit != nil {
-		a.audit.close()
+		a.closeAudit()
 	}
 	a.history.close()
 }
 
+// closeAudit writes the last audit lines: what the core has counted, and that the process stops. Nothing that could adopt a version, or hold a
+// lease, is left by then.
+func (a *Agent) closeAudit() {
+	closed := make(chan struct{})
+	a.Post(front.CloseAudit{OnClosed: func() { close(closed) }})
+	select {
+	case <-closed:
+		a.writeAudit(&audit.Line{Event: audit.EventProcessStopped})
+	case <-time.After(closeAuditTimeout):
+	}
+	a.audit.close()
+}
+
 // wallNow is the wall clock as it was at the start, carried on by the core's clock, in Unix microseconds: a step of the machine's
 // clock meanwhile dates nothing backwards.
 func (a *Agent) wallNow() int64 {
