fleet/disk: the audit's chain continues behind segments in which a crash left no line

Evidence: the segment before has no byte, the next begins with line 1 and no chain. Cause: OpenSegments resumed behind the last segment alone, which had no line. Now it goes back to the last segment with one. TestAuditContinuesBehindSegmentsWithoutALine: red before.

--- a/fleet/disk/segments.go
+++ b/fleet/disk/segments.go
@@ -69,10 +69,8 @@
 		return nil, err
 	}
 	s.sealed = names
-	if n := len(names); n > 0 {
-		if err := s.resume(names[n-1]); err != nil {
-			return nil, err
-		}
+	if err := s.resume(names); err != nil {
+		return nil, err
 	}
 	return s, s.begin()
 }
@@ -92,12 +90,26 @@
 	return names, nil
 }
 
-// resume continues the hash chain behind the last segment, and cuts off what a crash left incomplete there.
-func (s *Segments) resume(name string) error {
+// resume continues the hash chain behind the last line. A crash behind a start may have left segments without one.
+func (s *Segments) resume(names []string) error {
+	for i, name := range slices.Backward(names) {
+		if i == len(names)-1 {
+			_, s.number, _ = audit.ParseLogName(name + audit.LogSuffix) // it is one of ListSegments
+		}
+		found, err := s.recoverSegment(name)
+		if found || err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoverSegment cuts off what a crash left incomplete in a segment, and reports whether the hash chain continues behind a line of it.
+func (s *Segments) recoverSegment(name string) (found bool, err error) {
 	path := filepath.Join(s.dir, name+audit.LogSuffix)
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return fmt.Errorf("last audit segment: %w", err)
+		return false, fmt.Errorf("last audit segment: %w", err)
 	}
 	complete, indexBytes := 0, int64(0)
 	for complete < len(b) {
@@ -112,19 +124,19 @@
 		}
 		complete += n + 1
 	}
-	if s.removedTail = int64(len(b) - complete); s.removedTail > 0 {
+	if complete < len(b) {
+		s.removedTail += int64(len(b) - complete)
 		if err := os.Truncate(path, int64(complete)); err != nil {
-			return fmt.Errorf("incomplete line of the last audit segment: %w", err)
+			return false, fmt.Errorf("incomplete line of the last audit segment: %w", err)
 		}
 	}
 	indexPath := filepath.Join(s.dir, name+audit.IndexSuffix)
 	if info, err := os.Stat(indexPath); err == nil && info.Size() > indexBytes { // of a line that was never written
 		if err := os.Truncate(indexPath, indexBytes); err != nil {
-			return fmt.Errorf("index of the last audit segment: %w", err)
+			return false, fmt.Errorf("index of the last audit segment: %w", err)
 		}
 	}
-	_, s.number, _ = audit.ParseLogName(name + audit.LogSuffix) // it is one of ListSegments
-	return nil
+	return complete > 0, nil
 }
 
 // begin opens the next segment. Where that fails none is open, and the next write tries again.
--- a/fleet/disk/segments_test.go
+++ b/fleet/disk/segments_test.go
@@ -176,3 +176,24 @@
 	require.NoError(t, s.Close())
 	verify(t, dir)
 }
+
+// Guards against an audit that begins anew, and is held for an old copy, behind a crash before the first line of a segment was whole.
+func TestAuditContinuesBehindSegmentsWithoutALine(t *testing.T) {
+	for name, left := range map[string]string{"no byte": "", "part of a line": `{"n":2,"at":1`} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			require.NoError(t, startedSegments(t, dir, 4096, 16<<10).Close())
+			for range 2 { // it crashes twice in a row
+				names, err := ListSegments(dir, "n1")
+				require.NoError(t, err)
+				path := filepath.Join(dir, audit.SegmentName("n1", uint64(len(names)+1)))
+				require.NoError(t, os.WriteFile(path+audit.LogSuffix, []byte(left), 0o600))
+				require.NoError(t, os.WriteFile(path+audit.IndexSuffix, nil, 0o600))
+			}
+			s := startedSegments(t, dir, 4096, 16<<10)
+			require.NoError(t, s.Write(intervalLine(1)))
+			require.NoError(t, s.Close())
+			verify(t, dir)
+		})
+	}
+}
