--- a/router/outlier_detection.go
+++ b/router/outlier_detection.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// observeTimeout takes an attempt that ended without an answer by its client's time, or this instance's. What that shows depends on how long
+// observeTimeout takes an attempt that ended without an answer at its deadline. What that shows depends on how long
 // it had waited: an answer might have come behind it.
 func (r *Router) observeTimeout(now time.Duration, s *server, o *routing.AttemptOutcome, requestType int) {
 	if r.stalled(now) {
--- a/router/retry.go
+++ b/router/retry.go
@@ -16,7 +16,7 @@
 	retryBudget float64 // retries that are still allowed
 }
 
-// shortWaitMargin is the part of a short timeout that is left when a wait ends.
+// shortWaitMargin is the divisor of a short timeout for what is left of it when a wait ends.
 const shortWaitMargin = 4
 
 // Retries stay a fraction of first attempts: timeouts must not cause more work than they save.
