--- a/review/standin/front.go
+++ b/review/standin/front.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -31,14 +32,16 @@
 	window time.Duration
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port, outside the range from which the system takes ports for outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(14000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic("no free port")
 }
 
 // configuration returns the file of a front, with settings like those of ktm-booking.
