--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 )
 
 // Exit codes of a case.
@@ -27,6 +28,7 @@
 var cases = map[string]func(*setup) int{}
 
 func main() {
+	runtime.LockOSThread() // the system ends the fronts with the thread that started them
 	name := flag.String("case", "", "the case")
 	root := flag.String("root", "", "the root of the repository")
 	run := flag.String("run", "", "the run line of the deploy file")
