Review: clients are served a second copy of another request's answer

Cause: an answer's connection goes back to its pool at once, and nothing ties what is read next to the next statement. A second copy that comes right after an answer is taken for the answer of the next statement.

--- a/review/standin/front.go
+++ b/review/standin/front.go
@@ -32,6 +32,9 @@
 	window time.Duration
 }
 
+// writeDeadline is the deadline of book-table. A case may change it before it makes a configuration.
+var writeDeadline = 2 * time.Second
+
 // freeAddress returns a loopback address with a free port, outside the range from which the system takes ports for outgoing connections.
 func freeAddress() string {
 	for range 1000 {
@@ -44,6 +47,9 @@
 	panic("no free port")
 }
 
+// withoutReport leaves the class report out of the configurations, which ktm-booking does not have.
+var withoutReport bool
+
 // configuration returns the file of a front, with settings like those of ktm-booking.
 func configuration(name, listen string, d *discovery, s site) []byte {
 	known := json.RawMessage(d.snapshot())
@@ -55,7 +61,7 @@
 		"Classes": []any{
 			class("slot-browse", "read_like", "all", 250, 1000, 0, 1, 0),
 			class("my-bookings", "read_like", "all", 200, 600, 0, 3, 0),
-			class("book-table", "idempotency_key", "cell", 600, 2000, int64(s.window), 6, 0.3),
+			class("book-table", "idempotency_key", "cell", 600, writeDeadline.Milliseconds(), int64(s.window), 6, 0.3),
 			class("report", "read_like", "all", 1500, 3000, 0, 6, 0),
 		},
 		"FamilyInfo": map[string]any{"ReadLevel": []string{"lag_bound", "causal", "mutate", "eventual"}, "StalenessBound": []int64{3000000000, 0, 0, 0}, "RoleListed": "trailing",
@@ -67,6 +73,11 @@
 		"Limits": map[string]any{"AttemptsCap": 10, "MayProbe": true, "Cancel": true, "DialTimeout": 250000000, "ConnIdle": int64(30000000000), "RetryAfter": true,
 			"MaxRetryAfter": 1000000000, "MayDuplicate": false, "Peers": false},
 	}
+	if withoutReport {
+		settings["Classes"] = settings["Classes"].([]any)[:3]
+		levels := settings["FamilyInfo"].(map[string]any)
+		levels["ReadLevel"], levels["StalenessBound"] = levels["ReadLevel"].([]string)[:3], levels["StalenessBound"].([]int64)[:3]
+	}
 	b, err := json.Marshal(map[string]any{"name": name, "listen": listen, "discovery": d.address(), "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings})
 	if err != nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -19,6 +19,7 @@
 	work, writeWork time.Duration
 	stores          []*store
 	workOf          map[string]time.Duration // by class, in place of work
+	ship            time.Duration            // from when a write has run until it is answered: a replica has it by then
 
 	mu        sync.Mutex
 	primary   int
@@ -27,8 +28,11 @@
 	sends     []send
 	lag       func(now time.Time) time.Duration // of replicas
 	reset     func(key string, nth int) (reset bool, after time.Duration)
-	nth       map[string]int // attempts by key
-	positions bool           // a read is answered with the position of its data, in place of the value
+	copies    func() (copies bool, after time.Duration) // whether a second copy follows an answer, where nothing else is waiting
+	copied    int                                       // answers that a second copy followed
+	resetID   func(id string) bool                      // whether the connection is reset after a write was run, in place of its answer
+	nth       map[string]int                            // attempts by key
+	positions bool                                      // a read is answered with the position of its data, in place of the value
 }
 
 // run is an execution of a write, not counting repeats that were dropped.
@@ -55,6 +59,8 @@
 	mu      sync.Mutex // guards holding
 	holding int
 	cores   chan struct{}
+	conns   map[net.Conn]struct{}
+	dead    bool
 }
 
 func newGroup(rec *record, id int, names []string, zones []string, window time.Duration) *group {
@@ -78,10 +84,59 @@
 		if err != nil {
 			return
 		}
-		go s.serve(c)
+		s.mu.Lock()
+		if s.dead {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			s.mu.Unlock()
+			return
+		}
+		if s.conns == nil {
+			s.conns = map[net.Conn]struct{}{}
+		}
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go func() {
+			s.serve(c)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// die ends the store as the end of its process does: its connections are reset, and new ones are refused.
+func (s *store) die() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead = true
+	_ = s.l.Close()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
 	}
 }
 
+func (s *store) isDead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead
+}
+
+// copies says whether a second copy follows the answer that was just written.
+func (s *store) copies() (copies bool, after time.Duration) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.group.copies()
+}
+
+// become makes the store the primary of its group.
+func (s *store) become() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.primary = s.index
+}
+
 func (s *store) isPrimary() bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
@@ -130,6 +185,24 @@
 		if _, err := c.Write(reply); err != nil {
 			return
 		}
+		if s.group.copies == nil {
+			continue
+		}
+		if copies, after := s.copies(); copies {
+			_ = c.SetReadDeadline(time.Now().Add(after))
+			_, err := r.Peek(1)
+			_ = c.SetReadDeadline(time.Time{})
+			if err == nil { // the next request waits: no copy
+				continue
+			}
+			s.group.mu.Lock()
+			s.group.copied++
+			s.group.mu.Unlock()
+			s.group.rec.log("%s sends a second copy of its last answer", s.name)
+			if _, err := c.Write(reply); err != nil {
+				return
+			}
+		}
 	}
 }
 
@@ -236,9 +309,12 @@
 	if !repeat {
 		g.keys[key] = at
 	}
-	reset := g.reset
+	reset, resetID := g.reset, g.resetID
 	g.mu.Unlock()
 	s.occupy(g.writeWork)
+	if s.isDead() {
+		return nil, false
+	}
 	if repeat {
 		g.rec.logAt(at, "%s drops write %s k=%s d=%s as a repeat, %d ms after the first", s.name, id, key, field(sql, "d"), at.Sub(first).Milliseconds())
 	} else {
@@ -254,6 +330,11 @@
 			return nil, false
 		}
 	}
+	if resetID != nil && resetID(id) {
+		g.rec.log("%s resets the connection of write %s after it ran", s.name, id)
+		return nil, false
+	}
+	time.Sleep(g.ship)
 	return append(row("done "+id, "INSERT 0 1"), s.status()...), true
 }
 
