--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,7 +8,7 @@
   echo "build first: the build of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
 fi
-timeout -k 5 115 "$root/review/standin/bin/standin" -case bound -root "$root" -run "$run" -record "$here/record.txt"
+timeout -k 5 115 "$root/review/standin/bin/standin" -case gateway -root "$root" -run "$run" -record "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
