--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -51,21 +51,6 @@
 	})
 }
 
-// ask sends a read, waits for its answer and returns it.
-func (l *load) ask(address, class string, group int, patience time.Duration) answer {
-	l.mu.Lock()
-	l.n++
-	q := &request{kind: "read", class: class, front: address, patience: patience, id: fmt.Sprintf("%016x", l.n), code: fmt.Sprintf("%016x", 1<<48+l.n)}
-	l.mu.Unlock()
-	l.try(q, fmt.Sprintf("SELECT data FROM facts WHERE code = '%s' /* id=%s,c=%s,d=%d,cluster=%d */", q.code, q.id, class, patience.Milliseconds(), group))
-	l.rec.logAt(q.sent, "client sends read %s c=%s code=%s to %s; %s %s %s after %d ms", q.id, class, q.code, address, q.answer.status, q.answer.code,
-		q.answer.value, q.answered.Sub(q.sent).Milliseconds())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.all = append(l.all, q)
-	return q.answer
-}
-
 func (l *load) write(address string, group int, patience time.Duration) {
 	l.mu.Lock()
 	l.n++
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,11 +28,11 @@
 	sends     []send
 	lag       func(now time.Time) time.Duration // of replicas
 	reset     func(key string, nth int) (reset bool, after time.Duration)
-	copies    func() bool          // whether a second copy follows an answer, where nothing else is waiting
-	copied    int                  // answers that a second copy followed
-	resetID   func(id string) bool // whether the connection is reset after a write was run, in place of its answer
-	nth       map[string]int       // attempts by key
-	positions bool                 // a read is answered with the position of its data, in place of the value
+	copies    func() (copies bool, pause time.Duration) // whether a second copy follows an answer, where nothing else is waiting
+	copied    int                                       // answers that a second copy followed
+	resetID   func(id string) bool                      // whether the connection is reset after a write was run, in place of its answer
+	nth       map[string]int                            // attempts by key
+	positions bool                                      // a read is answered with the position of its data, in place of the value
 }
 
 // run is an execution of a write, not counting repeats that were dropped.
@@ -124,7 +124,7 @@
 }
 
 // copies says whether a second copy follows the answer that was just written.
-func (s *store) copies() bool {
+func (s *store) copies() (copies bool, pause time.Duration) {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	return s.group.copies()
@@ -188,7 +188,13 @@
 		if s.group.copies == nil {
 			continue
 		}
-		if s.copies() && r.Buffered() == 0 { // nothing else is waiting on the connection
+		if copies, pause := s.copies(); copies {
+			_ = c.SetReadDeadline(time.Now().Add(pause))
+			_, err := r.Peek(1)
+			_ = c.SetReadDeadline(time.Time{})
+			if err == nil { // the next request is waiting: no copy
+				continue
+			}
 			if _, err := c.Write(reply); err != nil {
 				return
 			}
