Upstream: an empty query separates each statement from the surplus before it

Cause: a result was matched to its statement by order alone. A connection is idle once a result is complete; a copy that was still in transit when the next statement was written was read as that statement's result, and the connection stayed one ahead. hasInput and readResult only see surplus that has arrived. Health checks share the connections: a row was read as a load report. Change: from the second statement of a connection on, an empty query goes before it in the same write. Only an empty query is answered by EmptyQueryResponse, so what precedes that belongs to earlier results: the attempt then fails (it may have run) and the connection closes. An EmptyQueryResponse within a result is malformed.

--- a/cmd/dapplerouter/pipeline_memory_test.go
+++ b/cmd/dapplerouter/pipeline_memory_test.go
@@ -40,7 +40,7 @@
 	return l.Addr().String()
 }
 
-// answerEach serves a connection: it sends the result of answer for each statement, and calls written after each.
+// answerEach serves a connection: it sends the result of answer for each statement that is not empty, and calls written after each.
 func answerEach(c net.Conn, answer func() []byte, written func()) {
 	defer c.Close()
 	r := pgwire.NewReader(c, 4096, 1<<20)
@@ -49,9 +49,14 @@
 	}
 	c.Write(pgwire.AppendStartupResponse(nil))
 	for {
-		if _, _, err := r.Next(); err != nil {
+		_, body, err := r.Next()
+		if err != nil {
 			return
 		}
+		if len(body) == 1 {
+			c.Write(pgwire.AppendEmptyQueryResponse(nil)) // the next read fails if this does
+			continue
+		}
 		if _, err := c.Write(answer()); err != nil {
 			return
 		}
--- a/fleet/agent/prober_test.go
+++ b/fleet/agent/prober_test.go
@@ -137,7 +137,7 @@
 
 // probe sends a probe of a server as the core does.
 func (h *proberHarness) probe(server int) *front.Attempt {
-	a := front.NewHealthCheck(nil)
+	a := front.NewHealthCheck("")
 	h.Send(server, a)
 	return a
 }
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -10,7 +10,7 @@
 
 // Attempt is one attempt to send a request, or a health check, to a server.
 //
-// The core owns an Attempt. Only Begin, Message and Forwarded are called by the sender, the goroutine that sends the attempt. The field
+// The core owns an Attempt. Only Begin, Message, MessageAfterEmptyQuery and Forwarded are called by the sender, the goroutine that sends the attempt. The field
 // state settles races between the core and the sender: the one that changes it from stateWaiting first decides whether anything is sent.
 type Attempt struct {
 	ref        routing.RequestRef // zero for a health check
@@ -86,13 +86,27 @@
 )
 
 // Message returns the message to send at this moment. Its timeout for the server is the time that is left now, because the connection
-// may have opened late, or the front may have been delayed, since the router decided. Only the sender calls Message, and only once.
+// may have opened late, or the front may have been delayed, since the router decided. Only the sender calls Message or
+// MessageAfterEmptyQuery, and only one of them once.
 func (a *Attempt) Message() []byte {
+	a.shortenTimeout()
+	return a.query.Message()
+}
+
+// MessageAfterEmptyQuery returns an empty query and the message that Message would return. The response to the empty query separates what
+// the server still sends of earlier results from the result of this attempt.
+func (a *Attempt) MessageAfterEmptyQuery() []byte {
+	a.shortenTimeout()
+	return a.query.MessageAfterEmptyQuery()
+}
+
+// shortenTimeout sets the timeout for the server to the time that is left now.
+func (a *Attempt) shortenTimeout() {
 	if a.healthCheck || a.conditions.clock == nil {
-		return a.query.Message
+		return
 	}
 	left := a.deadline - a.conditions.clock()
-	return a.query.ShortenTimeout(left - min(maxReadDelay, left/readDelayDivisor))
+	a.query.ShortenTimeout(left - min(maxReadDelay, left/readDelayDivisor))
 }
 
 // cancel ends an attempt: it prevents the sending, or aborts the attempt if the sending has begun. It reports whether anything may have
@@ -135,9 +149,9 @@
 	return a.forwarded, a.healthCheck
 }
 
-// NewHealthCheck creates an attempt that sends a request for a server's load report. The message sets no timeout for the server.
-func NewHealthCheck(message []byte) *Attempt {
-	return &Attempt{healthCheck: true, query: pgwire.TimedQuery{Message: message}}
+// NewHealthCheck creates an attempt that sends a request for a server's load report. The statement sets no timeout for the server.
+func NewHealthCheck(statement string) *Attempt {
+	return &Attempt{healthCheck: true, query: pgwire.UntimedQuery(statement)}
 }
 
-var healthCheckMessage = pgwire.AppendQuery(nil, "SHOW load")
+const healthCheckStatement = "SHOW load"
--- a/front/attempt_test.go
+++ b/front/attempt_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -136,11 +135,14 @@
 	c, router, network := newTestCore(t)
 	c.clock = func() time.Duration { return 10 * ms }
 	receiveAndStart(t, c, router, network)
+	statement, err := pgwire.ParseStatement([]byte(browse + "\x00"))
+	require.NoError(t, err)
 	for now, want := range map[time.Duration]string{10 * ms: "d=81,", 60 * ms: "d=36,", 90 * ms: "d=9,", 100 * ms: "d=1,"} {
 		c.clock = func() time.Duration { return now }
-		s := &Attempt{query: network.sent[0].query, deadline: network.sent[0].deadline, conditions: sendConditions{clock: c.clock}}
-		s.query.Message = slices.Clone(s.query.Message)
-		assert.Contains(t, string(s.Message()), want)
+		for name, message := range map[string]func(*Attempt) []byte{"": (*Attempt).Message, "after an empty query": (*Attempt).MessageAfterEmptyQuery} {
+			s := &Attempt{query: statement.QueryWithTimeout(100 * ms), deadline: network.sent[0].deadline, conditions: sendConditions{clock: c.clock}}
+			assert.Contains(t, string(message(s)), want, name)
+		}
 	}
 }
 
--- a/front/host.go
+++ b/front/host.go
@@ -67,7 +67,7 @@
 // StartHealthCheck sends a request for a server's load report, with the dial timeout as its timeout. The router is notified of the result
 // by HealthCheckFinished.
 func (c *Core) StartHealthCheck(server int) {
-	a := NewHealthCheck(healthCheckMessage)
+	a := NewHealthCheck(healthCheckStatement)
 	a.server, a.startedAt, a.deadline = server, c.now, c.now+c.catalog.limits.DialTimeout
 	a.generation = c.servers.at(server).generation
 	c.metrics.healthChecks++
--- a/pgwire/result.go
+++ b/pgwire/result.go
@@ -48,7 +48,7 @@
 // use up the whole time of the request.
 func (q *QueryResult) CheckMessage(typ byte, size int, received []byte) error {
 	switch typ {
-	case 'T', 'D', 'C', 'I':
+	case 'T', 'D', 'C':
 		if q.AnyStatement {
 			return q.checkAnyStatementMessage(typ, size)
 		}
@@ -71,10 +71,9 @@
 }
 
 // checkSingleRowMessage checks a message of a result with one row: each type may come once, in the order of
-// rowMessageTypes, and not after an error. An EmptyQueryResponse always passes.
+// rowMessageTypes, and not after an error.
 func (q *QueryResult) checkSingleRowMessage(typ byte, size int, received []byte) error {
 	switch {
-	case typ == 'I':
 	case q.rowMessages == len(rowMessageTypes) || typ != rowMessageTypes[q.rowMessages] || q.Code != "":
 		return outOfOrder(typ)
 	case typ == 'D' && (size < 6 || len(received) >= 6 && !isSingleColumn(received, size)):
@@ -84,11 +83,11 @@
 }
 
 // checkAnyStatementMessage checks a message of the result of any statement: a RowDescription, rows and a CommandComplete, or
-// a CommandComplete or EmptyQueryResponse alone.
+// a CommandComplete alone.
 func (q *QueryResult) checkAnyStatementMessage(typ byte, size int) error {
 	ended := q.rowMessages == len(rowMessageTypes) || q.Code != ""
 	switch {
-	case ended, typ == 'T' && q.rowMessages > 0, typ == 'D' && q.rowMessages == 0, typ == 'I' && q.rowMessages > 0:
+	case ended, typ == 'T' && q.rowMessages > 0, typ == 'D' && q.rowMessages == 0:
 		return outOfOrder(typ)
 	case typ == 'C' && size > maxControlBytes:
 		return messageTooLong(typ, size)
@@ -129,10 +128,10 @@
 		return false, err
 	}
 	switch typ {
-	case 'T', 'D', 'C', 'I':
+	case 'T', 'D', 'C':
 		if q.AnyStatement {
 			q.addAnyStatementMessage(typ, body)
-		} else if typ != 'I' {
+		} else {
 			return false, q.addSingleRowMessage(typ, body)
 		}
 	case 'S':
@@ -202,8 +201,8 @@
 	return bodyStart
 }
 
-// addAnyStatementMessage adds a RowDescription, DataRow, CommandComplete or EmptyQueryResponse message to Rows, for a result
-// with AnyStatement. The last two complete the result. The message must have passed CheckMessage.
+// addAnyStatementMessage adds a RowDescription, DataRow or CommandComplete message to Rows, for a result with AnyStatement. The last
+// completes the result. The message must have passed CheckMessage.
 func (q *QueryResult) addAnyStatementMessage(typ byte, body []byte) {
 	switch typ {
 	case 'T', 'D':
--- a/server/partial_messages_test.go
+++ b/server/partial_messages_test.go
@@ -59,7 +59,7 @@
 				if first {
 					upstream = h.AcceptServer()
 				}
-				upstream.Expect("Q")
+				upstream.ExpectStatement()
 				upstream.Send(conntest.RowResponse("v")...)
 				c.Expect("TDCZ")
 				if name == "drain" {
--- a/server/requests_test.go
+++ b/server/requests_test.go
@@ -68,7 +68,7 @@
 	assert.Len(t, h.Router.Received, 2, "the read of the written row is not started yet")
 	first.Send(conntest.RowResponse("written")...)
 	c.Expect("TDCZ")
-	first.Expect("Q") // on the connection that became idle last
+	first.ExpectStatement() // on the connection that became idle last
 	first.Send(conntest.RowResponse("a")...)
 	c.Expect("T")
 	assert.Equal(t, "a", string(c.Expect("D")[6:]))
@@ -144,14 +144,7 @@
 		c.Expect("TDCZ")
 	}
 	for _, upstream := range servers {
-		go func() {
-			for {
-				if _, _, err := upstream.Reader.Next(); err != nil {
-					return
-				}
-				upstream.Write(conntest.RowResponse("v"))
-			}
-		}()
+		go upstream.AnswerAll(func() {})
 	}
 	c.Expect("TDCZTDCZ")
 	h.awaitMemoryReleased()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -30,7 +30,7 @@
 	o := <-h.Router.Finished
 	assert.True(t, o.Result == routing.Succeeded && o.RequestFinished && o.Role == routing.Replica)
 	c.Send(conntest.ReadQuery("4000")...)
-	upstream.Expect("Q") // on the same connection
+	upstream.ExpectStatement() // on the same connection
 	upstream.Send(conntest.RowResponse("v")...)
 	c.Expect("TDCZ")
 	c.Send(conntest.Message('X', "")...)
--- a/server/unread_requests_test.go
+++ b/server/unread_requests_test.go
@@ -74,7 +74,7 @@
 	t.Parallel()
 	p := newFullPipeline(t, conntest.ReadQuery("4000"))
 	time.Sleep(unreadTime)
-	got := timeoutOf(t, p.answerFirst().Expect("Q"))
+	got := timeoutOf(t, p.answerFirst().ExpectStatement())
 	assert.LessOrEqual(t, got, unreadTimeout-unreadTime+timeoutSlack)
 	assert.Greater(t, got, unreadTimeout-unreadTime-time.Second, "no more than the unread time is deducted")
 }
@@ -85,7 +85,7 @@
 	p := newFullPipeline(t, nil)
 	time.Sleep(unreadTime)
 	p.client.Send(conntest.ReadQuery("4000")...)
-	got := timeoutOf(t, p.answerFirst().Expect("Q"))
+	got := timeoutOf(t, p.answerFirst().ExpectStatement())
 	assert.Greater(t, got, unreadTimeout-timeoutSlack)
 }
 
@@ -96,7 +96,7 @@
 	p := newFullPipeline(t, query[:len(query)-5])
 	time.Sleep(unreadTime)
 	p.client.Send(query[len(query)-5:]...)
-	got := timeoutOf(t, p.answerFirst().Expect("Q"))
+	got := timeoutOf(t, p.answerFirst().ExpectStatement())
 	assert.Greater(t, got, unreadTimeout-timeoutSlack)
 }
 
--- a/testsupport/conntest/harness.go
+++ b/testsupport/conntest/harness.go
@@ -141,22 +141,14 @@
 // answerAll serves a connection to the fake server until it ends, and counts its statements.
 func answerAll(conn net.Conn, statements *atomic.Int64) {
 	defer func() { _ = conn.Close() }() // the peer may have closed it
-	reader := pgwire.NewReader(conn, peerBuffer, peerMaxMessage)
-	if _, err := reader.ReadStartup(); err != nil {
+	peer := &Peer{Conn: conn, Reader: pgwire.NewReader(conn, peerBuffer, peerMaxMessage)}
+	if _, err := peer.Reader.ReadStartup(); err != nil {
 		return
 	}
 	if _, err := conn.Write(pgwire.AppendStartupResponse(nil)); err != nil {
 		return
 	}
-	for {
-		if _, _, err := reader.Next(); err != nil {
-			return
-		}
-		statements.Add(1)
-		if _, err := conn.Write(RowResponse("v")); err != nil {
-			return
-		}
-	}
+	peer.AnswerAll(func() { statements.Add(1) })
 }
 
 // DiscardEvents discards what the router records in its channels, so that the core never blocks on them.
--- a/testsupport/conntest/peer.go
+++ b/testsupport/conntest/peer.go
@@ -62,6 +62,40 @@
 	return last
 }
 
+// emptyQuery is the body of a Query message without a statement.
+const emptyQuery = "\x00"
+
+// ExpectStatement reads a statement as a server does, and returns its body. On a connection that has carried a statement before, it answers
+// the empty query that comes first.
+func (p *Peer) ExpectStatement() (statement []byte) {
+	p.t.Helper()
+	statement = p.Expect("Q")
+	if string(statement) != emptyQuery {
+		return statement
+	}
+	p.Send(pgwire.AppendEmptyQueryResponse(nil)...)
+	return p.Expect("Q")
+}
+
+// AnswerAll plays a server that answers every statement with one row, until the connection ends. It calls statement for each that is not
+// empty.
+func (p *Peer) AnswerAll(statement func()) {
+	for {
+		_, body, err := p.Reader.Next()
+		if err != nil {
+			return
+		}
+		response := pgwire.AppendEmptyQueryResponse(nil)
+		if string(body) != emptyQuery {
+			statement()
+			response = RowResponse("v")
+		}
+		if _, err := p.Write(response); err != nil {
+			return
+		}
+	}
+}
+
 // ExpectClosed reads and expects the end of the connection.
 func (p *Peer) ExpectClosed() {
 	p.t.Helper()
--- a/testsupport/fakeserver/server.go
+++ b/testsupport/fakeserver/server.go
@@ -215,11 +215,7 @@
 			return
 		}
 		if s.isHanging() {
-			if isHealthCheck(string(body[:len(body)-1])) {
-				s.group.HealthChecks.Add(1)
-			} else {
-				s.group.Unanswered.Add(1)
-			}
+			s.countUnanswered(string(body[:len(body)-1]))
 			continue
 		}
 		answer, ok := s.respond(string(body[:len(body)-1]))
@@ -232,6 +228,17 @@
 	}
 }
 
+// countUnanswered counts a query that the hanging server received.
+func (s *Server) countUnanswered(sql string) {
+	switch {
+	case isEmptyQuery(sql):
+	case isHealthCheck(sql):
+		s.group.HealthChecks.Add(1)
+	default:
+		s.group.Unanswered.Add(1)
+	}
+}
+
 var (
 	requestIDPattern      = regexp.MustCompile(`/\*\s*id=([^ ,*]+)`)
 	idempotencyKeyPattern = regexp.MustCompile(`[ ,]k=([^ ,*]+)`)
@@ -255,6 +262,9 @@
 // respond runs a statement and returns the response. If ok is false, the connection must be closed without a response.
 func (s *Server) respond(sql string) (response []byte, ok bool) {
 	now := time.Now()
+	if isEmptyQuery(sql) {
+		return pgwire.AppendEmptyQueryResponse(nil), true
+	}
 	if isHealthCheck(sql) {
 		s.group.HealthChecks.Add(1)
 		return s.loadReport(now), true
@@ -279,6 +289,9 @@
 	return s.execute(sql, id, primary, now, fault)
 }
 
+// isEmptyQuery reports whether a query holds no statement.
+func isEmptyQuery(sql string) bool { return strings.TrimSpace(sql) == "" }
+
 // isHealthCheck reports whether a statement is one of the health checks of a router.
 func isHealthCheck(sql string) bool {
 	plain := strings.TrimSpace(sql)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -29,7 +29,8 @@
 	openedAt time.Time // on the monotonic clock
 	tcp      *net.TCPConn
 	reader   *pgwire.Reader
-	reserved int // bytes reserved in Pools.bodies for the rows of the result so far
+	reserved int  // bytes reserved in Pools.bodies for the rows of the result so far
+	reused   bool // an attempt was exchanged before: its server may still send more than the result
 
 	next      chan *front.Attempt // capacity 1: the next attempt, or nil to close the connection
 	cancelled atomic.Bool         // the attempt in flight was cancelled
@@ -81,7 +82,7 @@
 		c.putBack()
 		return true
 	}
-	message := a.Message()
+	message := c.message(a)
 	if n, err := c.tcp.Write(message); err != nil {
 		stage := front.StageWrite
 		if n == len(message) {
@@ -92,7 +93,7 @@
 		return false
 	}
 	result := &front.AttemptFinished{Attempt: a}
-	if c.readResult(result) {
+	if c.readResponse(result) {
 		result.Release = c.detachBody()
 		c.reader.CheckMessage = nil // it refers to the result and would keep it in memory while the connection is idle
 		c.putBack()                 // before the result is posted, so that the next attempt can use this connection
@@ -104,7 +105,50 @@
 	return false
 }
 
-// readResult reads the server's response to an attempt. It returns false if the connection cannot be reused.
+// message returns the bytes that send an attempt. On a connection that has carried an attempt before they begin with an empty query. A
+// server may send more than a result, and what follows a result may still be in transit when the next attempt is written. It precedes the
+// response to the empty query, so it cannot be taken for the result of this attempt. Both go in one write, so that no round trip is added.
+func (c *conn) message(a *front.Attempt) []byte {
+	if c.reused {
+		return a.MessageAfterEmptyQuery()
+	}
+	return a.Message()
+}
+
+// readResponse reads the server's response to what exchange has sent. It returns false if the connection cannot be reused.
+func (c *conn) readResponse(result *front.AttemptFinished) bool {
+	if c.reused {
+		if err := c.readEmptyQueryResponse(); err != nil {
+			result.Err = connectionError(fmt.Errorf("%w: %w", ErrNoSeparator, err))
+			return false
+		}
+	}
+	c.reused = true
+	return c.readResult(result)
+}
+
+// readEmptyQueryResponse reads the response to the empty query before an attempt. The error is a protocol error if anything else comes
+// first.
+func (c *conn) readEmptyQueryResponse() error {
+	var response pgwire.EmptyQueryResponse
+	c.reader.CheckMessage = pgwire.CheckEmptyQueryMessage
+	for {
+		typ, _, err := c.reader.Next()
+		complete := false
+		if err == nil {
+			complete, err = response.AddMessage(typ)
+		}
+		switch {
+		case complete:
+			return nil
+		case err == nil, tcpconn.IsTimeout(err) && c.clearStaleDeadline():
+		default:
+			return err
+		}
+	}
+}
+
+// readResult reads the result of an attempt. It returns false if the connection cannot be reused.
 func (c *conn) readResult(result *front.AttemptFinished) bool {
 	answer := &result.Result
 	answer.AnyStatement, answer.MaxBytes = c.pools.anyResult, c.pools.maxMessage
@@ -121,15 +165,27 @@
 		switch {
 		case errors.As(err, &tooLarge):
 			*answer = pgwire.QueryResult{AnyStatement: true, TooLong: true, ErrorMessage: err.Error()}
-		case pgwire.IsProtocolError(err) || errors.Is(err, pgwire.ErrBufferLimit):
-			result.Err, *answer = &front.ConnectionError{Stage: front.StageDecode, Err: err}, pgwire.QueryResult{}
-		case answer.Code == "": // a FATAL error, which has a code, is a response although the server then closes the connection
-			result.Err, *answer = &front.ConnectionError{Stage: front.StageRead, Err: err}, pgwire.QueryResult{}
+		case answer.Code == "" || isUnreadable(err): // a FATAL error, which has a code, is a response although the server then closes the connection
+			result.Err, *answer = connectionError(err), pgwire.QueryResult{}
 		}
 		return false
 	}
 }
 
+// connectionError returns the failure of an attempt of which everything was written.
+func connectionError(err error) *front.ConnectionError {
+	stage := front.StageRead
+	if isUnreadable(err) {
+		stage = front.StageDecode
+	}
+	return &front.ConnectionError{Stage: stage, Err: err}
+}
+
+// isUnreadable reports whether a read failed because of what the server sent.
+func isUnreadable(err error) bool {
+	return pgwire.IsProtocolError(err) || errors.Is(err, pgwire.ErrBufferLimit)
+}
+
 // readMessage reads the next message and adds it to a result. It reports whether the result is complete.
 func (c *conn) readMessage(answer *pgwire.QueryResult) (complete bool, err error) {
 	typ, body, err := c.reader.Next()
@@ -201,8 +257,8 @@
 	return a
 }
 
-// hasInput reports whether the server has sent data on a connection without an attempt, or closed it. Such data would be read as the
-// response to the next attempt. If an attempt were written after the server's close, it would be unknown whether it ran.
+// hasInput reports whether the server has sent data on a connection without an attempt, or closed it. If an attempt were written
+// nevertheless, it would fail, and it would be unknown whether it ran.
 func (c *conn) hasInput() bool {
 	return c.reader.MessageStarted() || tcpconn.Peek(c.tcp) != tcpconn.NoInput
 }
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -12,6 +12,9 @@
 	ErrNoDescriptor = errors.New("no free descriptor for a server connection")
 	// ErrUnexpectedInput means that the server closed the connection, or sent more than its greeting, before the first request.
 	ErrUnexpectedInput = errors.New("server closed the connection or sent data before the first request")
+	// ErrNoSeparator means that the response to the empty query before an attempt did not come, for example because the server has sent
+	// more than the result of the previous attempt.
+	ErrNoSeparator = errors.New("no response to the empty query before the statement")
 
 	errPanic = errors.New("panic in a server connection")
 )
--- a/upstream/errors_test.go
+++ b/upstream/errors_test.go
@@ -56,7 +56,7 @@
 			finished := make(chan *front.AttemptFinished, 1)
 			h.pools.options.Post = func(e front.Event) { finished <- e.(*front.AttemptFinished) }
 			h.Eventually(func() bool { return h.address() != "" })
-			h.pools.Send(0, front.NewHealthCheck(pgwire.AppendQuery(nil, "SHOW load")))
+			h.pools.Send(0, front.NewHealthCheck("SHOW load"))
 			x.act(h)
 			e := <-finished
 			require.NotNil(t, e.Err)
--- a/upstream/pools.go
+++ b/upstream/pools.go
@@ -5,8 +5,8 @@
 // Pools has one pool per server. Its mutex guards the pools and their lists of idle connections. Each connection is served by a goroutine
 // of its own. Only the goroutine that removes an idle connection from its pool's list may pass it the next attempt, or nil to close it.
 //
-// Invariants: A connection carries one attempt at a time, and is reused only if the server sent exactly one complete result. A connection
-// that was opened before its server's last start, or to another address, is never reused. Each attempt ends in exactly one event.
+// Invariants: A connection carries one attempt at a time. It is reused only if the server sent exactly one complete result, as far as that
+// has arrived; an empty query before the next statement separates what arrives later from the result of that statement. A connection that was opened before its server's last start, or to another address, is never reused. Each attempt ends in exactly one event.
 package upstream
 
 import (
--- a/upstream/pools_test.go
+++ b/upstream/pools_test.go
@@ -258,7 +258,7 @@
 			require.NoError(t, err)
 			act(conntest.NewPeer(t, accepted))
 			h.Eventually(func() bool { return tcpconn.Peek(idle.tcp) != tcpconn.NoInput })
-			idle.next <- front.NewHealthCheck(pgwire.AppendQuery(nil, "SELECT 2"))
+			idle.next <- front.NewHealthCheck("SELECT 2")
 			assert.Nil(t, idle.awaitNext())
 			upstream := h.AcceptServer()
 			upstream.Expect("Q")
--- a/upstream/server_bytes_test.go
+++ b/upstream/server_bytes_test.go
@@ -50,6 +50,10 @@
 		if i > 0 {
 			client.Send(pgwire.AppendQuery(nil, statement)...)
 		}
+		if i > 0 {
+			conntest.AssertRecorded(t, file, "before statements but the first", string(rawMessage(t, upstream, 5)))
+			upstream.Send(pgwire.AppendEmptyQueryResponse(nil)...)
+		}
 		sent := rawMessage(t, upstream, 5)
 		d := timeout.FindSubmatchIndex(sent)
 		require.NotNil(t, d, "%q", sent)
@@ -62,6 +66,7 @@
 		client.Expect("TDCZ")
 		h.awaitIdle(1)
 	}
-	h.pools.Send(0, front.NewHealthCheck(pgwire.AppendQuery(nil, "SHOW load")))
+	h.pools.Send(0, front.NewHealthCheck("SHOW load"))
+	conntest.AssertRecorded(t, file, "before statements but the first", string(rawMessage(t, upstream, 5)))
 	conntest.AssertRecorded(t, file, "health check", string(rawMessage(t, upstream, 5)))
 }
