Gateway: no result reaches another process than the one that asked

Cause: a result names its request by ID and attempt number, and IDs begin anew with a process. The peer kept executing for the killed process and queued its results for whichever process was connected. Evidence: the model with restarts of the asking side finds it in nine events on the code before: "request 2 served with row 1". Change: a hello of another epoch discards and cancels all executions of the earlier one, and the highest serial of an ended epoch is remembered, so that a process that returns is told unknown and not "not executed". IDs on the wire are combined with the random epoch, against peers of an older version. The link's table of attempts has the attempt number in its key. Other replies that are matched by a number were read: each has a term or an incarnation.

--- a/cmd/dapplerouter/gateway.go
+++ b/cmd/dapplerouter/gateway.go
@@ -86,7 +86,7 @@
 	return []any{"peer", g.peer, "state", state, "in_flight", ours, "in_flight_of_peer", theirs,
 		"forwarded", n.Forwarded, "answered", n.Answered, "outcome_unknown", n.OutcomeUnknown, "recovered", n.Recovered,
 		"proven_not_executed", n.ProvenNotExecuted, "outcome_lost", n.OutcomeLost, "rejected", n.Rejected, "late", n.LateResults,
-		"duplicates", n.Duplicates}
+		"duplicates", n.Duplicates, "abandoned", n.Abandoned}
 }
 
 // DiscoveryAddressChanged does nothing: the link does not use discovery.
--- a/gateway/connection.go
+++ b/gateway/connection.go
@@ -102,7 +102,8 @@
 
 // AcceptHello handles the peer's hello on a new connection with the given number. If it returns a *HelloError, the connection is
 // rejected and the state is unchanged. Otherwise the new connection replaces any other: the caller must not pass frames of
-// older connections to Receive any more.
+// older connections to Receive any more. If the peer is another process than before, the executions for that one are canceled
+// (see TakePeerRequests).
 //
 // answered says that the peer's hello is the answer to this instance's hello, so that the connection is known to work in both
 // directions. If it is false, the first frame that is received confirms this. Until then no request is sent and the peer
@@ -123,7 +124,7 @@
 		e.ConnectionLost(now)
 	}
 	if h.Epoch != e.conn.peerEpoch {
-		e.execs.evictedSerial = 0
+		e.abandonExecutions(h.Epoch)
 	}
 	e.state = Up
 	e.conn = peerConnection{number: max(number, h.ConnectionNumber), peerEpoch: h.Epoch, unconfirmed: !answered,
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -31,7 +32,14 @@
 	retainedBytes int64
 }
 
-// executionTable has the running and the retained executions.
+// maxEndedEpochs is the number of earlier epochs of the peer of which the highest serial is remembered. A process that is replaced this
+// often while one of its requests waits for its outcome is not expected.
+const maxEndedEpochs = 16
+
+// endedEpoch is an epoch of the peer whose executions were abandoned because a hello of another epoch was accepted.
+type endedEpoch struct{ epoch, highestSerial uint64 }
+
+// executionTable has the running and the retained executions of the peer's current epoch.
 type executionTable struct {
 	lastNumber    uint64
 	byRequest     map[requestKey]*execution
@@ -39,6 +47,8 @@
 	retained      []*execution          // finished executions, oldest first
 	retainedBytes int64                 // sum over retained
 	evictedSerial uint64                // highest serial of the peer's current epoch whose outcome was evicted
+	highestSerial uint64                // highest serial that was received in the peer's current epoch
+	endedEpochs   []endedEpoch          // the latest at the end; at most maxEndedEpochs
 }
 
 func newExecutionTable() executionTable {
@@ -53,6 +63,23 @@
 	return x
 }
 
+// beginEpoch discards all executions when the peer's epoch changes. If the peer returns to an epoch, no request of that epoch that was
+// received before may be reported as not executed.
+func (t *executionTable) beginEpoch(previous, epoch uint64) {
+	if t.endedEpochs = append(t.endedEpochs, endedEpoch{previous, t.highestSerial}); len(t.endedEpochs) > maxEndedEpochs {
+		t.endedEpochs = slices.Delete(t.endedEpochs, 0, 1)
+	}
+	clear(t.byRequest)
+	clear(t.running)
+	t.retained, t.retainedBytes, t.evictedSerial, t.highestSerial = t.retained[:0], 0, 0, 0
+	for _, ended := range t.endedEpochs {
+		if ended.epoch == epoch {
+			t.evictedSerial = max(t.evictedSerial, ended.highestSerial)
+		}
+	}
+	t.highestSerial = t.evictedSerial
+}
+
 // finish ends a running execution and retains its result.
 func (t *executionTable) finish(now time.Duration, x *execution, f Frame) {
 	f.Kind, f.ID = FrameResult, x.id
@@ -71,22 +98,30 @@
 	delete(t.byRequest, x.requestKey)
 }
 
-// evictExpired removes outcomes that were retained for longer than the given time. It records the highest evicted serial of the
-// peer's current epoch: no request up to this serial may be reported as not executed.
-func (t *executionTable) evictExpired(now, retention time.Duration, peerEpoch uint64) {
+// evictExpired removes outcomes that were retained for longer than the given time. It records the highest evicted serial: no request up
+// to this serial may be reported as not executed.
+func (t *executionTable) evictExpired(now, retention time.Duration) {
 	n := 0
 	for n < len(t.retained) && now-t.retained[n].finishedAt > retention {
 		x := t.retained[n]
 		t.retainedBytes -= x.retainedBytes
 		delete(t.byRequest, x.requestKey)
-		if x.epoch == peerEpoch {
-			t.evictedSerial = max(t.evictedSerial, x.serial)
-		}
+		t.evictedSerial = max(t.evictedSerial, x.serial)
 		n++
 	}
 	t.retained = append(t.retained[:0], t.retained[n:]...)
 }
 
+// abandonExecutions cancels all executions because the peer is another process than the one that asked for them. Nobody waits for their
+// results any more, and the IDs of the new process may be the same.
+func (e *Endpoint) abandonExecutions(epoch uint64) {
+	for _, number := range slices.Sorted(maps.Keys(e.execs.running)) {
+		e.peerRequests = append(e.peerRequests, PeerRequest{Execution: number, IsCancel: true})
+	}
+	e.Counters.Abandoned += len(e.execs.running)
+	e.execs.beginEpoch(e.conn.peerEpoch, epoch)
+}
+
 // ExecutionFinished handles the result of the execution with the given number. The kind and the request ID of the frame need not
 // be set. It does nothing if the execution was canceled.
 func (e *Endpoint) ExecutionFinished(now time.Duration, number uint64, f Frame) {
@@ -107,6 +142,7 @@
 	if f.Serial == 0 || f.Timeout <= 0 || f.MaxAttempts == 0 || len(f.Data) == 0 {
 		return fmt.Errorf("%w: request without serial, timeout, attempts or statement", ErrProtocol)
 	}
+	e.execs.highestSerial = max(e.execs.highestSerial, f.Serial)
 	key := requestKey{e.conn.peerEpoch, f.ID}
 	x := e.execs.byRequest[key]
 	switch {
@@ -141,7 +177,7 @@
 	if e.execs.retainedBytes+bytes <= e.settings.MaxRetainedBytes {
 		return true
 	}
-	e.execs.evictExpired(now, e.settings.OutcomeRetention, e.conn.peerEpoch)
+	e.execs.evictExpired(now, e.settings.OutcomeRetention)
 	return e.execs.retainedBytes+bytes <= e.settings.MaxRetainedBytes
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,8 @@
 // one was accepted. An instance also records the highest serial whose outcome it has evicted. For a request up to that
 // serial it answers that the request may have been executed, even if the outcome request is late for an unrelated reason,
 // such as a process that was stopped for ten seconds. Both numbers are valid within an epoch, which changes with each start
-// of an instance.
+// of an instance. Request IDs may begin anew with an epoch: when a hello of another epoch is accepted, all executions are
+// abandoned, so that no result reaches another process than the one that asked.
 package gateway
 
 import (
@@ -60,6 +61,7 @@
 	Rejected          int // requests rejected for lack of capacity or of a connection, in either direction
 	LateResults       int // results that arrived after the request had ended
 	Duplicates        int // requests of the peer that were already executing or had already succeeded
+	Abandoned         int // requests of the peer that were executing when another process of the peer connected
 }
 
 // New returns an Endpoint without a connection. The epoch must be different for each start of the instance and must not
@@ -87,7 +89,7 @@
 // Tick enforces deadlines and timeouts and schedules heartbeats. It must be called regularly. An error wraps ErrPeerTimeout: the
 // state of the link is Down, and the caller must close its connection.
 func (e *Endpoint) Tick(now time.Duration) error {
-	e.execs.evictExpired(now, e.settings.OutcomeRetention, e.conn.peerEpoch)
+	e.execs.evictExpired(now, e.settings.OutcomeRetention)
 	e.expireForwards(now)
 	if e.state != Up {
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -94,6 +94,50 @@
 	assert.Equal(t, FrameNotExecuted, ask(5, 1).Kind)
 }
 
+// Guards against a client that is served another request's value after a kill: the peer executed requests of the killed process, and sent
+// the results to the next one, whose request IDs begin anew.
+func TestResultsAreNotSentToAnotherProcessThanTheOneThatAsked(t *testing.T) {
+	e := connectedEndpoint(t, 1)
+	require.NoError(t, e.Receive(0, forwardFrame(5, 0, 1)))
+	require.NoError(t, e.Receive(0, forwardFrame(6, 0, 2)))
+	old := e.TakePeerRequests()
+	e.ExecutionFinished(0, old[0].Execution, Frame{Status: StatusSucceeded, Data: []byte("old")}) // its result is queued
+	connect(t, e, 8, 1)
+	assert.Equal(t, []PeerRequest{{Execution: old[1].Execution, IsCancel: true}}, e.TakePeerRequests())
+	require.NoError(t, e.Receive(0, forwardFrame(5, 0, 1)))
+	require.NoError(t, e.Receive(0, forwardFrame(6, 0, 2)))
+	e.ExecutionFinished(0, old[1].Execution, Frame{Status: StatusSucceeded, Data: []byte("old")})
+	assert.Empty(t, sentFrames(e, 0))
+	for _, p := range e.TakePeerRequests() {
+		e.ExecutionFinished(0, p.Execution, Frame{Status: StatusSucceeded, Data: []byte("new")})
+	}
+	out := sentFrames(e, 0)
+	require.Len(t, out, 2)
+	for _, f := range out {
+		assert.Equal(t, "new", string(f.Data))
+	}
+}
+
+// Guards against "not executed" for a request that was executed: its process was replaced by another one for a while, and the executions
+// of both epochs are forgotten.
+func TestReturningProcessIsNotToldThatItsRequestsWereNotExecuted(t *testing.T) {
+	e := connectedEndpoint(t, 1)
+	require.NoError(t, e.Receive(0, forwardFrame(5, 0, 3)))
+	connect(t, e, 8, 1)
+	connect(t, e, 7, 2)
+	for serial, want := range map[uint64]Frame{
+		3: {Kind: FrameResult, ID: 5, Status: StatusUnknown},
+		4: {Kind: FrameNotExecuted, ID: 5},
+	} {
+		require.NoError(t, e.Receive(0, &Frame{Kind: FrameOutcomeRequest, ID: 5, Serial: serial}))
+		assert.Equal(t, []Frame{want}, sentFrames(e, 0))
+	}
+	for epoch := range uint64(3 * maxEndedEpochs) {
+		connect(t, e, 100+epoch, 1)
+	}
+	assert.Len(t, e.execs.endedEpochs, maxEndedEpochs)
+}
+
 func TestResultOfAnEarlierAttemptIsNotTakenForALaterOne(t *testing.T) {
 	e := connectedEndpoint(t, 1)
 	x := ForwardedRequest{ID: 5, AttemptNumber: 0, Deadline: time.Second, MaxAttempts: 1, Message: []byte{1}}
--- a/gateway/link/attempts.go
+++ b/gateway/link/attempts.go
@@ -20,6 +20,19 @@
 
 const messageHeader = 5 // length of a PostgreSQL message's type and length fields, in bytes
 
+// attemptKey identifies a forwarded attempt. requestID is unique among all processes of this site: it is the front's number of the
+// request, which begins anew with each process, combined with the epoch of this process. Otherwise a result that the peer sends for an
+// earlier process could be taken for that of a request of this one.
+type attemptKey struct {
+	requestID     uint64
+	attemptNumber uint32
+}
+
+// attemptKey returns the key of a forwarded attempt.
+func (l *Link) attemptKey(f *front.ForwardedAttempt) attemptKey {
+	return attemptKey{f.RequestID ^ l.opts.Epoch, uint32(f.AttemptNumber)}
+}
+
 // Send forwards an attempt to the remote site, or answers it at once if it is a health check. It never blocks.
 func (l *Link) Send(a *front.Attempt) {
 	w, probe := a.Forwarded()
@@ -30,19 +43,20 @@
 		l.changed.Broadcast()
 		return
 	}
-	l.attempts[w.RequestID] = a
-	l.endpoint.Forward(l.opts.Clock.Now(), gateway.ForwardedRequest{ID: w.RequestID, AttemptNumber: uint32(w.AttemptNumber), Group: w.Group,
+	key := l.attemptKey(&w)
+	l.attempts[key] = a
+	l.endpoint.Forward(l.opts.Clock.Now(), gateway.ForwardedRequest{ID: key.requestID, AttemptNumber: key.attemptNumber, Group: w.Group,
 		Deadline: w.Deadline, MaxAttempts: uint32(w.MaxAttempts), Write: w.Write, MinPosition: w.MinPosition, Message: a.Message()[messageHeader:]})
 	l.collectOutcomes()
 	l.changed.Broadcast()
 }
 
 // cancelAttempt cancels an attempt. The front calls it through the attempt. It never blocks.
-func (l *Link) cancelAttempt(id uint64, number uint32) {
+func (l *Link) cancelAttempt(key attemptKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endpoint.Cancel(id, number)
-	delete(l.attempts, id)
+	l.endpoint.Cancel(key.requestID, key.attemptNumber)
+	delete(l.attempts, key)
 	l.changed.Broadcast()
 }
 
@@ -59,11 +73,12 @@
 // the mutex.
 func (l *Link) collectOutcomes() []gateway.PeerRequest {
 	for _, o := range l.endpoint.TakeOutcomes() {
-		a := l.attempts[o.ID]
+		key := attemptKey{o.ID, o.AttemptNumber}
+		a := l.attempts[key]
 		if a == nil {
 			continue
 		}
-		delete(l.attempts, o.ID)
+		delete(l.attempts, key)
 		l.finished = append(l.finished, attemptFinished(a, &o))
 		l.changed.Broadcast()
 	}
--- a/gateway/link/connection.go
+++ b/gateway/link/connection.go
@@ -156,10 +156,14 @@
 	if !dialed {
 		number = h.ConnectionNumber
 	}
-	if err := l.acceptHello(c, &h, number); err != nil {
+	cancellations, err := l.acceptHello(c, &h, number)
+	if err != nil {
 		l.reject(k, err.Error()) // the reasons are part of the wire protocol
 		return 0, fmt.Errorf("hello of the peer: %w", err)
 	}
+	for _, r := range cancellations {
+		l.execute(r)
+	}
 	if !dialed {
 		if err := l.sendHello(k, number); err != nil {
 			return 0, err
@@ -170,20 +174,21 @@
 }
 
 // acceptHello makes the connection the current one if the endpoint accepts the hello, and closes the previous one. From then on no
-// frame of the previous connection is accepted (see receive).
-func (l *Link) acceptHello(c net.Conn, h *gateway.Frame, number uint64) error {
+// frame of the previous connection is accepted (see receive). It returns the cancellations of executions for an earlier process of
+// the peer.
+func (l *Link) acceptHello(c net.Conn, h *gateway.Frame, number uint64) (cancellations []gateway.PeerRequest, err error) {
 	l.mu.Lock()
-	err := l.endpoint.AcceptHello(l.opts.Clock.Now(), h, number, l.listener == nil)
+	err = l.endpoint.AcceptHello(l.opts.Clock.Now(), h, number, l.listener == nil)
 	var previous net.Conn
 	if err == nil {
 		previous, l.conn = l.conn, c
-		l.collectOutcomes()
+		cancellations = l.collectOutcomes()
 	}
 	l.mu.Unlock()
 	if previous != nil {
 		_ = previous.Close() // its reader sees the error
 	}
-	return err
+	return cancellations, err
 }
 
 // sendHello sends this instance's hello for the connection with the given number.
--- a/gateway/link/executions_test.go
+++ b/gateway/link/executions_test.go
@@ -62,6 +62,46 @@
 	assert.Empty(t, l.executions)
 }
 
+// Nobody waits for what a process of the peer has asked for once another one connects: no further attempt of it is made.
+func TestExecutionsForAnEarlierProcessAreCanceled(t *testing.T) {
+	l, posted := startListeningLink(t)
+	_, peer := dialAsProcess(t, l, 7, 1)
+	var f gateway.Frame
+	require.NoError(t, peer.Read(&f))
+	send(t, peer, gateway.Frame{Kind: gateway.FrameForward, ID: 1, AttemptNumber: 1, Serial: 1, Timeout: time.Second, MaxAttempts: 1,
+		Data: append([]byte("SELECT 'x' /* id=a,c=browse,d=500,cluster=1 */"), 0)})
+	canceled := func() bool {
+		for _, e := range posted() {
+			if _, ok := e.(front.ClientGone); ok {
+				return true
+			}
+		}
+		return false
+	}
+	require.Eventually(t, func() bool { return len(posted()) > 1 }, 10*time.Second, time.Millisecond, "the link's state and the request")
+	assert.False(t, canceled())
+	dialAsProcess(t, l, 8, 1)
+	require.Eventually(t, canceled, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a result that a peer of an older version sends to another process than the one that asked: the numbers of requests begin
+// anew with each process, what the peer is told does not.
+func TestRequestIDsOfProcessesDiffer(t *testing.T) {
+	const epochs, requests = 100, 100
+	seen := map[uint64]bool{}
+	for epoch := range uint64(epochs) {
+		l := &Link{opts: Options{Epoch: (epoch + 1) * 0x9e3779b97f4a7c15}} // scattered over all bits, as random epochs are
+		for slot := range uint64(requests) {
+			f := front.ForwardedAttempt{RequestID: slot<<32 | 1}
+			first := l.attemptKey(&f)
+			f.AttemptNumber = 1
+			assert.Equal(t, first.requestID, l.attemptKey(&f).requestID, "a retry keeps the ID")
+			seen[first.requestID] = true
+		}
+	}
+	assert.Len(t, seen, epochs*requests)
+}
+
 // A peer that receives a hello can rely on its connection: it is the current one before the hello is written, and an older hello that comes
 // meanwhile is rejected with the reason.
 func TestConnectionIsCurrentBeforeItsHelloIsSent(t *testing.T) {
--- a/gateway/link/frames.go
+++ b/gateway/link/frames.go
@@ -92,12 +92,12 @@
 // beginAttempt tells the front that the attempt of a FrameForward is being sent. It returns false if the front has canceled the
 // attempt already; then the frame must not be sent.
 func (l *Link) beginAttempt(f *gateway.Frame) bool {
-	id, number := f.ID, f.AttemptNumber
-	a := l.attempts[id]
-	if a != nil && a.Begin(func() { l.cancelAttempt(id, number) }) {
+	key := attemptKey{f.ID, f.AttemptNumber}
+	a := l.attempts[key]
+	if a != nil && a.Begin(func() { l.cancelAttempt(key) }) {
 		return true
 	}
 	l.endpoint.Withdraw(f)
-	delete(l.attempts, id)
+	delete(l.attempts, key)
 	return false
 }
--- a/gateway/link/link.go
+++ b/gateway/link/link.go
@@ -43,13 +43,13 @@
 
 	mu               sync.Mutex // guards the fields up to changed
 	endpoint         *gateway.Endpoint
-	conn             net.Conn                  // the current connection: the one whose hello was accepted last; nil for none
-	connectionNumber uint64                    // of the connection that was dialed last
-	attempts         map[uint64]*front.Attempt // forwarded attempts without an outcome, by request ID
-	finished         []*front.AttemptFinished  // to be passed to the front by notifyFront
-	executions       map[uint64]*front.Request // the peer's requests that are executing here, by number of the execution; nil until the request is parsed
-	notifiedState    gateway.State             // the state of which the front was notified last
-	changed          *sync.Cond                // signals that there may be frames to write or something to notify the front of
+	conn             net.Conn                      // the current connection: the one whose hello was accepted last; nil for none
+	connectionNumber uint64                        // of the connection that was dialed last
+	attempts         map[attemptKey]*front.Attempt // forwarded attempts without an outcome
+	finished         []*front.AttemptFinished      // to be passed to the front by notifyFront
+	executions       map[uint64]*front.Request     // the peer's requests that are executing here, by number of the execution; nil until the request is parsed
+	notifiedState    gateway.State                 // the state of which the front was notified last
+	changed          *sync.Cond                    // signals that there may be frames to write or something to notify the front of
 
 	ctx        context.Context // canceled by Close
 	cancel     context.CancelFunc
@@ -58,7 +58,7 @@
 
 // New returns a Link. It opens the listener if Listen is set; all else waits for Run.
 func New(o Options) (*Link, error) {
-	l := &Link{opts: o, endpoint: gateway.New(o.Settings, o.Epoch), attempts: map[uint64]*front.Attempt{},
+	l := &Link{opts: o, endpoint: gateway.New(o.Settings, o.Epoch), attempts: map[attemptKey]*front.Attempt{},
 		executions: map[uint64]*front.Request{}}
 	l.changed = sync.NewCond(&l.mu)
 	l.ctx, l.cancel = context.WithCancel(context.Background())
--- a/gateway/link/peer_test.go
+++ b/gateway/link/peer_test.go
@@ -36,15 +36,20 @@
 	return l, func() []front.Event { mu.Lock(); defer mu.Unlock(); return append([]front.Event{}, all...) }
 }
 
-// dialAsPeer dials a link as a scripted peer and sends its hello.
+// dialAsPeer dials a link as a scripted peer of epoch 7 and sends its hello.
 func dialAsPeer(t *testing.T, l *Link, number uint64) (net.Conn, *Codec) {
+	return dialAsProcess(t, l, 7, number)
+}
+
+// dialAsProcess dials a link as the process of the scripted peer that has the given epoch, and sends its hello.
+func dialAsProcess(t *testing.T, l *Link, epoch, number uint64) (net.Conn, *Codec) {
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(10 * time.Second))
 	k := NewCodec(c)
 	require.NoError(t, k.Greet())
-	send(t, k, gateway.Frame{Kind: gateway.FrameHello, Site: "kathmandu", Epoch: 7, ConnectionNumber: number, CreditBytes: gateway.DefaultSettings.CreditBytes})
+	send(t, k, gateway.Frame{Kind: gateway.FrameHello, Site: "kathmandu", Epoch: epoch, ConnectionNumber: number, CreditBytes: gateway.DefaultSettings.CreditBytes})
 	return c, k
 }
 
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -23,7 +23,7 @@
 type serverExecution struct {
 	request   uint64
 	execution uint64
-	epoch     uint64
+	epoch     uint64 // of the far instance
 	committed bool
 	reported  bool // its result was reported to the far instance
 }
@@ -35,7 +35,9 @@
 	near, far         *Endpoint
 	nearConn, farConn *connection // the connection that each instance regards as the current one
 	connectionNumber  uint64
-	epoch             uint64
+	epoch             uint64 // of the far instance
+	nearEpoch         uint64
+	numberedFrom      uint64 // the near instance's request IDs are the numbers of requests less this: they begin anew with each restart
 	executions        []*serverExecution
 	effects           map[uint64]int    // by request: number of commits
 	finished          map[uint64]int    // by request: number of final outcomes
@@ -44,11 +46,12 @@
 	lastRequest       uint64
 	disconnects       int
 	restarts          int
+	nearRestarts      int
 	violations        []string
 }
 
 func newModel() *model {
-	return &model{near: New(smallSettings, 1), far: New(smallSettings, 100), epoch: 100, effects: map[uint64]int{}, finished: map[uint64]int{},
+	return &model{near: New(smallSettings, 1), nearEpoch: 1, far: New(smallSettings, 100), epoch: 100, effects: map[uint64]int{}, finished: map[uint64]int{},
 		rejected: map[uint64]bool{}, attempts: map[uint64]uint32{}}
 }
 
@@ -82,6 +85,7 @@
 
 // handleOutcome checks an outcome against the executions, and retries the request if it was not executed.
 func (m *model) handleOutcome(e Outcome) {
+	e.ID += m.numberedFrom
 	switch {
 	case e.NotExecuted:
 		for _, x := range m.executions {
@@ -100,6 +104,9 @@
 		if m.effects[e.ID] != 1 {
 			m.addViolation("request %d served with %d effects", e.ID, m.effects[e.ID])
 		}
+		if row := string(e.Result.Data); row != rowOf(e.ID) {
+			m.addViolation("request %d served with %q", e.ID, row)
+		}
 		m.finished[e.ID]++
 	default:
 		m.finished[e.ID]++ // failed or unknown
@@ -109,9 +116,12 @@
 	}
 }
 
+// rowOf returns the row that the servers return for a request.
+func rowOf(id uint64) string { return fmt.Sprint("row ", id) }
+
 // request returns the current attempt of a request.
 func (m *model) request(id uint64) ForwardedRequest {
-	return ForwardedRequest{ID: id, AttemptNumber: m.attempts[id], Group: int64(id % 2), Deadline: m.now + 3*time.Second, MaxAttempts: 1, Write: true,
+	return ForwardedRequest{ID: id - m.numberedFrom, AttemptNumber: m.attempts[id], Group: int64(id % 2), Deadline: m.now + 3*time.Second, MaxAttempts: 1, Write: true,
 		Message: []byte{byte(id)}}
 }
 
@@ -127,13 +137,14 @@
 	sitesConnect
 	serverCommits
 	farReceivesResult
-	farRestarts // executions at its servers continue
+	farRestarts  // executions at its servers continue
+	nearRestarts // its requests get no outcome
 	timePasses
 	eventCount
 )
 
 // limits bound the number of requests, lost connections and restarts.
-type limits struct{ requests, disconnects, restarts int }
+type limits struct{ requests, disconnects, restarts, nearRestarts int }
 
 // step performs an event. It returns false if the event is not possible in the current state or exceeds the bounds.
 func (m *model) step(e event, bounds limits) bool {
@@ -207,12 +218,18 @@
 		for _, x := range m.executions {
 			if x.committed && !x.reported && x.epoch == m.epoch {
 				x.reported = true
-				m.far.ExecutionFinished(m.now, x.execution, Frame{Status: StatusSucceeded, Data: []byte("row")})
+				m.far.ExecutionFinished(m.now, x.execution, Frame{Status: StatusSucceeded, Data: []byte(rowOf(x.request))})
 				m.pump()
 				return true
 			}
 		}
 		return false
+	case nearRestarts:
+		if m.nearRestarts >= bounds.nearRestarts {
+			return false
+		}
+		m.nearRestarts++
+		m.restartNear()
 	case farRestarts:
 		if m.restarts >= bounds.restarts {
 			return false
@@ -233,6 +250,15 @@
 	return true
 }
 
+// restartNear replaces the near instance by a new process. The clients of its requests are lost with it.
+func (m *model) restartNear() {
+	for id := m.numberedFrom + 1; id <= m.lastRequest; id++ {
+		m.finished[id] = 1
+	}
+	m.nearEpoch++
+	m.near, m.nearConn, m.numberedFrom = New(smallSettings, m.nearEpoch), nil, m.lastRequest
+}
+
 // finish lets time pass until every request must have an outcome, and checks that each has exactly one.
 func (m *model) finish() {
 	for range 20 {
@@ -248,7 +274,7 @@
 // stateKey returns a key for the state. States with equal keys are treated as equal by explore.
 func (m *model) stateKey() string {
 	var b strings.Builder
-	fmt.Fprint(&b, m.now/(300*ms), m.disconnects, m.restarts, m.lastRequest, m.nearConn == nil, m.farConn == nil, m.nearConn == m.farConn,
+	fmt.Fprint(&b, m.now/(300*ms), m.disconnects, m.restarts, m.nearRestarts, m.numberedFrom, m.lastRequest, m.nearConn == nil, m.farConn == nil, m.nearConn == m.farConn,
 		m.effects, m.finished, m.attempts)
 	for _, p := range []*connection{m.nearConn, m.farConn} {
 		if p != nil {
@@ -323,9 +349,9 @@
 	if testing.Short() {
 		maxStates = 5_000
 	}
-	for _, bounds := range []limits{{1, 2, 1}, {2, 1, 1}, {2, 2, 0}, {3, 1, 0}} {
+	for _, bounds := range []limits{{1, 2, 1, 0}, {2, 1, 1, 0}, {2, 2, 0, 0}, {3, 1, 0, 0}, {2, 0, 0, 1}, {2, 1, 1, 1}} {
 		n := explore(t, depth, maxStates, bounds)
-		t.Logf("%d requests, %d disconnects, %d restarts: %d states", bounds.requests, bounds.disconnects, bounds.restarts, n)
+		t.Logf("%d requests, %d disconnects, %d and %d restarts: %d states", bounds.requests, bounds.disconnects, bounds.restarts, bounds.nearRestarts, n)
 	}
 }
 
@@ -333,7 +359,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
 		for range 150 {
-			m.step(event(rapid.IntRange(0, int(eventCount)-1).Draw(t, "event")), limits{requests: 12, disconnects: 20, restarts: 3})
+			m.step(event(rapid.IntRange(0, int(eventCount)-1).Draw(t, "event")), limits{requests: 12, disconnects: 20, restarts: 3, nearRestarts: 4})
 			if len(m.violations) > 0 {
 				t.Fatalf("%v", m.violations)
 			}
