Gateway: a forwarded write keeps the window of its first run when it is retried

Cause: a retry that is forwarded was a new request to the executing site, whose window began anew; the asking site checks the window before the frame only. Change: the executing site keeps when the first execution that may have run began, by its own clock, and passes it to front and router. What it can't know is not sent again: after its restart, or where it is of an older version (a feature bit in the hello, which older programs ignore). It rejects retries that an older asking site sends after its restart. Price: keyed writes in flight at a peer that restarts fail, not retried.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -141,6 +141,8 @@
 	MaxAttempts   int           // attempts that the other site may make
 	Write         bool
 	MinPosition   int64 // log position that a read must have reached, in Unix milliseconds; 0 for none
+	Repeated      bool  // an earlier attempt, started at FirstRunAt or later, may have run; its idempotency key is remembered for a limited time
+	FirstRunAt    time.Duration
 }
 
 // Forwarded returns the description of the attempt for the site that its server represents. It is empty for a health check, which the
--- a/front/attempt_test.go
+++ b/front/attempt_test.go
@@ -53,6 +53,25 @@
 	assert.Zero(t, network.aborts)
 }
 
+// A request that may have run before it was received, since another site forwards it again, has what is left of its deduplication window.
+func TestNothingSentAfterDedupWindowOfAnEarlierRun(t *testing.T) {
+	for beginAt, begins := range map[time.Duration]bool{305 * ms: true, 310 * ms: false} {
+		c, router, network := newTestCore(t)
+		c.catalog.types[1].Idempotency, c.catalog.types[1].DedupWindow = routing.IdempotencyKey, 300*ms
+		c.clock = func() time.Duration { return beginAt }
+		statement, err := pgwire.ParseStatement([]byte(order + "\x00"))
+		require.NoError(t, err)
+		r := NewRequest(network, statement, 250*ms)
+		r.SetFirstRun(10 * ms)
+		c.Post(r)
+		router.onReconcile = start(0)
+		c.batch(250 * ms)
+		require.Len(t, network.sent, 1)
+		assert.Equal(t, 240*ms, router.requests[0].FirstRunAge)
+		assert.Equal(t, begins, network.sent[0].Begin(func() {}), "%v", beginAt)
+	}
+}
+
 // The fake router cancels nothing, like a router in a deployment that forbids cancellation. The core must still not send the attempt.
 func TestUnsentAttemptCancelledWhenClientGone(t *testing.T) {
 	c, router, network := newTestCore(t)
--- a/front/attempts.go
+++ b/front/attempts.go
@@ -19,6 +19,9 @@
 func (c *Core) setForwarded(a *Attempt, r *Request, maxAttempts int) {
 	a.forwarded = ForwardedAttempt{RequestID: uint64(a.ref.Slot)<<32 | uint64(a.ref.Generation), AttemptNumber: a.number,
 		Group: r.Statement.Group, Deadline: a.deadline, MaxAttempts: maxAttempts, Write: r.Statement.Write, MinPosition: r.Statement.LastWritePosition}
+	if r.mayHaveRun && r.version.types[r.typeIndex].Idempotency == routing.IdempotencyKey {
+		a.forwarded.Repeated, a.forwarded.FirstRunAt = true, r.firstRunAt
+	}
 	if position, ok := c.router.RequiredPosition(a.ref); ok {
 		at := c.wall.epoch.Add(position + time.Millisecond - 1) // rounded up, so that it is never too low
 		a.forwarded.MinPosition = max(a.forwarded.MinPosition, at.UnixMilli())
--- a/front/forward_test.go
+++ b/front/forward_test.go
@@ -50,6 +50,30 @@
 	}
 }
 
+// Another site is told that a write may have run, if its idempotency key is remembered for a limited time.
+func TestForwardedRetryTellsThatAnAttemptMayHaveRun(t *testing.T) {
+	for idempotency, repeated := range map[routing.Idempotency]bool{routing.IdempotencyKey: true, routing.Idempotent: false} {
+		c, router, network := newForwardingCore(t, 9)
+		c.catalog.types[1].Idempotency, c.catalog.types[1].DedupWindow = idempotency, 300*ms
+		receive(t, c, network, order)
+		for range 2 {
+			router.onReconcile = start(0)
+			c.batch(10 * ms)
+			a := network.sent[len(network.sent)-1]
+			a.Begin(func() {})
+			c.Post(&AttemptFinished{Attempt: a, Err: &ConnectionError{Stage: StageRead, Err: assert.AnError}})
+			c.batch(20 * ms)
+		}
+		first, _ := network.sent[0].Forwarded()
+		retry, _ := network.sent[1].Forwarded()
+		assert.False(t, first.Repeated)
+		assert.Equal(t, repeated, retry.Repeated)
+		if repeated {
+			assert.Equal(t, 10*ms, retry.FirstRunAt)
+		}
+	}
+}
+
 func TestMaxAttemptsOfForwardedRequest(t *testing.T) {
 	c, router, network := newTestCore(t)
 	r := receive(t, c, network, browse)
--- a/front/request.go
+++ b/front/request.go
@@ -36,7 +36,7 @@
 
 	inFlight     []*Attempt    // attempts that have not finished
 	attemptsUsed int           // attempts started here plus those granted to other sites
-	mayHaveRun   bool          // an attempt ended with a result that does not exclude that it ran
+	mayHaveRun   bool          // an attempt ended with a result that does not exclude that it ran; see also SetFirstRun
 	firstRunAt   time.Duration // when the first such attempt was started
 	clientGone   *atomic.Bool  // shared with the attempts, which may outlive the request
 }
@@ -46,6 +46,10 @@
 	return &Request{Client: client, Statement: statement, ReceivedAt: receivedAt, clientGone: new(atomic.Bool)}
 }
 
+// SetFirstRun records that the request may have run before it was received here, at the given time on the core's clock or later. It must be
+// called before the request is posted.
+func (r *Request) SetFirstRun(at time.Duration) { r.mayHaveRun, r.firstRunAt = true, at }
+
 // MarkClientGone records that the client has disconnected. No attempt of the request begins to be sent afterwards, even before the core
 // handles the event. The caller must post the returned event.
 func (r *Request) MarkClientGone() ClientGone {
@@ -104,6 +108,9 @@
 	if (consistency == routing.Write || consistency == routing.ReadYourWrites) && (s.Normalized == nil || len(s.Key) > 0) {
 		req.Session = SessionHash(s.Key)
 	}
+	if r.mayHaveRun {
+		req.FirstRunAge = max(1, now-r.firstRunAt)
+	}
 	if s.LastWritePosition > 0 {
 		req.TokenAge = max(1, now-c.wall.at(s.LastWritePosition))
 	}
--- a/gateway/connection.go
+++ b/gateway/connection.go
@@ -47,11 +47,19 @@
 
 // peerConnection is the state of the current connection to the peer, or of the last one if the link is down.
 type peerConnection struct {
-	number       uint64
-	peerEpoch    uint64
-	unconfirmed  bool // no frame was received after the hello
-	lastReceived time.Duration
-	lastSent     time.Duration
+	number             uint64
+	peerEpoch          uint64
+	epochSince         time.Duration // when the peer's first hello in this epoch was accepted
+	remembersFirstRuns bool          // the peer has featureFirstRuns
+	unconfirmed        bool          // no frame was received after the hello
+	lastReceived       time.Duration
+	lastSent           time.Duration
+}
+
+// remembers reports whether the peer knows of all executions of a request since firstRunAt, when the first one that may have run was
+// forwarded.
+func (c *peerConnection) remembers(firstRunAt time.Duration) bool {
+	return c.remembersFirstRuns && firstRunAt >= c.epochSince
 }
 
 // checkTimeout returns an error that wraps ErrPeerTimeout if no frame was received for the time limit. The limit is four times as
@@ -95,9 +103,18 @@
 	return nil
 }
 
+// features are what an instance can do beyond the first version of the protocol. The Serial of its hello has them as bits; it is 0 in the
+// hello of an older program, which ignores it.
+type features uint64
+
+// featureFirstRuns means that the instance remembers when the first execution of a request began, so that it sends a write with an
+// idempotency key no more once the key's window since then has ended.
+const featureFirstRuns features = 1
+
 // Hello returns this instance's hello for the connection with the given number.
 func (e *Endpoint) Hello(site string, number uint64) Frame {
-	return Frame{Kind: FrameHello, Site: site, Epoch: e.epoch, ConnectionNumber: number, CreditBytes: e.settings.CreditBytes}
+	return Frame{Kind: FrameHello, Site: site, Epoch: e.epoch, ConnectionNumber: number, CreditBytes: e.settings.CreditBytes,
+		Serial: uint64(featureFirstRuns)}
 }
 
 // AcceptHello handles the peer's hello on a new connection with the given number. If it returns a *HelloError, the connection is
@@ -124,11 +141,15 @@
 		e.ConnectionLost(now)
 	}
 	if h.Epoch != e.conn.peerEpoch {
-		e.abandonExecutions(h.Epoch)
+		e.abandonExecutions(now, h.Epoch)
+	}
+	epochSince := e.conn.epochSince
+	if h.Epoch != e.conn.peerEpoch {
+		epochSince = now
 	}
 	e.state = Up
-	e.conn = peerConnection{number: max(number, h.ConnectionNumber), peerEpoch: h.Epoch, unconfirmed: !answered,
-		lastReceived: now, lastSent: now}
+	e.conn = peerConnection{number: max(number, h.ConnectionNumber), peerEpoch: h.Epoch, epochSince: epochSince,
+		remembersFirstRuns: features(h.Serial)&featureFirstRuns != 0, unconfirmed: !answered, lastReceived: now, lastSent: now}
 	if answered {
 		e.queueControl(Frame{Kind: FramePing}) // confirms to the peer that the connection works in both directions
 	}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -16,6 +16,8 @@
 	MaxAttempts uint32        // maximum number of attempts at this site
 	MinPosition int64         // replication position that a read must see, Unix milliseconds; 0 for none
 	Data        []byte        // the statement
+	Repeated    bool          // an earlier execution of the request, which began at FirstRunAt, may have run
+	FirstRunAt  time.Duration
 }
 
 // requestKey identifies a request of the peer. Request IDs are unique within an epoch of the peer.
@@ -25,9 +27,11 @@
 type execution struct {
 	requestKey
 	number        uint64
-	attemptNumber uint32 // of the latest attempt that was received
-	serial        uint64 // of the latest attempt that was received
-	result        *Frame // nil while the execution is running
+	attemptNumber uint32        // of the latest attempt that was received
+	serial        uint64        // of the latest attempt that was received
+	repeated      bool          // an earlier execution of the request may have run
+	firstRunAt    time.Duration // when that one began, or this one if it is the first
+	result        *Frame        // nil while the execution is running
 	finishedAt    time.Duration
 	retainedBytes int64
 }
@@ -49,32 +53,38 @@
 	evictedSerial uint64                // highest serial of the peer's current epoch whose outcome was evicted
 	highestSerial uint64                // highest serial that was received in the peer's current epoch
 	endedEpochs   []endedEpoch          // the latest at the end; at most maxEndedEpochs
+	returnedAt    time.Duration         // when the peer returned to an ended epoch
+	hasReturned   bool                  // the peer's current epoch is one to which it returned
 }
 
 func newExecutionTable() executionTable {
 	return executionTable{byRequest: map[requestKey]*execution{}, running: map[uint64]*execution{}}
 }
 
-// start adds a running execution for a request.
-func (t *executionTable) start(key requestKey, f *Frame) *execution {
+// start adds a running execution for a request. earlier is the request's previous execution, or nil.
+func (t *executionTable) start(now time.Duration, key requestKey, f *Frame, earlier *execution) *execution {
 	t.lastNumber++
-	x := &execution{requestKey: key, number: t.lastNumber, attemptNumber: f.AttemptNumber, serial: f.Serial}
+	x := &execution{requestKey: key, number: t.lastNumber, attemptNumber: f.AttemptNumber, serial: f.Serial, firstRunAt: now}
+	if earlier != nil && (earlier.repeated || earlier.result.Status == StatusUnknown) {
+		x.repeated, x.firstRunAt = true, earlier.firstRunAt
+	}
 	t.byRequest[key], t.running[x.number] = x, x
 	return x
 }
 
 // beginEpoch discards all executions when the peer's epoch changes. If the peer returns to an epoch, no request of that epoch that was
 // received before may be reported as not executed.
-func (t *executionTable) beginEpoch(previous, epoch uint64) {
+func (t *executionTable) beginEpoch(now time.Duration, previous, epoch uint64) {
 	if t.endedEpochs = append(t.endedEpochs, endedEpoch{previous, t.highestSerial}); len(t.endedEpochs) > maxEndedEpochs {
 		t.endedEpochs = slices.Delete(t.endedEpochs, 0, 1)
 	}
 	clear(t.byRequest)
 	clear(t.running)
 	t.retained, t.retainedBytes, t.evictedSerial, t.highestSerial = t.retained[:0], 0, 0, 0
+	t.returnedAt, t.hasReturned = now, false
 	for _, ended := range t.endedEpochs {
 		if ended.epoch == epoch {
-			t.evictedSerial = max(t.evictedSerial, ended.highestSerial)
+			t.evictedSerial, t.hasReturned = max(t.evictedSerial, ended.highestSerial), true
 		}
 	}
 	t.highestSerial = t.evictedSerial
@@ -114,12 +124,12 @@
 
 // abandonExecutions cancels all executions because the peer is another process than the one that asked for them. Nobody waits for their
 // results any more, and the IDs of the new process may be the same.
-func (e *Endpoint) abandonExecutions(epoch uint64) {
+func (e *Endpoint) abandonExecutions(now time.Duration, epoch uint64) {
 	for _, number := range slices.Sorted(maps.Keys(e.execs.running)) {
 		e.peerRequests = append(e.peerRequests, PeerRequest{Execution: number, IsCancel: true})
 	}
 	e.Counters.Abandoned += len(e.execs.running)
-	e.execs.beginEpoch(e.conn.peerEpoch, epoch)
+	e.execs.beginEpoch(now, e.conn.peerEpoch, epoch)
 }
 
 // ExecutionFinished handles the result of the execution with the given number. The kind and the request ID of the frame need not
@@ -137,7 +147,7 @@
 
 // receiveForward handles a request of the peer. The request is executed, unless an earlier attempt of it is still running or was
 // a write that succeeded. Then the later attempt gets the result of that execution. A request is rejected if there are too
-// many executions or if there is no space to retain its result.
+// many executions, if there is no space to retain its result, or if it repeats a write of which a forgotten execution may have run.
 func (e *Endpoint) receiveForward(now time.Duration, f *Frame) error {
 	if f.Serial == 0 || f.Timeout <= 0 || f.MaxAttempts == 0 || len(f.Data) == 0 {
 		return fmt.Errorf("%w: request without serial, timeout, attempts or statement", ErrProtocol)
@@ -161,17 +171,28 @@
 	default:
 		e.execs.discard(x)
 	}
-	x = e.execs.start(key, f)
-	if len(e.execs.running) > e.settings.MaxInFlight || !e.canRetain(now, MaxDataBytes) {
+	forgotten := x == nil && f.Write && f.AttemptNumber > 0 && e.mayHaveForgotten(now)
+	x = e.execs.start(now, key, f, x)
+	if forgotten || len(e.execs.running) > e.settings.MaxInFlight || !e.canRetain(now, MaxDataBytes) {
 		e.Counters.Rejected++
 		e.ExecutionFinished(now, x.number, Frame{Status: StatusRejected})
 		return nil
 	}
 	e.peerRequests = append(e.peerRequests, PeerRequest{Execution: x.number, Group: f.Group, Timeout: f.Timeout,
-		MaxAttempts: f.MaxAttempts, MinPosition: f.MinPosition, Data: f.Data})
+		MaxAttempts: f.MaxAttempts, MinPosition: f.MinPosition, Data: f.Data, Repeated: x.repeated, FirstRunAt: x.firstRunAt})
 	return nil
 }
 
+// mayHaveForgotten reports whether an execution that this instance does not remember may have run within the longest idempotency window,
+// which OutcomeRetention limits. This is so after the peer's return to an ended epoch. It is also so after the start of this process if the
+// peer, being of an older version, does not withhold repeats of what it had sent to the process before.
+func (e *Endpoint) mayHaveForgotten(now time.Duration) bool {
+	if e.execs.hasReturned && now < e.execs.returnedAt+e.settings.OutcomeRetention {
+		return true
+	}
+	return !e.conn.remembersFirstRuns && now < e.settings.OutcomeRetention
+}
+
 // canRetain reports whether outcomes of the given size may be retained in addition. If necessary it evicts expired outcomes.
 func (e *Endpoint) canRetain(now time.Duration, bytes int64) bool {
 	if e.execs.retainedBytes+bytes <= e.settings.MaxRetainedBytes {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -15,6 +15,8 @@
 	Write         bool
 	MinPosition   int64  // replication position that a read must see, Unix milliseconds; 0 for none
 	Message       []byte // the statement
+	Repeated      bool   // an earlier attempt, forwarded at FirstRunAt or later, may have run, and the servers drop repeats for a limited time
+	FirstRunAt    time.Duration
 }
 
 // Outcome says how a forwarded request ended.
@@ -23,6 +25,7 @@
 	AttemptNumber uint32
 	NotExecuted   bool          // the request was not executed and never will be
 	Overloaded    bool          // the request was not sent because of lack of capacity
+	Withheld      bool          // the request was not sent because the peer does not know since when an earlier attempt may have run
 	Result        *Frame        // of the remote site; if nil and not NotExecuted, the request may have been executed
 	Elapsed       time.Duration // time since the request was sent; the data may have aged by this much in transit
 }
--- a/gateway/frame.go
+++ b/gateway/frame.go
@@ -45,7 +45,7 @@
 	Kind          FrameKind
 	ID            uint64 // of the request, unique at the instance that forwards it
 	AttemptNumber uint32
-	Serial        uint64 // Forward, OutcomeRequest: number of the forwarded request, increasing over all requests of its sender
+	Serial        uint64 // Forward, OutcomeRequest: number of the forwarded request, increasing over all requests of its sender; Hello: features
 	Group         int64
 	Timeout       time.Duration // Forward: time that the sender still waits for the result
 	MaxAttempts   uint32        // Forward: maximum number of attempts at the remote site
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -138,6 +138,103 @@
 	assert.Len(t, e.execs.endedEpochs, maxEndedEpochs)
 }
 
+// A retry is executed with the time of the first execution that may have run, whatever the executions between them ended with.
+func TestRetryOfAWriteKeepsTheTimeOfItsFirstRun(t *testing.T) {
+	e := connectedEndpoint(t, 1)
+	execute := func(now time.Duration, attempt uint32, status ResultStatus) PeerRequest {
+		require.NoError(t, e.Receive(now, forwardFrame(5, attempt, uint64(attempt)+1)))
+		started := e.TakePeerRequests()
+		require.Len(t, started, 1)
+		e.ExecutionFinished(now+ms, started[0].Execution, Frame{Status: status})
+		return started[0]
+	}
+	assert.False(t, execute(10*ms, 0, StatusRejected).Repeated)
+	assert.False(t, execute(20*ms, 1, StatusUnknown).Repeated, "the first execution did not run")
+	for attempt, status := range []ResultStatus{StatusRejected, StatusInvalid, StatusUnknown} {
+		p := execute(time.Duration(30+attempt)*ms, uint32(attempt)+2, status)
+		assert.True(t, p.Repeated)
+		assert.Equal(t, 20*ms, p.FirstRunAt)
+	}
+}
+
+// Guards against a forwarded write that takes effect again beyond its window: a peer that has restarted, or one of an older version, does
+// not know since when it may have run.
+func TestRepeatIsWithheldFromAPeerThatDoesNotKnowTheFirstRun(t *testing.T) {
+	features := uint64(featureFirstRuns)
+	hello := func(e *Endpoint, now time.Duration, epoch, number, features uint64) {
+		h := Frame{Kind: FrameHello, Epoch: epoch, ConnectionNumber: number, CreditBytes: 1 << 20, Serial: features}
+		require.NoError(t, e.AcceptHello(now, &h, number, true))
+	}
+	for name, x := range map[string]struct {
+		connect  func(e *Endpoint)
+		repeated bool
+		withheld bool
+	}{
+		"the same process":            {func(e *Endpoint) { hello(e, 20*ms, 7, 2, features) }, true, false},
+		"another process":             {func(e *Endpoint) { hello(e, 20*ms, 8, 2, features) }, true, true},
+		"another process, no repeat":  {func(e *Endpoint) { hello(e, 20*ms, 8, 2, features) }, false, false},
+		"an older version":            {func(e *Endpoint) { hello(e, 20*ms, 7, 2, 0) }, true, true},
+		"an older version, no repeat": {func(e *Endpoint) { hello(e, 20*ms, 7, 2, 0) }, false, false},
+		"back after another process":  {func(e *Endpoint) { hello(e, 20*ms, 8, 2, features); hello(e, 30*ms, 7, 3, features) }, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := New(smallSettings, 100)
+			hello(e, 0, 7, 1, features)
+			x.connect(e)
+			e.Forward(40*ms, ForwardedRequest{ID: 5, AttemptNumber: 1, Deadline: time.Second, MaxAttempts: 1, Write: true, Message: []byte{1},
+				Repeated: x.repeated, FirstRunAt: 10 * ms})
+			frames := sentFrames(e, 40*ms)
+			if !x.withheld {
+				assert.Len(t, frames, 1)
+				return
+			}
+			assert.Empty(t, frames)
+			assert.Equal(t, []Outcome{{ID: 5, AttemptNumber: 1, NotExecuted: true, Withheld: true}}, e.TakeOutcomes())
+		})
+	}
+}
+
+// A peer of an older version does not withhold repeats, and one that returns to an ended epoch believes that its executions are
+// remembered. A retry without a known execution is rejected for as long as idempotency windows last.
+func TestRetryWithoutAKnownExecutionIsRejectedWhileOneMayBeForgotten(t *testing.T) {
+	const retention = 1500 * ms // of smallSettings
+	for name, x := range map[string]struct {
+		features uint64
+		returns  bool
+		now      time.Duration
+		rejected bool
+	}{
+		"older version, after the start":      {0, false, retention - ms, true},
+		"older version, later":                {0, false, retention, false},
+		"this version":                        {uint64(featureFirstRuns), false, ms, false},
+		"this version, after its return":      {uint64(featureFirstRuns), true, retention - ms, true},
+		"this version, long after its return": {uint64(featureFirstRuns), true, retention, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := New(smallSettings, 100)
+			epochs := []uint64{7}
+			if x.returns {
+				epochs = []uint64{7, 8, 7}
+			}
+			for number, epoch := range epochs {
+				h := Frame{Kind: FrameHello, Epoch: epoch, ConnectionNumber: uint64(number) + 1, CreditBytes: 1 << 20, Serial: x.features}
+				require.NoError(t, e.AcceptHello(0, &h, uint64(number)+1, true))
+			}
+			require.NoError(t, e.Receive(x.now, forwardFrame(4, 0, 1)))
+			assert.Len(t, e.TakePeerRequests(), 1, "a first attempt is executed")
+			require.NoError(t, e.Receive(x.now, forwardFrame(5, 1, 2)))
+			if !x.rejected {
+				assert.Len(t, e.TakePeerRequests(), 1)
+				return
+			}
+			assert.Empty(t, e.TakePeerRequests())
+			out := sentFrames(e, x.now)
+			require.Len(t, out, 1)
+			assert.Equal(t, StatusRejected, out[0].Status)
+		})
+	}
+}
+
 func TestResultOfAnEarlierAttemptIsNotTakenForALaterOne(t *testing.T) {
 	e := connectedEndpoint(t, 1)
 	x := ForwardedRequest{ID: 5, AttemptNumber: 0, Deadline: time.Second, MaxAttempts: 1, Message: []byte{1}}
--- a/gateway/link/attempts.go
+++ b/gateway/link/attempts.go
@@ -16,6 +16,7 @@
 var (
 	ErrLinkDown       = errors.New("link down")
 	ErrOutcomeUnknown = errors.New("link lost, outcome unknown")
+	ErrRepeatWithheld = errors.New("the remote site does not know since when the write may have run")
 )
 
 const messageHeader = 5 // length of a PostgreSQL message's type and length fields, in bytes
@@ -46,7 +47,8 @@
 	key := l.attemptKey(&w)
 	l.attempts[key] = a
 	l.endpoint.Forward(l.opts.Clock.Now(), gateway.ForwardedRequest{ID: key.requestID, AttemptNumber: key.attemptNumber, Group: w.Group,
-		Deadline: w.Deadline, MaxAttempts: uint32(w.MaxAttempts), Write: w.Write, MinPosition: w.MinPosition, Message: a.Message()[messageHeader:]})
+		Deadline: w.Deadline, MaxAttempts: uint32(w.MaxAttempts), Write: w.Write, MinPosition: w.MinPosition, Message: a.Message()[messageHeader:],
+		Repeated: w.Repeated, FirstRunAt: w.FirstRunAt})
 	l.collectOutcomes()
 	l.changed.Broadcast()
 }
@@ -109,6 +111,8 @@
 // attemptWithoutResult converts an outcome without a result frame to an event for the front.
 func attemptWithoutResult(a *front.Attempt, o *gateway.Outcome) *front.AttemptFinished {
 	switch {
+	case o.Withheld:
+		return &front.AttemptFinished{Attempt: a, Err: &front.ConnectionError{Stage: front.StageLocal, Err: ErrRepeatWithheld}}
 	case o.Overloaded:
 		return &front.AttemptFinished{Attempt: a, Result: pgwire.QueryResult{Code: pgwire.CodeTooManyConnections}}
 	case o.NotExecuted:
--- a/gateway/link/executions.go
+++ b/gateway/link/executions.go
@@ -64,6 +64,9 @@
 	statement.Timeout, statement.LastWritePosition = min(statement.Timeout, p.Timeout), max(statement.LastWritePosition, p.MinPosition)
 	r := front.NewRequest(client, statement, l.opts.Clock.Now())
 	r.MaxAttempts = int(p.MaxAttempts)
+	if p.Repeated {
+		r.SetFirstRun(p.FirstRunAt)
+	}
 	if l.startExecution(p.Execution, r) {
 		l.opts.Post(r)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -68,7 +68,9 @@
 }
 
 // nextForward returns the next forwarded request, if the credit is sufficient. No request is sent before a frame has confirmed that
-// the peer receives on this connection. A request whose deadline has passed ends as not executed.
+// the peer receives on this connection. A request ends as not executed if its deadline has passed, or if it repeats a write that only an
+// earlier process of the peer, or a peer of an older version, knows: that peer could execute it after the servers have forgotten its
+// idempotency key.
 func (e *Endpoint) nextForward(now time.Duration) (Frame, bool) {
 	if e.conn.unconfirmed {
 		return Frame{}, false
@@ -80,8 +82,9 @@
 			return Frame{}, false
 		}
 		e.forwards.dequeue(p)
-		if f.Timeout <= 0 {
-			e.finishForward(p, Outcome{NotExecuted: true})
+		withheld := p.Repeated && !e.conn.remembers(p.FirstRunAt)
+		if withheld || f.Timeout <= 0 {
+			e.finishForward(p, Outcome{NotExecuted: true, Withheld: withheld})
 			continue
 		}
 		e.forwards.lastSerial++
--- a/router/request.go
+++ b/router/request.go
@@ -94,6 +94,9 @@
 	if t.Consistency == routing.ReadYourWrites {
 		req.requiredPosition = r.requiredPosition(now, &in, r.group(in.Group))
 	}
+	if in.FirstRunAge > 0 {
+		req.mayHaveRun, req.mayHaveRunSince = true, now-in.FirstRunAge
+	}
 	req.probableObjectiveAt = req.objectiveAt
 	r.discountRetry(now, req)
 	req.rank = r.rankOf(req)
--- a/router/retry_test.go
+++ b/router/retry_test.go
@@ -134,6 +134,19 @@
 	assert.Zero(t, h.countActions("reject"))
 }
 
+// A request that another site forwards again may have run before it came here. Its window counts from then.
+func TestRequestThatMayHaveRunBeforeIsSentOnlyWithinItsDedupWindow(t *testing.T) {
+	o := testDeployment()
+	o.RequestTypes[write].DedupWindow = time.Second
+	for age, sends := range map[time.Duration]int{0: 1, 500 * ms: 1, 950 * ms: 0, 2 * time.Second: 0} {
+		h := newHarness(o).withGroup(3)
+		h.receive(write, func(in *routing.Request) { in.FirstRunAge = age })
+		h.advance(100 * ms)
+		assert.Equal(t, sends, h.countActions("send"), "%v", age)
+		assert.Equal(t, 1-sends, h.countActions("fail"), "%v", age)
+	}
+}
+
 func TestZoneScopedIdempotencyKeyIsNotRetried(t *testing.T) {
 	o := testDeployment()
 	o.RequestTypes[write].DedupScope = routing.ScopeZone
--- a/routing/request.go
+++ b/routing/request.go
@@ -20,6 +20,7 @@
 	TokenAge     time.Duration // time since the commit of the session's last write, if clients carry it; otherwise 0
 	MaxStaleness time.Duration // the type's, or a shorter one that was in force when the request was received
 	DedupWindow  time.Duration // the type's, or a shorter one
+	FirstRunAge  time.Duration // time since the start of an earlier attempt that may have run; 0 if there is none
 	Retry        bool          // the client marked the request as a retry
 	Write        bool
 }
