--- a/front/attempt.go
+++ b/front/attempt.go
@@ -10,8 +10,8 @@
 
 // Attempt is one attempt to send a request, or a health check, to a server.
 //
-// The core owns an Attempt. Only Begin, Message, MessageAfterEmptyQuery and Forwarded are called by the sender, the goroutine that sends the attempt. The field
-// state settles races between the core and the sender: the one that changes it from stateWaiting first decides whether anything is sent.
+// The core owns an Attempt. Only Begin, Message, MessageAfterEmptyQuery and Forwarded are called by the sender, the goroutine that sends
+// the attempt. The field state settles races between the core and the sender: the one that changes it from stateWaiting first decides whether anything is sent.
 type Attempt struct {
 	ref        routing.RequestRef // zero for a health check
 	server     int
--- a/pgwire/timeout.go
+++ b/pgwire/timeout.go
@@ -53,9 +53,9 @@
 	return q.Message()
 }
 
-// ShortenTimeout replaces the timeout in place and returns the Query message. The message gives it in whole milliseconds: it is rounded up, and at least 1. A timeout
-// that is not shorter than the present one is ignored. A message without a timeout stays as it is. Messages that were
-// returned before are invalid afterwards.
+// ShortenTimeout replaces the timeout in place and returns the Query message. The message gives it in whole milliseconds: it
+// is rounded up, and at least 1. A timeout that is not shorter than the present one is ignored. A message without a timeout
+// stays as it is. Messages that were returned before are invalid afterwards.
 func (q *TimedQuery) ShortenTimeout(timeout time.Duration) []byte {
 	rounded := milliseconds(timeout)
 	if q.end == 0 || rounded >= q.timeout {
--- a/upstream/server_bytes_test.go
+++ b/upstream/server_bytes_test.go
@@ -49,8 +49,6 @@
 	} {
 		if i > 0 {
 			client.Send(pgwire.AppendQuery(nil, statement)...)
-		}
-		if i > 0 {
 			conntest.AssertRecorded(t, file, "before statements but the first", string(rawMessage(t, upstream, 5)))
 			upstream.Send(pgwire.AppendEmptyQueryResponse(nil)...)
 		}
