Front: the log names each server's change of role and the request of each attempt

Change: 'server role changed' with its source (a response, or a load report that may be old) and lag, 'wall clock corrected'; debug lines of attempts with id, role and lag, built only where debug lines are on. No decision changes.

--- a/front/host.go
+++ b/front/host.go
@@ -33,6 +33,7 @@
 		c.deferResult(a, routing.NotSent)
 		return
 	}
+	c.logAttemptStarted(a, r)
 	a.query = r.Statement.QueryWithTimeout(a.deadline - c.now)
 	if remote {
 		c.setForwarded(a, r, used)
--- a/front/request.go
+++ b/front/request.go
@@ -162,7 +162,7 @@
 	c.markFinished(e)
 	c.metrics.abandoned++
 	c.auditFinished(r, StatusAbandoned)
-	slog.Debug("client gone", "type", string(r.Statement.RequestType), "after", now-r.ReceivedAt, "timeout", r.Statement.Timeout,
+	slog.Debug("client gone", "id", string(r.Statement.ID), "type", string(r.Statement.RequestType), "after", now-r.ReceivedAt, "timeout", r.Statement.Timeout,
 		"attempts", e.Attempts)
 	c.router.ClientGone(now, r.ref)
 	for _, a := range slices.Clone(r.inFlight) { // even if the deployment forbids cancellation, since these attempts were not sent
--- a/front/response.go
+++ b/front/response.go
@@ -52,7 +52,7 @@
 	c.metrics.responded(response.Status)
 	r := e.Value
 	c.auditFinished(r, response.Status)
-	slog.Debug("request finished", "type", string(r.Statement.RequestType), "status", response.Status, "after", c.now-r.ReceivedAt,
+	slog.Debug("request finished", "id", string(r.Statement.ID), "type", string(r.Statement.RequestType), "status", response.Status, "after", c.now-r.ReceivedAt,
 		"timeout", r.Statement.Timeout, "attempts", e.Attempts)
 	r.Client.Respond(response)
 }
--- a/front/result.go
+++ b/front/result.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"dapplerouter/deployment"
@@ -79,8 +78,7 @@
 	if entry := c.requests.table.Get(e.Attempt.ref); entry != nil {
 		c.respondIfFinal(entry, e, &o)
 	}
-	slog.Debug("attempt finished", "server", c.servers.names.Key(e.Attempt.server), "health_check", e.Attempt.healthCheck,
-		"result", o.Result, "err", err, "load", o.Load)
+	c.logAttemptFinished(e, &o, err)
 	c.finishAttempt(e.Attempt, o, err)
 }
 
@@ -101,6 +99,8 @@
 		c.wall.trustsReport(c.servers.at(e.Attempt.server), o.Role, position, c.now) {
 		o.Position, o.HasPosition = position, true
 	}
+	c.logRole(e.Attempt.server, roleStatement{role: o.Role, position: o.Position, hasPosition: o.HasPosition, source: sourceResponse})
+	c.logRole(e.Attempt.server, roleStatement{role: o.Load.Role, position: o.Load.Position, hasPosition: o.Load.HasPosition, source: sourceLoadReport})
 }
 
 // respondIfFinal responds to a request if the result of its attempt is final, without a decision of the router. A result from another
--- a/front/servers.go
+++ b/front/servers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"log/slog"
 	"time"
 
 	"dapplerouter/discovery"
@@ -26,13 +27,15 @@
 
 // serverState is the core's state of a server.
 type serverState struct {
-	address    string
-	startedAt  int64  // in Unix milliseconds; 0 if unknown
-	serving    bool   // the endpoint list permits new work
-	remote     bool   // represents another site
-	ahead      bool   // it is a replica, and the last log position that it reported lies in the future
-	failing    bool   // the last result was Unreachable, ConnectionLost or TimedOut; used for the log
-	generation uint32 // number of times that the index was released
+	address   string
+	startedAt int64 // in Unix milliseconds; 0 if unknown
+	serving   bool  // the endpoint list permits new work
+	remote    bool  // represents another site
+	ahead     bool  // it is a replica, and the last log position that it reported lies in the future
+	failing   bool  // the last result was Unreachable, ConnectionLost or TimedOut; used for the log
+
+	statedRole routing.Role // the last role that the server reported; used for the log
+	generation uint32       // number of times that the index was released
 }
 
 // unknownUptime is the uptime assumed for a server whose start time is unknown.
@@ -55,6 +58,7 @@
 	s.names.Release(index)
 	st := s.at(index)
 	st.address, st.startedAt, st.failing, st.serving, st.ahead = "", 0, false, false, false
+	st.statedRole = routing.UnknownRole
 	st.generation++
 }
 
@@ -106,6 +110,7 @@
 	if shift == 0 {
 		return
 	}
+	slog.Info("wall clock corrected", "by", shift)
 	c.router.ClockCorrected(c.now, shift)
 	for i := range c.servers.states {
 		if st := &c.servers.states[i]; st.startedAt != 0 && st.address != "" {
