--- a/testsupport/fakeserver/server.go
+++ b/testsupport/fakeserver/server.go
@@ -1,6 +1,7 @@
 package fakeserver
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -32,9 +33,15 @@
 
 	DedupWindow time.Duration // how long an idempotency key is remembered
 
-	mu         sync.Mutex           // guards the fields below
-	committed  map[string]int       // number of executed changes by request id
-	keysSeenAt map[string]time.Time // time of the first statement within the window, by idempotency key (k)
+	mu        sync.Mutex           // guards the fields below
+	committed map[string]int       // number of executed changes by request id
+	keys      map[string]keyRecord // by idempotency key (k)
+}
+
+// keyRecord is what a group remembers of the first write with an idempotency key.
+type keyRecord struct {
+	seenAt          time.Time // when it was received
+	committedMillis int64     // log position of its commit, in Unix milliseconds; 0 while it runs
 }
 
 // Statement is a statement that reached a server. It is recorded before it is run.
@@ -68,6 +75,8 @@
 	closed        bool
 	hanging       bool
 	greetingDelay time.Duration // delay before the greeting of a new connection
+	stoppedMillis int64         // log position at which a replica stands, in Unix milliseconds; 0 if it follows the primary
+	heldReport    string        // load report that health checks get; "" for the present one
 	goroutines    sync.WaitGroup
 }
 
@@ -75,7 +84,7 @@
 // statement takes minDuration plus durationPerRow for each row that it touches. The error is that of a listener.
 func Start(d *Data, servers, cores int, minDuration, durationPerRow time.Duration) (*Group, error) {
 	g := &Group{Data: d, MinDuration: minDuration, DurationPerRow: durationPerRow, Cores: cores, committed: map[string]int{},
-		keysSeenAt: map[string]time.Time{}, DedupWindow: 2 * time.Second}
+		keys: map[string]keyRecord{}, DedupWindow: 2 * time.Second}
 	for i := range servers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -134,6 +143,28 @@
 	}
 }
 
+// StopApplying makes the server's log position stand at a time of its wall clock while it is a replica. The zero time ends that.
+func (s *Server) StopApplying(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stoppedMillis = 0
+	if !at.IsZero() {
+		s.stoppedMillis = at.UnixMilli()
+	}
+}
+
+// HoldLoadReport makes health checks get the load report of this moment from now on, or the present one again if on is false. The role and
+// the position beside the report stay those of the present.
+func (s *Server) HoldLoadReport(on bool) {
+	report := ""
+	if on {
+		report = s.currentLoadReport(time.Now())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldReport = report
+}
+
 // DelayGreeting delays the greeting of new connections.
 func (s *Server) DelayGreeting(delay time.Duration) {
 	s.mu.Lock()
@@ -256,6 +287,11 @@
 	if s.isPrimary() {
 		return now.UnixMilli()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stoppedMillis != 0 {
+		return s.stoppedMillis
+	}
 	return now.Add(-time.Duration(s.group.ReplicaLag.Load())).UnixMilli()
 }
 
@@ -300,12 +336,22 @@
 
 // loadReport returns the response to a health check.
 func (s *Server) loadReport(now time.Time) []byte {
-	primary, role := s.isPrimary(), 0
-	if primary {
+	s.mu.Lock()
+	report := s.heldReport
+	s.mu.Unlock()
+	if report == "" {
+		report = s.currentLoadReport(now)
+	}
+	return s.appendStatus(appendResult(nil, [][]string{{report}}, "SHOW"), s.isPrimary(), s.appliedMillis(now))
+}
+
+// currentLoadReport returns the server's load report for a time of this process's clock.
+func (s *Server) currentLoadReport(now time.Time) string {
+	role := 0
+	if s.isPrimary() {
 		role = 1
 	}
-	report := fmt.Sprintf("x0=%.3f,x1=%d,inflight=0", float64(s.appliedMillis(now))/1e3, role)
-	return s.appendStatus(appendResult(nil, [][]string{{report}}, "SHOW"), primary, now)
+	return fmt.Sprintf("x0=%.3f,x1=%d,inflight=0", float64(s.appliedMillis(now))/1e3, role)
 }
 
 // record records a statement and returns the fault to inject into it.
@@ -335,9 +381,9 @@
 func (s *Server) execute(sql, id string, primary bool, received time.Time, fault Fault) (response []byte, ok bool) {
 	s.cores <- struct{}{}
 	startedAt := time.Now()
-	if s.isRepeat(primary, sql, received) { // the same response as before, without another execution
+	if first, ok := s.firstOfKey(primary, sql, received); ok { // the same response as before, without another execution
 		<-s.cores
-		return s.appendStatus(appendResult(nil, [][]string{{id}}, "INSERT 0 1"), primary, time.Now()), true
+		return s.appendStatus(appendResult(nil, [][]string{{id}}, "INSERT 0 1"), primary, cmp.Or(first.committedMillis, s.appliedMillis(time.Now()))), true
 	}
 	snapshot := s.appliedMillis(time.Now())
 	result := s.group.Data.Run(sql)
@@ -347,6 +393,7 @@
 	if primary && (result.Changed || writePattern.MatchString(sql)) {
 		s.group.mu.Lock()
 		s.group.committed[id]++
+		s.recordCommit(sql)
 		s.group.mu.Unlock()
 	}
 	if strings.Contains(sql, "age_of_data") { // lets the client check how old the data is
@@ -358,7 +405,7 @@
 	if fault.RawResponse != nil {
 		return fault.RawResponse, true
 	}
-	return s.appendStatus(encodeResult(result, sql, id), primary, time.Now()), true
+	return s.appendStatus(encodeResult(result, sql, id), primary, s.appliedMillis(time.Now())), true
 }
 
 // encodeResult encodes a result as messages. A change with a RETURNING clause returns its request id.
@@ -372,36 +419,54 @@
 	return appendResult(nil, result.Rows, "SELECT "+strconv.Itoa(len(result.Rows)))
 }
 
-// isRepeat reports whether a write with the same idempotency key was received within the window, and otherwise records this
-// one. The window begins when a statement is received, however long the statement then waits to be run.
-func (s *Server) isRepeat(primary bool, sql string, received time.Time) bool {
-	f := idempotencyKeyPattern.FindStringSubmatch(sql)
-	if f == nil || !primary || !writePattern.MatchString(sql) {
-		return false
+// firstOfKey returns what is remembered of the first write with the same idempotency key, if that was received within the window, and
+// otherwise records this one. The window begins when a statement is received, however long the statement then waits to be run.
+func (s *Server) firstOfKey(primary bool, sql string, received time.Time) (first keyRecord, ok bool) {
+	key := idempotencyKey(sql)
+	if key == "" || !primary {
+		return keyRecord{}, false
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	if firstAt, ok := s.group.keysSeenAt[f[1]]; ok && received.Sub(firstAt) < s.group.DedupWindow {
-		return true
+	if first, ok = s.group.keys[key]; ok && received.Sub(first.seenAt) < s.group.DedupWindow {
+		return first, true
+	}
+	s.group.keys[key] = keyRecord{seenAt: received}
+	return keyRecord{}, false
+}
+
+// recordCommit records the position of the commit of a write with an idempotency key. The caller holds the group's lock.
+func (s *Server) recordCommit(sql string) {
+	if key := idempotencyKey(sql); key != "" {
+		record := s.group.keys[key]
+		record.committedMillis = s.appliedMillis(time.Now())
+		s.group.keys[key] = record
+	}
+}
+
+// idempotencyKey returns the idempotency key of a write, or "".
+func idempotencyKey(sql string) string {
+	f := idempotencyKeyPattern.FindStringSubmatch(sql)
+	if f == nil || !writePattern.MatchString(sql) {
+		return ""
 	}
-	s.group.keysSeenAt[f[1]] = received
-	return false
+	return f[1]
 }
 
 // errorResponse returns an ErrorResponse with the status of the server and ReadyForQuery.
 func (s *Server) errorResponse(code, text string) []byte {
 	return s.appendStatus(pgwire.AppendErrorResponse(nil, pgwire.ErrorResponse{Severity: "ERROR", Code: code, Message: text}),
-		s.isPrimary(), time.Now())
+		s.isPrimary(), s.appliedMillis(time.Now()))
 }
 
-// appendStatus appends the role and the log position, as servers report them, and ReadyForQuery.
-func (s *Server) appendStatus(b []byte, primary bool, now time.Time) []byte {
+// appendStatus appends the role and a log position in Unix milliseconds, as servers report them, and ReadyForQuery.
+func (s *Server) appendStatus(b []byte, primary bool, positionMillis int64) []byte {
 	role := "replica"
 	if primary {
 		role = "primary"
 	}
 	b = pgwire.AppendParameterStatus(b, "role", role)
-	b = pgwire.AppendParameterStatus(b, "applied_ms", strconv.FormatInt(s.appliedMillis(now), 10))
+	b = pgwire.AppendParameterStatus(b, "applied_ms", strconv.FormatInt(positionMillis, 10))
 	return pgwire.AppendReadyForQuery(b)
 }
 
