Router: a report made before its server answered as a replica names no primary

Cause: a load report may be old. Router.observeRole took any claim of the server that had made the newest claim, also one made before that server itself had answered as a replica; the next answer took it back, the next check gave it again. Change: a primary's position in a report is the time of the claim, an answer was made after its attempt began; a claim made before the server's latest answer as a replica arrived does not count. Why it holds: the answer is the newer word.

--- a/router/clock_correction_test.go
+++ b/router/clock_correction_test.go
@@ -16,7 +16,7 @@
 		h := newHarness(testDeployment()).withGroup(3)
 		h.now = time.Minute
 		h.updateEndpoints(routing.Delta, routing.Endpoint{Server: 1, Zone: 1, HasStartTime: true, StartedAt: h.now + off - time.Second})
-		h.observeRole(h.now, 0, routing.Primary, h.now+off, true)
+		h.observeRole(0, roleStatement{role: routing.Primary, position: h.now + off, hasPosition: true, madeFrom: h.now})
 		h.servers[2].observe(h.now, h.now+off-50*ms, 0)
 		h.recordWrite(77, h.group(0), h.now+off-20*ms)
 		h.ClockCorrected(h.now, -off)
@@ -24,7 +24,7 @@
 		assert.True(t, h.servers[1].warmingUp, "the server has just started")
 		assert.Equal(t, h.now-50*ms+min(off, 0), h.servers[2].appliedPosition, "never corrected to be newer")
 		assert.Equal(t, min(h.now, h.now-20*ms+max(off, 0)), h.requiredPosition(h.now, &routing.Request{Session: 77}, h.group(0)), "never corrected to require less")
-		h.observeRole(h.now+ms, 1, routing.Primary, h.now+ms, true)
+		h.observeRole(1, roleStatement{role: routing.Primary, position: h.now + ms, hasPosition: true, madeFrom: h.now + ms})
 		assert.Equal(t, 1, h.group(0).primary, "the next claim is newer")
 		assert.Equal(t, never, h.servers[1].appliedPosition, "an unknown position stays unknown")
 	}
--- a/router/health_check.go
+++ b/router/health_check.go
@@ -53,7 +53,7 @@
 		s.observe(now, load.Position, 0)
 	}
 	if load.Role != routing.UnknownRole {
-		r.observeRole(now, i, load.Role, load.Position, load.HasPosition)
+		r.observeRole(i, statementInReport(now, &load))
 	}
 	s.trialAt = min(s.trialAt, now)
 	s.answered(now)
--- a/router/primary.go
+++ b/router/primary.go
@@ -6,10 +6,44 @@
 	"dapplerouter/routing"
 )
 
-// This file determines the primary of each group. Inputs: the roles that servers claim in answers, rejections and
-// health checks, with their log positions; the endpoint list if no claim is known. Invariant: the claim with the later
-// log position is the newer one, so neither an old report nor a returning server can override it (docs/design.md,
-// finding the primary).
+// This file determines the primary of each group. Inputs: the roles that servers state in answers, rejections and
+// health checks, with their log positions; the endpoint list if no claim is known. Invariants: of two servers' claims, the
+// one with the later log position is the newer one, so neither an old report nor a returning server can override it; no
+// claim counts that its server made before it answered as a replica (docs/design.md, finding the primary).
+
+// roleHistory holds when a server has stated a role.
+type roleHistory struct {
+	deniedAt time.Duration // when its latest answer as a replica arrived; never if there was none
+}
+
+var unknownRoleHistory = roleHistory{deniedAt: never}
+
+// roleStatement is a server's statement of its role.
+type roleStatement struct {
+	role        routing.Role
+	position    time.Duration // log position that came with the role; the present if none came
+	hasPosition bool
+	madeFrom    time.Duration // earliest time at which the server can have made the statement
+}
+
+// statementInAnswer returns the statement of a role in an answer, which describes a moment between the start of the attempt
+// and now. The position of a repeated write is older than the answer.
+func statementInAnswer(now time.Duration, o *routing.AttemptOutcome) roleStatement {
+	made := now - o.Latency
+	if !o.HasPosition {
+		return roleStatement{role: o.Role, position: now, madeFrom: made}
+	}
+	return roleStatement{role: o.Role, position: o.Position, hasPosition: true, madeFrom: max(made, min(o.Position, now))}
+}
+
+// statementInReport returns the statement of a role in a load report, which may be old: a primary's position was the present
+// when the report was made.
+func statementInReport(now time.Duration, l *routing.LoadReport) roleStatement {
+	if !l.HasPosition {
+		return roleStatement{role: l.Role, position: now, madeFrom: now}
+	}
+	return roleStatement{role: l.Role, position: l.Position, hasPosition: true, madeFrom: l.Position}
+}
 
 // group is the state kept for one group. Its primary is determined by the claims of its servers. Each claim carries the
 // log position of the server that makes it.
@@ -46,27 +80,33 @@
 	return r.groups[g]
 }
 
-// observeRole processes the role that a server claims. A claim without a position counts as made now.
-func (r *Router) observeRole(now time.Duration, i int, role routing.Role, pos time.Duration, hasPosition bool) {
+// observeAnsweredRole processes the role in an answer of server i.
+func (r *Router) observeAnsweredRole(now time.Duration, i int, o *routing.AttemptOutcome) {
+	r.observeRole(i, statementInAnswer(now, o))
+	if o.Role == routing.Replica {
+		r.servers[i].deniedAt = now
+	}
+}
+
+// observeRole processes the role that a server states.
+func (r *Router) observeRole(i int, stated roleStatement) {
 	s := &r.servers[i]
 	g := r.group(s.group)
-	if !hasPosition {
-		pos = now
-	}
+	pos := stated.position
 	switch {
-	case role == routing.Primary && (g.claimant == i || pos >= g.claimPosition):
+	case stated.role == routing.Primary && stated.madeFrom >= s.deniedAt && (g.claimant == i || pos >= g.claimPosition):
 		if g.claimant != i {
 			if g.claimant != none {
 				r.servers[g.claimant].role = routing.Replica
 			}
 			g.beginTerm(i, pos)
 		}
-		r.primaryPositionSeen = r.primaryPositionSeen || hasPosition
+		r.primaryPositionSeen = r.primaryPositionSeen || stated.hasPosition
 		g.claimPosition, s.role = max(g.claimPosition, pos), routing.Primary
 		if !s.draining {
 			g.primary = i
 		}
-	case role == routing.Replica && (g.claimant != i || pos >= g.claimPosition):
+	case stated.role == routing.Replica && (g.claimant != i || pos >= g.claimPosition):
 		s.role = routing.Replica
 		g.clearPrimary(i)
 	}
--- a/router/primary_test.go
+++ b/router/primary_test.go
@@ -86,3 +86,16 @@
 	h.receive(nonIdempotentWrite)
 	assert.Equal(t, "send 4 to 0", h.lastAction("send"))
 }
+
+func TestOldReportDoesNotMakeServerPrimaryAfterItAnsweredAsReplica(t *testing.T) {
+	h := newHarness(testDeployment()).withGroup(3)
+	h.now = time.Second
+	h.reportRole(0, routing.Primary, 900*ms)
+	h.finish(h.receive(write), routing.Misrouted, routing.Replica, h.now)
+	assert.Equal(t, none, h.groups[0].primary)
+	h.now += 100 * ms
+	h.reportRole(0, routing.Primary, 950*ms)
+	assert.Equal(t, none, h.groups[0].primary, "made before the answer")
+	h.reportRole(0, routing.Primary, h.now)
+	assert.Equal(t, 0, h.groups[0].primary, "made after it")
+}
--- a/router/request.go
+++ b/router/request.go
@@ -151,7 +151,7 @@
 	}
 	r.observeOutcome(now, o, requestType)
 	if o.Role != routing.UnknownRole {
-		r.observeRole(now, o.Server, o.Role, o.Position, o.HasPosition)
+		r.observeAnsweredRole(now, o.Server, &o)
 	}
 	r.observePosition(now, s, &o)
 	if !current {
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 type server struct {
 	group, zone int
 	endpointState
+	roleHistory
 	replicationState
 	concurrency
 	health
@@ -54,8 +55,8 @@
 }
 
 // unknownServer is the initial state of a server.
-var unknownServer = server{group: none, replicationState: unknownReplicationState, concurrency: unknownConcurrency, health: unknownHealth,
-	slowStart: unknownSlowStart, healthCheckState: neverChecked}
+var unknownServer = server{group: none, roleHistory: unknownRoleHistory, replicationState: unknownReplicationState,
+	concurrency: unknownConcurrency, health: unknownHealth, slowStart: unknownSlowStart, healthCheckState: neverChecked}
 
 // Router is one instance and implements routing.Router. Its state is in the embedded structs. Each of them is defined
 // in the file whose methods maintain it.
