Router: a server's answer as a replica ends its claim, whatever its position

What callers saw: all bounded reads of a group served by its former primary, from data older than their bound, for as long as its log stood lower than it had claimed. Cause: Router.observeRole ordered a server's own statements by log position. An answer 'replica' with a lower position counted as older than the claim: a server that lost the end of its log, or whose position is rounded down (commits are rounded up), stayed the primary. Change: an answer describes the present and always counts; the order by position stays for load reports, which may be old.

--- a/router/primary.go
+++ b/router/primary.go
@@ -9,7 +9,8 @@
 // This file determines the primary of each group. Inputs: the roles that servers state in answers, rejections and
 // health checks, with their log positions; the endpoint list if no claim is known. Invariants: of two servers' claims, the
 // one with the later log position is the newer one, so neither an old report nor a returning server can override it; no
-// claim counts that its server made before it answered as a replica (docs/design.md, finding the primary).
+// claim counts that its server made before it answered as a replica, whatever position it answered with (docs/design.md,
+// finding the primary).
 
 // roleHistory holds when a server has stated a role.
 type roleHistory struct {
@@ -24,6 +25,7 @@
 	position    time.Duration // log position that came with the role; the present if none came
 	hasPosition bool
 	madeFrom    time.Duration // earliest time at which the server can have made the statement
+	inReport    bool          // in a load report, which may be old
 }
 
 // statementInAnswer returns the statement of a role in an answer, which describes a moment between the start of the attempt
@@ -40,9 +42,9 @@
 // when the report was made.
 func statementInReport(now time.Duration, l *routing.LoadReport) roleStatement {
 	if !l.HasPosition {
-		return roleStatement{role: l.Role, position: now, madeFrom: now}
+		return roleStatement{role: l.Role, position: now, madeFrom: now, inReport: true}
 	}
-	return roleStatement{role: l.Role, position: l.Position, hasPosition: true, madeFrom: l.Position}
+	return roleStatement{role: l.Role, position: l.Position, hasPosition: true, madeFrom: l.Position, inReport: true}
 }
 
 // group is the state kept for one group. Its primary is determined by the claims of its servers. Each claim carries the
@@ -106,7 +108,7 @@
 		if !s.draining {
 			g.primary = i
 		}
-	case stated.role == routing.Replica && (g.claimant != i || pos >= g.claimPosition):
+	case stated.role == routing.Replica && (g.claimant != i || pos >= g.claimPosition || !stated.inReport):
 		s.role = routing.Replica
 		g.clearPrimary(i)
 	}
--- a/router/primary_test.go
+++ b/router/primary_test.go
@@ -99,3 +99,12 @@
 	h.reportRole(0, routing.Primary, h.now)
 	assert.Equal(t, 0, h.groups[0].primary, "made after it")
 }
+
+func TestAnswerAsReplicaEndsClaimWhateverItsPosition(t *testing.T) {
+	h := newHarness(testDeployment()).withGroup(3)
+	h.now = time.Second
+	h.reportRole(0, routing.Primary, 990*ms)
+	h.finish(h.receive(write), routing.Misrouted, routing.Replica, 700*ms) // the server has lost the end of its log
+	assert.Equal(t, none, h.groups[0].primary)
+	assert.Equal(t, routing.Replica, h.servers[0].role)
+}
