Router: no unchecked read goes to a primary that the list alone names after a denial

What callers saw: one stale read behind each change of the list that still named a former primary, where servers don't check staleness. Cause: group.observeListedPrimary takes the list's word where no primary is known, and reads rely on g.primary without a look at its position. The list is seconds late; the server had answered as a replica since. Change: where nobody checks, reads rely on a primary only if it has claimed the role since it last answered as a replica and since it last started; otherwise its position counts, as any replica's, and a health check is wanted. Strong reads too. Where servers check, and for writes, nothing changes: they are refused there.

--- a/router/planning.go
+++ b/router/planning.go
@@ -50,7 +50,15 @@
 	if discoverByWrite || t.Consistency != routing.Write && t.Consistency != routing.Strong {
 		return r.selectServer(now, req, t)
 	}
-	if g.primary != none && r.admits(now, &r.servers[g.primary], req) {
+	if g.primary == none {
+		return none
+	}
+	primary := &r.servers[g.primary]
+	if t.Consistency == routing.Strong && !r.servesUnchecked(primary) {
+		g.healthCheckWanted = true
+		return none
+	}
+	if r.admits(now, primary, req) {
 		return g.primary
 	}
 	return none
--- a/router/primary.go
+++ b/router/primary.go
@@ -14,10 +14,11 @@
 
 // roleHistory holds when a server has stated a role.
 type roleHistory struct {
-	deniedAt time.Duration // when its latest answer as a replica arrived; never if there was none
+	claimedAt time.Duration // earliest time at which it can have made its latest claim to be primary; never if there was none
+	deniedAt  time.Duration // when its latest answer as a replica arrived; never if there was none
 }
 
-var unknownRoleHistory = roleHistory{deniedAt: never}
+var unknownRoleHistory = roleHistory{claimedAt: never, deniedAt: never}
 
 // roleStatement is a server's statement of its role.
 type roleStatement struct {
@@ -96,7 +97,7 @@
 	g := r.group(s.group)
 	pos := stated.position
 	switch {
-	case stated.role == routing.Primary && stated.madeFrom >= s.deniedAt && (g.claimant == i || pos >= g.claimPosition):
+	case stated.role == routing.Primary && stated.madeFrom > s.deniedAt && (g.claimant == i || pos >= g.claimPosition):
 		if g.claimant != i {
 			if g.claimant != none {
 				r.servers[g.claimant].role = routing.Replica
@@ -104,6 +105,7 @@
 			g.beginTerm(i, pos)
 		}
 		r.primaryPositionSeen = r.primaryPositionSeen || stated.hasPosition
+		s.claimedAt = max(s.claimedAt, stated.madeFrom)
 		g.claimPosition, s.role = max(g.claimPosition, pos), routing.Primary
 		if !s.draining {
 			g.primary = i
@@ -114,6 +116,18 @@
 	}
 }
 
+// servesUnchecked reports whether a group's primary may be sent a read although nobody checks that its data is recent. Where
+// servers check staleness themselves, it always may. Otherwise it must have claimed the role since it last answered as a
+// replica and since it last started: the endpoint list may name a former primary. Without health checks there may be
+// no other way to learn the role, so the list counts.
+func (r *Router) servesUnchecked(primary *server) bool {
+	if r.stalenessCheck != routing.NoStalenessCheck || !r.healthChecksAllowed {
+		return true
+	}
+	doubtedAt := max(primary.deniedAt, primary.startedAt)
+	return doubtedAt == never || primary.claimedAt > doubtedAt
+}
+
 // beginTerm records a change of primary.
 func (g *group) beginTerm(claimant int, pos time.Duration) {
 	g.claimant, g.termStart = claimant, pos
--- a/router/primary_test.go
+++ b/router/primary_test.go
@@ -108,3 +108,24 @@
 	assert.Equal(t, none, h.groups[0].primary)
 	assert.Equal(t, routing.Replica, h.servers[0].role)
 }
+
+func TestListedPrimaryThatAnsweredAsReplicaIsSentNoUncheckedRead(t *testing.T) {
+	for _, read := range []int{boundedRead, sessionRead, strongRead} {
+		o := testDeployment()
+		o.Replication.StalenessCheck = routing.NoStalenessCheck
+		h := newHarness(o).withGroup(3)
+		h.now = time.Second
+		h.reportRole(0, routing.Primary, h.now)
+		h.finish(h.receive(write), routing.Misrouted, routing.Replica, h.now)
+		h.reportRole(1, routing.Primary, h.now)
+		h.advance(time.Second)
+		h.recordWrite(sessionKey(&routing.Request{Session: 9}), h.groups[0], h.now)
+		h.eject(h.now, 1)
+		h.updateEndpoints(routing.Delta, routing.Endpoint{Server: 0, Primary: true}) // the endpoint list is delayed
+		r := h.receive(read)
+		assert.Zero(t, h.attempts[r], "type %d", read)
+		h.now += ms
+		h.reportRole(0, routing.Primary, h.now)
+		assert.Equal(t, 0, h.sentTo[r], "type %d: it has become primary again", read)
+	}
+}
--- a/router/selection.go
+++ b/router/selection.go
@@ -102,7 +102,7 @@
 	if c.primary != none && (best == none || req.misrouted || primaryCost*r.cost(now, &r.servers[c.primary]) < cost) {
 		return c.primary
 	}
-	if req.misrouted && g.primary != none {
+	if req.misrouted && g.primary != none && r.servesUnchecked(&r.servers[g.primary]) {
 		return none
 	}
 	return best
@@ -118,7 +118,7 @@
 		if i == req.lastServer && len(g.servers) > 1 || s.awaitingTrial(now) || !r.admits(now, s, req) {
 			continue
 		}
-		if i == g.primary {
+		if i == g.primary && r.servesUnchecked(s) {
 			c.primary = i
 			continue
 		}
