Front: the commit of a repeated write no longer corrects the wall clock

What callers saw: some 255 stale reads in 2 s behind writes that clients had repeated, at one front, until primaries' answers put its clock right again. Cause: a server answers a repeated key with the first commit's position. The front took each position of a primary for the present; three repeats that were equally late moved the conversion of all servers' times forward (by 0.6 s in the test), and replicas looked that much fresher. Change: a position within the window of a write's key neither confirms nor contradicts the conversion. What it can't tell errs towards older positions.

--- a/front/result.go
+++ b/front/result.go
@@ -88,7 +88,7 @@
 	answer, startedAt := &e.Result, e.Attempt.startedAt
 	o.Role = roles[answer.Role]
 	if answer.HasApplied && o.Role == routing.Primary && answer.Code == "" && !e.Remote {
-		c.correctClock(c.wall.observePresent(answer.AppliedMillis, startedAt, c.now))
+		c.correctClock(c.wall.observeCommit(answer.AppliedMillis, startedAt, c.now, c.dedupWindow(e.Attempt)))
 	}
 	report := answer.LoadReport
 	if e.Attempt.healthCheck && o.Result == routing.Succeeded {
@@ -103,6 +103,19 @@
 	c.logRole(e.Attempt.server, roleStatement{role: o.Load.Role, position: o.Load.Position, hasPosition: o.Load.HasPosition, source: sourceLoadReport})
 }
 
+// dedupWindow returns how long servers remember the idempotency key of an attempt's request, or 0 if it has none.
+func (c *Core) dedupWindow(a *Attempt) time.Duration {
+	entry := c.requests.table.Get(a.ref)
+	if entry == nil {
+		return 0
+	}
+	t := &c.catalog.types[entry.Value.typeIndex]
+	if t.Idempotency != routing.IdempotencyKey {
+		return 0
+	}
+	return t.DedupWindow
+}
+
 // respondIfFinal responds to a request if the result of its attempt is final, without a decision of the router. A result from another
 // site whose data is too old becomes Misrouted.
 func (c *Core) respondIfFinal(entry *RequestEntry[*Request], e *AttemptFinished, o *routing.AttemptOutcome) {
--- a/front/wallclock.go
+++ b/front/wallclock.go
@@ -10,7 +10,8 @@
 //
 // The wall clock of this machine gives the conversion at the start. It may be wrong by hours at that time, because it may be stepped later.
 // Times that servers report are better. The log position of a primary is its current time, so it lies between the time at which its
-// statement was sent and the time at which its response arrived. The first such response is trusted. Later responses that contradict it
+// statement was sent and the time at which its response arrived. (The response to a repeated write has the position of the first one's
+// commit; see observeCommit.) The first such response is trusted. Later responses that contradict it
 // are trusted only if several agree, because a single one may be corrupt or come from a server that is no longer primary.
 //
 // A step of a clock is suspected from its first sign until a primary's response, sent later, agrees with the conversion or corrects it.
@@ -67,6 +68,17 @@
 	return w.shiftBy(earliest) // the smallest possible shift makes positions look as old as possible
 }
 
+// observeCommit processes the position of a commit, reported in response to a write with an idempotency key that is remembered for window. If
+// the write was a repeat, the position is that of the first commit, which may be older than the statement by up to the window. A position
+// in that range says nothing about the present, so it neither confirms nor contradicts the conversion. Otherwise observeCommit is
+// observePresent.
+func (w *wallClock) observeCommit(ms int64, from, until, window time.Duration) (shift time.Duration) {
+	if observed := w.at(ms); observed < from-clockSlack && observed >= from-window-clockSlack {
+		return 0
+	}
+	return w.observePresent(ms, from, until)
+}
+
 // observePast processes a reported time that lies in the past. If it would be in the future, the wall clock is behind; it is corrected
 // unless a primary's response has confirmed it. The result is the shift, as in observePresent.
 func (w *wallClock) observePast(ms int64, now time.Duration) (shift time.Duration) {
--- a/front/wallclock_test.go
+++ b/front/wallclock_test.go
@@ -139,3 +139,28 @@
 	clock.observePresent(epochMillis+500+320, at-5*ms, at+5*ms)
 	assert.True(t, clock.trusts(routing.Replica, replica, at), "after one corrupt response, the next consistent one restores trust")
 }
+
+func TestRepeatedWritesDoNotCorrectWallClock(t *testing.T) {
+	const window = 2 * time.Second
+	for _, confirmed := range []bool{true, false} {
+		clock := newTestClock()
+		clock.confirmed = confirmed
+		for i := range 5 * correctionQuorum {
+			sent := time.Minute + time.Duration(i)*10*ms
+			first := epochMillis + (sent - 600*ms).Milliseconds() // position of the commit that the repeat gets
+			assert.Zero(t, clock.observeCommit(first, sent, sent+5*ms, window))
+		}
+		assert.Equal(t, time.Minute, clock.at(epochMillis+time.Minute.Milliseconds()))
+		assert.Equal(t, confirmed, clock.trusts(routing.Replica, time.Minute, time.Minute))
+	}
+}
+
+func TestCommitsBeyondDedupWindowCorrectWallClock(t *testing.T) {
+	clock := newTestClock()
+	assert.Zero(t, clock.observeCommit(epochMillis+45, 40*ms, 50*ms, time.Second), "a commit of the present")
+	assert.True(t, clock.confirmed)
+	for range correctionQuorum {
+		clock.observeCommit(epochMillis-2000, 60*ms, 70*ms, time.Second)
+	}
+	assert.Equal(t, 60*ms, clock.at(epochMillis-2000))
+}
