Front, router: an answer that shows that its data is too old is not passed on

A remote site's answer that was too old counted as misrouted, that is as never run: a read that may not run twice was sent again. Change: Router.MayServe judges a result by role and position where servers don't check; the result Stale (it ran, its answer is dropped) sends a read that may run again to the primary and fails the others. Remote answers that are too old are Stale as well. A log line names each; totals count them. Evidence: TestStaleAnswerOfFormerPrimaryIsNotServed, with real processes, and tests of each consistency. TestRemoteResultBeyondMaxStaleness... expects Stale in place of Misrouted, and that it may have run: the old result allowed a second run.

--- a/adapter/adapter_test.go
+++ b/adapter/adapter_test.go
@@ -21,6 +21,7 @@
 
 func (f *fakeRouter) RequiredPosition(routing.RequestRef) (time.Duration, bool) { return 0, false }
 func (f *fakeRouter) FreshUntil(routing.RequestRef) (time.Duration, bool)       { return 0, false }
+func (f *fakeRouter) MayServe(routing.RequestRef, routing.ReadResult) bool      { return true }
 func (f *fakeRouter) EndpointsChanged(_ time.Duration, _ routing.UpdateKind, _ int64, endpoints []routing.Endpoint) {
 	f.entries = len(endpoints)
 }
--- a/adapter/answers_test.go
+++ b/adapter/answers_test.go
@@ -115,3 +115,4 @@
 	return 0, false
 }
 func (r *loggingRouter) FreshUntil(routing.RequestRef) (_ time.Duration, ok bool) { return 0, false }
+func (r *loggingRouter) MayServe(routing.RequestRef, routing.ReadResult) bool     { return true }
--- a/cmd/dapplerouter/stale_reads_test.go
+++ b/cmd/dapplerouter/stale_reads_test.go
@@ -201,3 +201,12 @@
 		}
 	}
 }
+
+func TestStaleAnswerOfFormerPrimaryIsNotServed(t *testing.T) {
+	t.Parallel()
+	s := startStaleGroup(t)
+	s.learnPrimary()
+	s.losePrimary(s.Now().Add(-2 * staleBound)) // the front learns it from the answer to the first read
+	s.assertNoStaleRead(500 * time.Millisecond)
+	assert.Contains(t, s.process.logged(), "stale result dropped")
+}
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -17,6 +17,7 @@
 	server     int
 	number     int // attempt number within the request, from 0
 	startedAt  time.Duration
+	sentAt     time.Duration // when the sending began, set by Begin; startedAt if the host calls Step
 	deadline   time.Duration // when the core times the attempt out
 	query      pgwire.TimedQuery
 	forwarded  ForwardedAttempt // set if the server represents another site
@@ -69,8 +70,13 @@
 		return false
 	case conditions.clientGone != nil && conditions.clientGone.Load():
 		return false
-	case conditions.clock != nil && conditions.clock() >= a.sendDeadline():
-		return false
+	}
+	a.sentAt = a.startedAt
+	if conditions.clock != nil {
+		a.sentAt = conditions.clock()
+		if a.sentAt >= a.sendDeadline() {
+			return false
+		}
 	}
 	a.abort = abort
 	return a.state.CompareAndSwap(stateWaiting, stateSending)
--- a/front/core_test.go
+++ b/front/core_test.go
@@ -50,6 +50,7 @@
 }
 func (f *fakeRouter) RequiredPosition(routing.RequestRef) (time.Duration, bool) { return 0, false }
 func (f *fakeRouter) FreshUntil(routing.RequestRef) (time.Duration, bool)       { return 0, false }
+func (f *fakeRouter) MayServe(routing.RequestRef, routing.ReadResult) bool      { return true }
 func (f *fakeRouter) Reconcile(time.Duration) {
 	f.reconciled++
 	if act := f.onReconcile; act != nil {
--- a/front/forward_test.go
+++ b/front/forward_test.go
@@ -98,8 +98,8 @@
 }
 
 // A result from another site may be older than the maximum staleness when it arrives, or of unknown age. It must not be sent to the client;
-// the router is notified that the attempt was misrouted.
-func TestRemoteResultBeyondMaxStalenessIsMisrouted(t *testing.T) {
+// the router is notified that the result was stale.
+func TestRemoteResultBeyondMaxStalenessIsStale(t *testing.T) {
 	for name, x := range map[string]struct {
 		age       time.Duration
 		known     bool
@@ -115,7 +115,8 @@
 			c.batch(20 * ms)
 			assert.Len(t, network.responses, x.responses)
 			if x.responses == 0 {
-				assert.Equal(t, routing.Misrouted, router.outcomes[0].Result)
+				assert.Equal(t, routing.Stale, router.outcomes[0].Result)
+				assert.False(t, router.outcomes[0].Result.NeverRan(), "it ran at the other site")
 			}
 		})
 	}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -11,10 +11,10 @@
 type metrics struct {
 	accepted, succeeded, rejected, failed, abandoned, invalid int // requests
 	attempts, healthChecks                                    int
-	results                                                   [routing.Misrouted + 1]int // of attempts
-	unreadable                                                int                        // responses of servers that could not be decoded
-	maxTimerDelay, maxBatchTime                               time.Duration              // since the last LogTotals
-	batches, timersFired                                      int                        // since the last LogTotals
+	results                                                   [routing.Stale + 1]int // of attempts
+	unreadable                                                int                    // responses of servers that could not be decoded
+	maxTimerDelay, maxBatchTime                               time.Duration          // since the last LogTotals
+	batches, timersFired                                      int                    // since the last LogTotals
 }
 
 // responded counts a response by its status.
@@ -77,7 +77,7 @@
 		"health_checks", m.healthChecks, "server_error", m.results[routing.ServerError], "unreadable", m.unreadable,
 		"overloaded", m.results[routing.Overloaded], "timed_out", m.results[routing.TimedOut],
 		"unreachable", m.results[routing.Unreachable], "connection_lost", m.results[routing.ConnectionLost],
-		"cancelled", m.results[routing.Cancelled], "misrouted", m.results[routing.Misrouted],
+		"cancelled", m.results[routing.Cancelled], "misrouted", m.results[routing.Misrouted], "stale", m.results[routing.Stale],
 		"max_timer_delay", m.maxTimerDelay, "max_batch_time", m.maxBatchTime, "batches", m.batches, "timers", m.timersFired}
 	if c.classifier != nil {
 		attributes = append(attributes, c.classifier.totals()...)
--- a/front/result.go
+++ b/front/result.go
@@ -116,12 +116,12 @@
 	return t.DedupWindow
 }
 
-// respondIfFinal responds to a request if the result of its attempt is final, without a decision of the router. A result from another
-// site whose data is too old becomes Misrouted.
+// respondIfFinal responds to a request if the result of its attempt is final, without a decision of the router. A result whose data is too
+// old becomes Stale.
 func (c *Core) respondIfFinal(entry *RequestEntry[*Request], e *AttemptFinished, o *routing.AttemptOutcome) {
-	t := &entry.Value.version.types[entry.Value.typeIndex]
-	if o.Result == routing.Succeeded && e.Remote && t.Consistency == routing.BoundedStaleness && (!e.DataAgeKnown || e.DataAge > t.MaxStaleness) {
-		o.Result, o.HasPosition = routing.Misrouted, false // the data is now older than the type allows
+	if o.Result == routing.Succeeded && c.isStale(entry.Value, e, o) {
+		o.Result, o.HasPosition = routing.Stale, o.HasPosition && !e.Remote
+		c.logStaleResult(e, o, entry.Value)
 	}
 	switch {
 	case o.Result == routing.Succeeded:
@@ -134,6 +134,15 @@
 	}
 }
 
+// isStale reports whether the data of a result is older than the request allows. A result from another site comes with the age of its data.
+func (c *Core) isStale(r *Request, e *AttemptFinished, o *routing.AttemptOutcome) bool {
+	if e.Remote {
+		t := &r.version.types[r.typeIndex]
+		return t.Consistency == routing.BoundedStaleness && (!e.DataAgeKnown || e.DataAge > t.MaxStaleness)
+	}
+	return !c.router.MayServe(e.Attempt.ref, routing.ReadResult{SentAt: e.Attempt.sentAt, Role: o.Role, Position: o.Position, HasPosition: o.HasPosition})
+}
+
 var roles = map[string]routing.Role{"primary": routing.Primary, "replica": routing.Replica}
 
 // attemptResult maps a response or a connection failure to the result of the attempt. A request that is not idempotent may only be sent
--- a/front/scripted_test.go
+++ b/front/scripted_test.go
@@ -148,7 +148,8 @@
 func (r scriptRouter) RequiredPosition(routing.RequestRef) (time.Duration, bool) {
 	return 2500 * time.Microsecond, true
 }
-func (r scriptRouter) FreshUntil(routing.RequestRef) (time.Duration, bool) { return 0, false }
+func (r scriptRouter) FreshUntil(routing.RequestRef) (time.Duration, bool)  { return 0, false }
+func (r scriptRouter) MayServe(routing.RequestRef, routing.ReadResult) bool { return true }
 func (r scriptRouter) HealthCheckFinished(_ time.Duration, server int, result routing.AttemptResult, latency time.Duration,
 	l routing.LoadReport) {
 	r.s.line("health check finished %d result %d latency %v load %s", server, result, latency, loadText(l))
--- a/front/serverlog.go
+++ b/front/serverlog.go
@@ -73,3 +73,10 @@
 		"health_check", e.Attempt.healthCheck, "result", o.Result, "role", roleNames[o.Role], "err", err, "load", o.Load},
 		c.lagAttributes(o.Position, o.HasPosition)...)...)
 }
+
+// logStaleResult logs a result that was dropped because its data is too old.
+func (c *Core) logStaleResult(e *AttemptFinished, o *routing.AttemptOutcome, r *Request) {
+	slog.Warn("stale result dropped", append([]any{"server", c.servers.names.Key(e.Attempt.server), "id", string(r.Statement.ID),
+		"type", string(r.Statement.RequestType), "role", roleNames[o.Role], "sent", c.now - e.Attempt.sentAt},
+		c.lagAttributes(o.Position, o.HasPosition)...)...)
+}
--- a/router/freshness.go
+++ b/router/freshness.go
@@ -68,6 +68,32 @@
 	return s.appliedPosition + r.usableStaleness(req), true
 }
 
+// positionRounding is how much lower a server's position may be reported than it is.
+const positionRounding = time.Millisecond
+
+// MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check staleness, it
+// always may. Otherwise the server must be the primary, or its known position must have sufficed when the attempt was sent.
+func (r *Router) MayServe(ref routing.RequestRef, result routing.ReadResult) bool {
+	req := &r.slots[ref.Slot]
+	if req.Ref != ref || req.sentTo == none || r.stalenessCheck != routing.NoStalenessCheck || result.Role != routing.Replica {
+		return true
+	}
+	position := r.servers[req.sentTo].appliedPosition
+	if result.HasPosition {
+		position = max(position, result.Position)
+	}
+	position += positionRounding
+	switch r.requestTypes[req.Type].Consistency {
+	case routing.BoundedStaleness:
+		return position >= result.SentAt-req.MaxStaleness
+	case routing.ReadYourWrites:
+		return position >= req.requiredPosition
+	case routing.Strong:
+		return position >= req.receivedAt
+	}
+	return true
+}
+
 // observe records a position that a server had applied the given age before now. It computes the lag from it. A position
 // lower than one that is already known doesn't lower that.
 func (p *replicationState) observe(now, applied, age time.Duration) {
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -67,3 +67,59 @@
 		}
 	}
 }
+
+// staleGroup is a group whose servers don't check staleness. Server 0 is the primary and answers the next read as a replica.
+func staleGroup() *harness {
+	o := testDeployment()
+	o.Replication.StalenessCheck = routing.NoStalenessCheck
+	o.RequestTypes = append(o.RequestTypes, o.RequestTypes[boundedRead])
+	o.RequestTypes[onceOnlyBoundedRead].Idempotency = routing.NonIdempotent
+	h := newHarness(o).withGroup(2)
+	h.now = 10 * time.Second
+	h.reportRole(0, routing.Primary, h.now)
+	return h
+}
+
+const onceOnlyBoundedRead = nonIdempotentWrite + 1
+
+func TestResultOfFormerPrimaryIsServedOnlyIfItsPositionSuffices(t *testing.T) {
+	for name, x := range map[string]struct {
+		read   int
+		behind time.Duration // position of the answer, before the time of sending
+		serve  bool
+	}{
+		"bounded, within the bound": {boundedRead, 300 * ms, true}, "bounded, beyond it": {boundedRead, 302 * ms, false},
+		"strong, applied": {strongRead, 0, true}, "strong, not applied": {strongRead, 2 * ms, false},
+		"session, applied": {sessionRead, 50 * ms, true}, "session, not applied": {sessionRead, 52 * ms, false},
+		"any data": {anyRead, time.Hour, true},
+	} {
+		h := staleGroup()
+		h.servers[0].appliedPosition = never
+		h.recordWrite(sessionKey(&routing.Request{Session: 9}), h.groups[0], h.now-50*ms)
+		r := h.receive(x.read, func(in *routing.Request) { in.MaxStaleness = 300 * ms })
+		result := routing.ReadResult{SentAt: h.now, Role: routing.Replica, Position: h.now - x.behind, HasPosition: true}
+		assert.Equal(t, x.serve, h.MayServe(r, result), name)
+		result.Role = routing.Primary
+		assert.True(t, h.MayServe(r, result), "%s, from the primary", name)
+	}
+}
+
+func TestReadWithStaleResultGoesToThePrimary(t *testing.T) {
+	h := staleGroup()
+	r := h.receive(boundedRead)
+	h.finish(r, routing.Stale, routing.Replica, h.now-time.Second)
+	assert.Equal(t, 1, h.attempts[r])
+	h.now += ms
+	h.reportRole(1, routing.Primary, h.now)
+	assert.Equal(t, "send 1 to 1", h.lastAction("send"))
+}
+
+func TestReadThatMayNotRunTwiceFailsAfterStaleResult(t *testing.T) {
+	h := staleGroup()
+	r := h.receive(onceOnlyBoundedRead)
+	h.finish(r, routing.Stale, routing.Replica, h.now-time.Second)
+	h.now += ms
+	h.reportRole(1, routing.Primary, h.now)
+	assert.Equal(t, 1, h.attempts[r])
+	assert.Equal(t, "fail 1", h.lastAction("fail"))
+}
--- a/router/outlier_detection.go
+++ b/router/outlier_detection.go
@@ -108,7 +108,7 @@
 func (r *Router) observeOutcome(now time.Duration, o routing.AttemptOutcome, requestType int) {
 	s := &r.servers[o.Server]
 	switch o.Result {
-	case routing.Succeeded, routing.Misrouted:
+	case routing.Succeeded, routing.Misrouted, routing.Stale:
 		r.observeResponse(now, s, &o, requestType)
 	case routing.ServerError: // fast, but no reason to raise the limit
 		r.observeError(now, s)
--- a/router/request.go
+++ b/router/request.go
@@ -57,7 +57,7 @@
 
 // execution records what the finished attempts show about whether the request has run.
 type execution struct {
-	misrouted       bool // a server rejected it before it ran; the primary is tried next
+	misrouted       bool // a server rejected it before it ran, or ran it on data that is too old; the primary is tried next
 	errorCount      int  // attempts that ended with ServerError
 	mayHaveRun      bool
 	mayHaveRunSince time.Duration // start of the first attempt that may have run
@@ -178,7 +178,7 @@
 	if !o.Result.NeverRan() && !req.mayHaveRun {
 		req.mayHaveRun, req.mayHaveRunSince = true, req.sentAt
 	}
-	req.misrouted = req.misrouted || o.Result == routing.Misrouted
+	req.misrouted = req.misrouted || o.Result == routing.Misrouted || o.Result == routing.Stale
 	if o.Result == routing.ServerError {
 		req.errorCount++
 	}
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -16,11 +16,12 @@
 	Cancelled                    // cancelled by CancelAttempt: may have run
 	NotSent                      // nothing of the request left the host
 	Misrouted                    // the server is not the primary (for a write) or too far behind (for a read): nothing ran
+	Stale                        // a read ran on data older than it allows; its result was dropped
 )
 
 // attemptResultNames are the names of the results in logs, by AttemptResult.
 var attemptResultNames = [...]string{"succeeded", "server error", "overloaded", "timed out", "unreachable", "connection lost",
-	"cancelled", "not sent", "misrouted"}
+	"cancelled", "not sent", "misrouted", "stale"}
 
 // String returns the result as written in logs.
 func (r AttemptResult) String() string { return attemptResultNames[r] }
--- a/routing/attempt_test.go
+++ b/routing/attempt_test.go
@@ -9,11 +9,11 @@
 func TestAttemptResultSaysWhetherItRan(t *testing.T) {
 	neverRan := map[AttemptResult]bool{Overloaded: true, Unreachable: true, NotSent: true, Misrouted: true}
 	names := map[string]bool{}
-	for r := Succeeded; r <= Misrouted; r++ {
+	for r := Succeeded; r <= Stale; r++ {
 		assert.Equal(t, neverRan[r], r.NeverRan(), r.String())
 		names[r.String()] = true
 	}
-	assert.Len(t, names, int(Misrouted)+1, "each result has its own name")
+	assert.Len(t, names, int(Stale)+1, "each result has its own name")
 	assert.Equal(t, "misrouted", Misrouted.String())
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -54,6 +54,17 @@
 	// FreshUntil returns the time until which the attempt in flight of a read may be sent: from then on, its server's data
 	// may be older than the read allows, and nobody would notice. ok is false if there is no such limit.
 	FreshUntil(request RequestRef) (until time.Duration, ok bool)
+	// MayServe reports whether the result of an attempt may be passed to the client, by the role and the log position that came
+	// with it. If not, the Host drops it, and the attempt has the result Stale.
+	MayServe(request RequestRef, result ReadResult) bool
+}
+
+// ReadResult describes the data of a read's result.
+type ReadResult struct {
+	SentAt      time.Duration // when the attempt was sent
+	Role        Role          // of the server
+	Position    time.Duration // of the server's log; valid if HasPosition
+	HasPosition bool
 }
 
 // Host carries out what a Router decides. No method blocks or calls the Router.
--- a/testsupport/conntest/router.go
+++ b/testsupport/conntest/router.go
@@ -31,6 +31,9 @@
 // FreshUntil implements routing.Router: no attempt has to be sent before a time.
 func (r *Router) FreshUntil(routing.RequestRef) (time.Duration, bool) { return 0, false }
 
+// MayServe implements routing.Router: any result may be served.
+func (r *Router) MayServe(routing.RequestRef, routing.ReadResult) bool { return true }
+
 // EndpointsChanged implements routing.Router.
 func (r *Router) EndpointsChanged(time.Duration, routing.UpdateKind, int64, []routing.Endpoint) {}
 
