Router: a replica's own answer counts where it shows a lower position than was known

What callers saw: a former primary that had lost the end of its log still served bounded reads from its old data (86 of 86 in half a second). Cause: positions were only ever raised. Change: where servers don't check, an answer as a replica replaces the known position, and MayServe goes by the position that came with the result.

--- a/router/freshness.go
+++ b/router/freshness.go
@@ -6,8 +6,9 @@
 	"dapplerouter/routing"
 )
 
-// This file estimates how far each server has applied the log. Inputs: positions in answers and load reports.
-// Invariant: a position once known stays valid, since a position never regresses; an estimate is never later than now.
+// This file estimates how far each server has applied the log, and decides whether data is recent enough. Inputs: positions
+// in answers and load reports. Invariants: a position once known stays valid, since a position never regresses, but for a
+// server that answers with a lower one and doesn't check staleness; an estimate is never later than now.
 
 // replicationState is a server's role and its position in the log.
 type replicationState struct {
@@ -72,7 +73,8 @@
 const positionRounding = time.Millisecond
 
 // MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check staleness, it
-// always may. Otherwise the server must be the primary, or its known position must have sufficed when the attempt was sent.
+// always may. Otherwise the server must be the primary, or the position that came with the result must have sufficed when the
+// attempt was sent; without one, the known position.
 func (r *Router) MayServe(ref routing.RequestRef, result routing.ReadResult) bool {
 	req := &r.slots[ref.Slot]
 	if req.Ref != ref || req.sentTo == none || r.stalenessCheck != routing.NoStalenessCheck || result.Role != routing.Replica {
@@ -80,7 +82,7 @@
 	}
 	position := r.servers[req.sentTo].appliedPosition
 	if result.HasPosition {
-		position = max(position, result.Position)
+		position = result.Position
 	}
 	position += positionRounding
 	switch r.requestTypes[req.Type].Consistency {
@@ -115,6 +117,9 @@
 func (r *Router) observePosition(now time.Duration, s *server, o *routing.AttemptOutcome) {
 	switch l := &o.Load; {
 	case o.HasPosition:
+		if o.Role == routing.Replica && r.stalenessCheck == routing.NoStalenessCheck {
+			s.appliedPosition = min(s.appliedPosition, o.Position) // the server may have lost the end of its log
+		}
 		s.observe(now, o.Position, 0)
 	case r.positionsInReports && l.HasPosition:
 		if l.Role == routing.Primary && s.role == routing.Primary { // a primary has no lag, so this is the age of the report
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -123,3 +123,13 @@
 	assert.Equal(t, 1, h.attempts[r])
 	assert.Equal(t, "fail 1", h.lastAction("fail"))
 }
+
+func TestReplicaThatAnswersWithLowerPositionIsNoLongerFresh(t *testing.T) {
+	h := staleGroup()
+	h.reportRole(1, routing.Replica, h.now)
+	h.eject(h.now, 0)
+	r := h.receive(boundedRead)
+	assert.Equal(t, "send 1 to 1", h.lastAction("send"))
+	h.finish(r, routing.Stale, routing.Replica, h.now-time.Second) // it has lost the end of its log
+	assert.Zero(t, h.attempts[h.receive(boundedRead)])
+}
