Stale reads: a seeded soak of primary changes before servers that don't check

Change: a process and three fake servers; primaries change or lose the end of their log, servers stop applying, hang or greet late, load reports and the list are old, writes are repeated. What is served falls where no position or role is proven: the price of the rule.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What there is to do here. .ci/run does what a landing must pass.
 
-.PHONY: build test race lint fuzz run clean soak fleet-soak roll-soak roll-walk rig-soak fleet-bench scale
+.PHONY: build test race lint fuzz run clean soak stale-soak fleet-soak roll-soak roll-walk rig-soak fleet-bench scale
 
 build:
 	mkdir -p bin
@@ -43,6 +43,10 @@
 soak:
 	SOAK_SEEDS=200 go test ./cmd/dapplerouter -run SoakOfShutdowns -v -timeout 1h
 
+# 200 lives of a front whose groups change their primaries, before servers that don't check staleness; some minutes. SOAK_FIRST as above.
+stale-soak:
+	SOAK_SEEDS=200 go test ./cmd/dapplerouter -run SoakOfPrimaryChanges -v -parallel 8 -timeout 1h
+
 # What a fleet costs at rest, and how long nobody holds a duty.
 fleet-bench:
 	go test ./lab/fleetsim ./lab/proxysim -run XXX -bench . -benchtime 1x
