Router: a published bound that is tighter than the servers' own is held by the router

Cause: the router took 'servers check staleness' for all reads and went by an estimate; the servers know the site's bound alone. Change: Router.isChecked asks per read. What servers don't check is held by known positions, as before servers that check nothing.

--- a/router/freshness.go
+++ b/router/freshness.go
@@ -36,6 +36,14 @@
 // maxSendDelayShare is the part of a staleness bound that maxSendDelay may take at most.
 const maxSendDelayShare = 1.0 / 4
 
+// isChecked reports whether servers check themselves that their data is recent enough for a read. They know the bound of
+// its type, so they don't enforce a shorter one.
+func (r *Router) isChecked(req *request) bool {
+	t := &r.requestTypes[req.Type]
+	tighter := t.Consistency == routing.BoundedStaleness && req.MaxStaleness < t.MaxStaleness
+	return r.stalenessCheck != routing.NoStalenessCheck && !tighter
+}
+
 // positionToServe returns the log position that a server must have to be sent a read now. If the read has no such
 // requirement, the result is the constant never.
 func (r *Router) positionToServe(now time.Duration, req *request) time.Duration {
@@ -46,9 +54,9 @@
 }
 
 // usableStaleness returns how old the data for a read with a staleness bound may be when the read is started. Where servers
-// don't check staleness, that is less than the bound by the host's delay, since the bound counts from the sending.
+// don't check that, it is less than the bound by the host's delay, since the bound counts from the sending.
 func (r *Router) usableStaleness(req *request) time.Duration {
-	if r.stalenessCheck != routing.NoStalenessCheck {
+	if r.isChecked(req) {
 		return req.MaxStaleness
 	}
 	return req.MaxStaleness - min(maxSendDelay, time.Duration(maxSendDelayShare*float64(req.MaxStaleness)))
@@ -58,12 +66,11 @@
 // is no such time: the server checks the position itself, the server is the primary, or the read has no staleness bound.
 func (r *Router) FreshUntil(ref routing.RequestRef) (time.Duration, bool) {
 	req := &r.slots[ref.Slot]
-	if req.Ref != ref || req.sentTo == none || r.stalenessCheck != routing.NoStalenessCheck ||
-		r.requestTypes[req.Type].Consistency != routing.BoundedStaleness {
+	if req.Ref != ref || req.sentTo == none || r.isChecked(req) || r.requestTypes[req.Type].Consistency != routing.BoundedStaleness {
 		return 0, false
 	}
 	s := &r.servers[req.sentTo]
-	if req.sentTo == r.group(req.Group).primary && r.servesUnchecked(s) {
+	if req.sentTo == r.group(req.Group).primary && r.servesUnchecked(req, s) {
 		return 0, false
 	}
 	return s.appliedPosition + r.usableStaleness(req), true
@@ -72,12 +79,12 @@
 // positionRounding is how much lower a server's position may be reported than it is.
 const positionRounding = time.Millisecond
 
-// MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check staleness, it
-// always may. Otherwise the server must be the primary, or the position that came with the result must have sufficed when the
+// MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check that themselves,
+// it always may. Otherwise the server must be the primary, or the position that came with the result must have sufficed when the
 // attempt was sent; without one, the known position.
 func (r *Router) MayServe(ref routing.RequestRef, result routing.ReadResult) bool {
 	req := &r.slots[ref.Slot]
-	if req.Ref != ref || req.sentTo == none || r.stalenessCheck != routing.NoStalenessCheck || result.Role != routing.Replica {
+	if req.Ref != ref || req.sentTo == none || r.isChecked(req) || result.Role != routing.Replica {
 		return true
 	}
 	position := r.servers[req.sentTo].appliedPosition
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -133,3 +133,23 @@
 	h.finish(r, routing.Stale, routing.Replica, h.now-time.Second) // it has lost the end of its log
 	assert.Zero(t, h.attempts[h.receive(boundedRead)])
 }
+
+func TestServersThatCheckWiderBoundAreNotReliedOnForTighterOne(t *testing.T) {
+	for _, check := range []routing.StalenessCheck{routing.RejectIfStale, routing.WaitUntilFresh} {
+		o := testDeployment()
+		o.Replication.StalenessCheck = check
+		h := newHarness(o).withGroup(2)
+		h.now = 10 * time.Second
+		h.reportRole(0, routing.Primary, h.now)
+		h.reportRole(1, routing.Replica, h.now-100*ms)
+		h.eject(h.now, 0)
+		tighter := func(in *routing.Request) { in.MaxStaleness = 100 * ms }
+		assert.Zero(t, h.attempts[h.receive(boundedRead, tighter)], "the known position is too old, and the server checks for 300 ms")
+		r := h.receive(boundedRead)
+		assert.Equal(t, 1, h.sentTo[r], "the server checks the bound of the type itself")
+		h.finish(r, routing.Succeeded, routing.Replica, h.now-10*ms)
+		r = h.receive(boundedRead, tighter)
+		assert.Equal(t, 1, h.sentTo[r])
+		assert.False(t, h.MayServe(r, routing.ReadResult{SentAt: h.now, Role: routing.Replica, Position: h.now - 150*ms, HasPosition: true}))
+	}
+}
--- a/router/planning.go
+++ b/router/planning.go
@@ -54,7 +54,7 @@
 		return none
 	}
 	primary := &r.servers[g.primary]
-	if t.Consistency == routing.Strong && !r.servesUnchecked(primary) {
+	if t.Consistency == routing.Strong && !r.servesUnchecked(req, primary) {
 		g.healthCheckWanted = true
 		return none
 	}
--- a/router/primary.go
+++ b/router/primary.go
@@ -117,11 +117,11 @@
 }
 
 // servesUnchecked reports whether a group's primary may be sent a read although nobody checks that its data is recent. Where
-// servers check staleness themselves, it always may. Otherwise it must have claimed the role since it last answered as a
+// servers check that themselves, it always may. Otherwise it must have claimed the role since it last answered as a
 // replica and since it last started: the endpoint list may name a former primary. Without health checks there may be
 // no other way to learn the role, so the list counts.
-func (r *Router) servesUnchecked(primary *server) bool {
-	if r.stalenessCheck != routing.NoStalenessCheck || !r.healthChecksAllowed {
+func (r *Router) servesUnchecked(req *request, primary *server) bool {
+	if r.isChecked(req) || !r.healthChecksAllowed {
 		return true
 	}
 	doubtedAt := max(primary.deniedAt, primary.startedAt)
--- a/router/selection.go
+++ b/router/selection.go
@@ -82,14 +82,14 @@
 //     costs far more than the primary.
 func (r *Router) selectServer(now time.Duration, req *request) int {
 	g := r.group(req.Group)
-	required := r.positionToServe(now, req)
+	required, checked := r.positionToServe(now, req), r.isChecked(req)
 	c := r.findCandidates(now, req, g, required)
 	best, cost := c.fresh, c.freshCost
 	if required == never && best != none && r.typicalLatency[req.Type] > r.shortestObjective {
 		best = r.preferBehind(now, req, g, best, maxBehindCost*cost)
 	}
-	g.healthCheckWanted = g.healthCheckWanted || best == none && r.stalenessCheck == routing.NoStalenessCheck
-	if best == none && c.leastBehind != none && r.stalenessCheck != routing.NoStalenessCheck {
+	g.healthCheckWanted = g.healthCheckWanted || best == none && !checked
+	if best == none && c.leastBehind != none && checked {
 		s := &r.servers[c.leastBehind]
 		waitSuffices := s.lagMeasuredAt == never || r.estimatedPosition(s, now)+r.freshnessWait+r.reportAge >= required
 		if waitSuffices || g.primary == none && !req.misrouted {
@@ -99,7 +99,7 @@
 	if c.primary != none && (best == none || req.misrouted || primaryCost*r.cost(now, &r.servers[c.primary]) < cost) {
 		return c.primary
 	}
-	if req.misrouted && g.primary != none && r.servesUnchecked(&r.servers[g.primary]) {
+	if req.misrouted && g.primary != none && r.servesUnchecked(req, &r.servers[g.primary]) {
 		return none
 	}
 	return best
@@ -115,11 +115,11 @@
 		if i == req.lastServer && len(g.servers) > 1 || s.awaitingTrial(now) || !r.admits(now, s, req) {
 			continue
 		}
-		if i == g.primary && r.servesUnchecked(s) {
+		if i == g.primary && r.servesUnchecked(req, s) {
 			c.primary = i
 			continue
 		}
-		pos := r.reliablePosition(now, s)
+		pos := r.reliablePosition(now, req, s)
 		if cost := r.replicaCost(now, s); cost < c.freshCost && (required == never || pos >= required) {
 			c.fresh, c.freshCost = i, cost
 		}
@@ -148,11 +148,11 @@
 	return best
 }
 
-// reliablePosition returns the position that a read may rely on: the known position if servers don't check staleness,
-// and otherwise an estimate.
-func (r *Router) reliablePosition(now time.Duration, s *server) time.Duration {
-	if r.stalenessCheck == routing.NoStalenessCheck {
-		return s.appliedPosition
+// reliablePosition returns the position of a server that a read may rely on: the known position if servers don't check
+// that themselves, and otherwise an estimate.
+func (r *Router) reliablePosition(now time.Duration, req *request, s *server) time.Duration {
+	if r.isChecked(req) {
+		return r.estimatedPosition(s, now)
 	}
-	return r.estimatedPosition(s, now)
+	return s.appliedPosition
 }
