Router: what a former primary had applied does not count once it answers as a replica

Cause, by its log: the server answered as a replica with a position that the front didn't trust (a clock was suspected), so the position known from its time as the primary counted on; it had lost the end of its log. Change: the first answer as a replica after a claim makes the known position unknown, where servers don't check, until a trusted one comes; MayServe likewise. Evidence: a router test that failed.

--- a/router/freshness.go
+++ b/router/freshness.go
@@ -76,6 +76,15 @@
 	return s.appliedPosition + r.usableStaleness(req), true
 }
 
+// positionAsReplica returns the known position of a server that now answers as a replica. It is unknown if the server was
+// the primary until then, since a former primary may lose the end of its log.
+func (s *server) positionAsReplica() time.Duration {
+	if s.claimedAt > s.deniedAt {
+		return never
+	}
+	return s.appliedPosition
+}
+
 // positionRounding is how much lower a server's position may be reported than it is.
 const positionRounding = time.Millisecond
 
@@ -87,7 +96,7 @@
 	if req.Ref != ref || req.sentTo == none || r.isChecked(req) || result.Role != routing.Replica {
 		return true
 	}
-	position := r.servers[req.sentTo].appliedPosition
+	position := r.servers[req.sentTo].positionAsReplica()
 	if result.HasPosition {
 		position = result.Position
 	}
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -153,3 +153,13 @@
 		assert.False(t, h.MayServe(r, routing.ReadResult{SentAt: h.now, Role: routing.Replica, Position: h.now - 150*ms, HasPosition: true}))
 	}
 }
+
+func TestFormerPrimaryWithoutTrustedPositionIsNotFresh(t *testing.T) {
+	h := staleGroup()
+	r := h.receive(boundedRead)
+	assert.Equal(t, 0, h.sentTo[r])
+	assert.False(t, h.MayServe(r, routing.ReadResult{SentAt: h.now, Role: routing.Replica}), "what it had applied as the primary may be lost")
+	h.finish(r, routing.Stale, routing.Replica, 0)
+	h.now += ms
+	assert.Zero(t, h.attempts[h.receive(boundedRead)])
+}
--- a/router/primary.go
+++ b/router/primary.go
@@ -86,9 +86,14 @@
 // observeAnsweredRole processes the role in an answer of server i.
 func (r *Router) observeAnsweredRole(now time.Duration, i int, o *routing.AttemptOutcome) {
 	r.observeRole(i, statementInAnswer(now, o))
-	if o.Role == routing.Replica {
-		r.servers[i].deniedAt = now
+	if o.Role != routing.Replica {
+		return
 	}
+	s := &r.servers[i]
+	if r.stalenessCheck == routing.NoStalenessCheck {
+		s.appliedPosition = s.positionAsReplica()
+	}
+	s.deniedAt = now
 }
 
 // observeRole processes the role that a server states.
