--- a/cmd/dapplerouter/stale_reads_soak_test.go
+++ b/cmd/dapplerouter/stale_reads_soak_test.go
@@ -24,7 +24,8 @@
 // staleSoak plays random changes of the primary, of what servers report and of the list, while clients read and write.
 type staleSoak struct {
 	*staleGroup
-	random *rand.Rand
+	seed   uint64
+	random *rand.Rand // of the faults
 
 	mu    sync.Mutex // guards the field below
 	reads []soakedRead
@@ -75,7 +76,7 @@
 
 // runClient sends requests of one session until stop is closed.
 func (s *staleSoak) runClient(client int, stop <-chan struct{}) {
-	random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(client)))
+	random := rand.New(rand.NewPCG(s.seed, uint64(client)))
 	c, err := fakeserver.Dial(s.process.address)
 	require.NoError(s.t, err)
 	defer c.Close()
@@ -146,7 +147,7 @@
 	for seed := first; seed < first+soakNumber("SOAK_SEEDS", staleSoakSeedsInCI); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := &staleSoak{staleGroup: startStaleGroup(t), random: rand.New(rand.NewPCG(uint64(seed), 72))}
+			s := &staleSoak{staleGroup: startStaleGroup(t), seed: uint64(seed), random: rand.New(rand.NewPCG(uint64(seed), staleSoakClients))}
 			s.ReplicaLag.Store(int64(staleSoakLag))
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -52,7 +52,7 @@
 
 // setSendBy makes the attempt one that may only be sent before the given time. An earlier time that was set before remains.
 func (s *sendConditions) setSendBy(by time.Duration) {
-	by = max(by, 1) // 0 is no condition
+	by = max(by, 1) // 0 means that there is no condition
 	if s.sendBy == 0 || by < s.sendBy {
 		s.sendBy = by
 	}
--- a/front/wallclock.go
+++ b/front/wallclock.go
@@ -70,7 +70,7 @@
 
 // observeCommit processes the position of a commit, reported in response to a write with an idempotency key that is remembered for window. If
 // the write was a repeat, the position is that of the first commit, which may be older than the statement by up to the window. A position
-// in that range says nothing about the present, so it neither confirms nor contradicts the conversion. Otherwise observeCommit is
+// in that range may be past, so it neither confirms nor contradicts the conversion. Otherwise observeCommit is
 // observePresent.
 func (w *wallClock) observeCommit(ms int64, from, until, window time.Duration) (shift time.Duration) {
 	if observed := w.at(ms); observed < from-clockSlack && observed >= from-window-clockSlack {
--- a/router/clock_correction.go
+++ b/router/clock_correction.go
@@ -15,7 +15,7 @@
 	c := clockCorrection{now: now, by: by}
 	for i := range r.servers {
 		s := &r.servers[i]
-		s.replicationState.correctClock(c)
+		s.correctClock(c)
 		s.claimedAt = c.appliedPosition(s.claimedAt)
 		if s.startTimeListed {
 			r.correctStartTime(now, s, s.startedAt+by)
--- a/router/freshness.go
+++ b/router/freshness.go
@@ -62,8 +62,8 @@
 	return req.MaxStaleness - min(maxSendDelay, time.Duration(maxSendDelayShare*float64(req.MaxStaleness)))
 }
 
-// FreshUntil returns the time until which the attempt in flight of a read may be sent to its server. It reports false if there
-// is no such time: the server checks the position itself, the server is the primary, or the read has no staleness bound.
+// FreshUntil returns the time until which the attempt in flight of a read may be sent to its server. It reports false if the
+// attempt may be sent at any time: the server checks the position itself, the server is the primary, or the read has no staleness bound.
 func (r *Router) FreshUntil(ref routing.RequestRef) (time.Duration, bool) {
 	req := &r.slots[ref.Slot]
 	if req.Ref != ref || req.sentTo == none || r.isChecked(req) || r.requestTypes[req.Type].Consistency != routing.BoundedStaleness {
