Server: connections are counted so that Wait may be called while one is added

Server.refuse and admit, called by Serve, added to a sync.WaitGroup that Wait may be waiting for; from a count of 0 that is a race. Change: a count of its own, guarded by a mutex, with a channel that is closed at 0.

--- a/server/client.go
+++ b/server/client.go
@@ -32,7 +32,7 @@
 
 // serve runs the connection until it ends, on the connection's goroutine.
 func (c *client) serve() {
-	defer c.server.goroutines.Done()
+	defer c.server.connections.done()
 	defer func() {
 		c.cancelRequests()
 		c.reader.Close()
--- a/server/refuse.go
+++ b/server/refuse.go
@@ -40,9 +40,9 @@
 func (s *Server) refuse(conn *net.TCPConn) {
 	s.refusals.acquire()
 	s.refusals.add(conn)
-	s.goroutines.Add(1)
+	s.connections.add()
 	go func() {
-		defer s.goroutines.Done()
+		defer s.connections.done()
 		defer s.refusals.release()
 		defer func() {
 			tcpconn.Close(conn)
--- a/server/server.go
+++ b/server/server.go
@@ -67,9 +67,9 @@
 	standby  standby
 	refusals refusals
 
-	mu         sync.Mutex // guards clients, and is held from a change of the stage until all clients are woken
-	clients    map[*client]struct{}
-	goroutines sync.WaitGroup // goroutines of connections
+	mu          sync.Mutex // guards clients, and is held from a change of the stage until all clients are woken
+	clients     map[*client]struct{}
+	connections connectionCount // served and refused ones
 }
 
 // The stages of a server's life cycle. Each request that was read must be answered, so the server must stop reading before a connection
@@ -146,19 +146,7 @@
 
 // Wait waits until all connections have ended, including those that are being refused. It returns false if the timeout passes first. It
 // ends no connection itself.
-func (s *Server) Wait(timeout time.Duration) bool {
-	done := make(chan struct{})
-	go func() {
-		s.goroutines.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-time.After(timeout):
-		return false
-	}
-}
+func (s *Server) Wait(timeout time.Duration) bool { return s.connections.wait(timeout) }
 
 // advanceTo advances to a later stage and wakes all connections. It does nothing if the stage is reached already.
 func (s *Server) advanceTo(stage int32) {
@@ -187,7 +175,7 @@
 	c := &client{server: s, tcp: conn, monitor: tcpconn.NewPeerMonitor(raw), firstRequestDeadline: time.Now().Add(messageTimeout),
 		reader: s.newReader(conn, readBufferBytes)}
 	s.add(c)
-	s.goroutines.Add(1)
+	s.connections.add()
 	go c.serve()
 }
 
