--- a/router/freshness.go
+++ b/router/freshness.go
@@ -88,9 +88,9 @@
 // positionRounding is how much lower a server's position may be reported than it is.
 const positionRounding = time.Millisecond
 
-// MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check that themselves,
-// it always may. Otherwise the server must be the primary, or the position that came with the result must have sufficed when the
-// attempt was sent; without one, the known position.
+// MayServe reports whether the result of the attempt in flight may be passed to the client. Where servers check the staleness
+// of the read themselves, it always may. Otherwise the server must be the primary, or the position that came with the result
+// must have sufficed when the attempt was sent; without one, the known position.
 func (r *Router) MayServe(ref routing.RequestRef, result routing.ReadResult) bool {
 	req := &r.slots[ref.Slot]
 	if req.Ref != ref || req.sentTo == none || r.isChecked(req) || result.Role != routing.Replica {
