Front: the lines of a request's end are built only where debug lines are on

Cause: a reading of the whole change: the request's id that the new debug lines carry was converted for each request, also where no debug line is written. Change: both lines stand with the others in front/log.go (it was serverlog.go), behind the same check. The same attributes; status comes last now.

--- a/front/serverlog.go
+++ b/front/log.go
@@ -8,7 +8,8 @@
 	"dapplerouter/routing"
 )
 
-// This file logs what servers report about themselves, so that the log shows what the router knew when it chose a server.
+// This file logs what servers report about themselves, so that the log shows what the router knew when it chose a server, and what became
+// of requests and their attempts.
 
 // statementSource is the message in which a server reported its role.
 type statementSource string
@@ -51,6 +52,27 @@
 // debugLogged reports whether debug lines are written. Callers on the path of each request check it before they build the attributes.
 func debugLogged() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
 
+// logRequestFinished logs the status of a request's response.
+func (c *Core) logRequestFinished(e *RequestEntry[*Request], status Status) {
+	if debugLogged() {
+		slog.Debug("request finished", append(c.requestAttributes(e), "status", status)...)
+	}
+}
+
+// logClientGone logs that the client of a request has disconnected.
+func (c *Core) logClientGone(e *RequestEntry[*Request]) {
+	if debugLogged() {
+		slog.Debug("client gone", c.requestAttributes(e)...)
+	}
+}
+
+// requestAttributes returns the log attributes of a request that ends now.
+func (c *Core) requestAttributes(e *RequestEntry[*Request]) []any {
+	r := e.Value
+	return []any{"id", string(r.Statement.ID), "type", string(r.Statement.RequestType), "after", c.now - r.ReceivedAt,
+		"timeout", r.Statement.Timeout, "attempts", e.Attempts}
+}
+
 // logAttemptStarted logs which server a request is sent to.
 func (c *Core) logAttemptStarted(a *Attempt, r *Request) {
 	if !debugLogged() {
--- a/front/request.go
+++ b/front/request.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -162,8 +161,7 @@
 	c.markFinished(e)
 	c.metrics.abandoned++
 	c.auditFinished(r, StatusAbandoned)
-	slog.Debug("client gone", "id", string(r.Statement.ID), "type", string(r.Statement.RequestType), "after", now-r.ReceivedAt, "timeout", r.Statement.Timeout,
-		"attempts", e.Attempts)
+	c.logClientGone(e)
 	c.router.ClientGone(now, r.ref)
 	for _, a := range slices.Clone(r.inFlight) { // even if the deployment forbids cancellation, since these attempts were not sent
 		c.cancelUnsent(a)
--- a/front/response.go
+++ b/front/response.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"log/slog"
 	"time"
 
 	"dapplerouter/routing"
@@ -52,8 +51,7 @@
 	c.metrics.responded(response.Status)
 	r := e.Value
 	c.auditFinished(r, response.Status)
-	slog.Debug("request finished", "id", string(r.Statement.ID), "type", string(r.Statement.RequestType), "status", response.Status, "after", c.now-r.ReceivedAt,
-		"timeout", r.Statement.Timeout, "attempts", e.Attempts)
+	c.logRequestFinished(e, response.Status)
 	r.Client.Respond(response)
 }
 
