Stale reads, fake servers: a re-read of the tests; the soak really repeats writes

Cause: a reading of the whole change. Change: a client of the soak repeats keys that it has used. No product code.

--- a/cmd/dapplerouter/stale_reads_soak_test.go
+++ b/cmd/dapplerouter/stale_reads_soak_test.go
@@ -83,6 +83,7 @@
 		}
 	}()
 	key, lastWrite := fmt.Sprint("age_of_data-", client), time.Time{}
+	bookings := 0 // the newest idempotency key
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -102,8 +103,12 @@
 		switch random.IntN(8) {
 		case 0:
 			class, sql = "pay", insert
-		case 1: // every fourth repeats an earlier one
-			class, sql, more = "book", insert, fmt.Sprintf(",k=%d-%d", client, n-random.IntN(2)*random.IntN(60))
+		case 1: // a new key, or an earlier one again
+			repeated := random.IntN(4)
+			if repeated == 0 {
+				bookings++
+			}
+			class, sql, more = "book", insert, fmt.Sprintf(",k=%d-%d", client, max(0, bookings-repeated))
 		case 2, 3, 4:
 			class = "mine"
 		}
--- a/cmd/dapplerouter/stale_reads_test.go
+++ b/cmd/dapplerouter/stale_reads_test.go
@@ -100,6 +100,16 @@
 	assert.Zero(s.t, stale, "of %d reads served, data too old", len(positions))
 }
 
+// assertNoStaleReadOfFormerPrimary makes the first server a replica whose log stands at the given time, and asserts that no bounded read is
+// served from data that is too old once the front has been told.
+func (s *staleGroup) assertNoStaleReadOfFormerPrimary(at time.Time) {
+	s.t.Helper()
+	s.losePrimary(at)
+	s.learnReplica()
+	time.Sleep(staleBound)
+	s.assertNoStaleRead(2 * time.Second)
+}
+
 // write sends a write whose comment has the given fields besides its id.
 func (s *staleGroup) write(fields string) fakeserver.Response {
 	s.t.Helper()
@@ -119,20 +129,14 @@
 	s := startStaleGroup(t)
 	s.learnPrimary()
 	s.Servers[0].HoldLoadReport(true)
-	s.losePrimary(s.Now().Add(20 * time.Millisecond))
-	s.learnReplica()
-	time.Sleep(staleBound)
-	s.assertNoStaleRead(2 * time.Second)
+	s.assertNoStaleReadOfFormerPrimary(s.Now().Add(20 * time.Millisecond))
 }
 
 func TestFormerPrimaryThatLostTheEndOfItsLogServesNoStaleReads(t *testing.T) {
 	t.Parallel()
 	s := startStaleGroup(t)
 	s.learnPrimary()
-	s.losePrimary(s.Now().Add(-100 * time.Millisecond))
-	s.learnReplica()
-	time.Sleep(staleBound)
-	s.assertNoStaleRead(2 * time.Second)
+	s.assertNoStaleReadOfFormerPrimary(s.Now().Add(-100 * time.Millisecond))
 }
 
 func TestLateListDoesNotMakeFormerPrimaryServeStaleReads(t *testing.T) {
--- a/testsupport/fakeserver/server.go
+++ b/testsupport/fakeserver/server.go
@@ -143,28 +143,6 @@
 	}
 }
 
-// StopApplying makes the server's log position stand at a time of its wall clock while it is a replica. The zero time ends that.
-func (s *Server) StopApplying(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stoppedMillis = 0
-	if !at.IsZero() {
-		s.stoppedMillis = at.UnixMilli()
-	}
-}
-
-// HoldLoadReport makes health checks get the load report of this moment from now on, or the present one again if on is false. The role and
-// the position beside the report stay those of the present.
-func (s *Server) HoldLoadReport(on bool) {
-	report := ""
-	if on {
-		report = s.currentLoadReport(time.Now())
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heldReport = report
-}
-
 // DelayGreeting delays the greeting of new connections.
 func (s *Server) DelayGreeting(delay time.Duration) {
 	s.mu.Lock()
@@ -277,24 +255,6 @@
 	writePattern          = regexp.MustCompile(`(?is)^\s*(/\*.*?\*/\s*)*(insert|update|delete|merge|truncate)\b`)
 )
 
-// Now returns the wall clock of the servers.
-func (g *Group) Now() time.Time { return time.Now().Add(time.Duration(g.WallClockOffset.Load())) }
-
-// appliedMillis returns the log position of the server in Unix milliseconds: the time up to which all changes are applied. now
-// is a time of this process's clock.
-func (s *Server) appliedMillis(now time.Time) int64 {
-	now = now.Add(time.Duration(s.group.WallClockOffset.Load()))
-	if s.isPrimary() {
-		return now.UnixMilli()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stoppedMillis != 0 {
-		return s.stoppedMillis
-	}
-	return now.Add(-time.Duration(s.group.ReplicaLag.Load())).UnixMilli()
-}
-
 // respond runs a statement and returns the response. If ok is false, the connection must be closed without a response.
 func (s *Server) respond(sql string) (response []byte, ok bool) {
 	now := time.Now()
@@ -334,26 +294,6 @@
 	return plain == "SELECT 1" || plain == "SHOW load"
 }
 
-// loadReport returns the response to a health check.
-func (s *Server) loadReport(now time.Time) []byte {
-	s.mu.Lock()
-	report := s.heldReport
-	s.mu.Unlock()
-	if report == "" {
-		report = s.currentLoadReport(now)
-	}
-	return s.appendStatus(appendResult(nil, [][]string{{report}}, "SHOW"), s.isPrimary(), s.appliedMillis(now))
-}
-
-// currentLoadReport returns the server's load report for a time of this process's clock.
-func (s *Server) currentLoadReport(now time.Time) string {
-	role := 0
-	if s.isPrimary() {
-		role = 1
-	}
-	return fmt.Sprintf("x0=%.3f,x1=%d,inflight=0", float64(s.appliedMillis(now))/1e3, role)
-}
-
 // record records a statement and returns the fault to inject into it.
 func (s *Server) record(statement Statement) (f Fault) {
 	s.mu.Lock()
@@ -366,16 +306,6 @@
 	return f
 }
 
-// isBehind reports whether a statement requires a log position that the server has not applied yet.
-func (s *Server) isBehind(sql string, now time.Time) bool {
-	f := minPositionPattern.FindStringSubmatch(sql)
-	if f == nil {
-		return false
-	}
-	after, _ := strconv.ParseInt(f[1], 10, 64) // only digits match; out of range gives the maximum
-	return after > s.appliedMillis(now)
-}
-
 // execute runs a statement as soon as one of the server's cores is free, and occupies the core for as long as the work takes.
 // If ok is false, the connection must be closed without a response.
 func (s *Server) execute(sql, id string, primary bool, received time.Time, fault Fault) (response []byte, ok bool) {
