Review: case 6, a temporary table made by its schema takes other clients' writes

Cause: only the keywords TEMP and TEMPORARY bind a statement to its connection, the schema pg_temp does not.

--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -63,8 +63,21 @@
 var (
 	idPattern   = regexp.MustCompile(`[ *,]id=([^ ,*]+)`)
 	markPattern = regexp.MustCompile(`[ ,]k=([^ ,*]+)`)
+
+	temporaryPattern = regexp.MustCompile(`(?i)^\s*CREATE TABLE pg_temp\.(\w+)`)
+	insertPattern    = regexp.MustCompile(`(?i)^\s*INSERT INTO (\w+)`)
 )
 
+// session is what a store keeps of a connection: its temporary tables, which end with it. Their schema pg_temp is searched before all
+// others, so a temporary table hides the table of the same name from the statements of its connection.
+type session struct{ temporary map[string]bool }
+
+// hides reports whether a statement inserts into a temporary table of its connection.
+func (s *session) hides(sql string) bool {
+	f := insertPattern.FindStringSubmatch(sql)
+	return f != nil && s.temporary[strings.ToLower(f[1])]
+}
+
 // startGroup starts stores of a group on loopback. The first one is the primary.
 func startGroup(rec *record, id, stores int, zones []string, work time.Duration) (*group, error) {
 	g := &group{rec: rec, work: work, window: 2 * time.Second, applied: map[string]int{}, marks: map[string]mark{}}
@@ -130,6 +143,7 @@
 	if _, err := c.Write(greeting()); err != nil {
 		return
 	}
+	conn := &session{temporary: map[string]bool{}}
 	for {
 		if _, err := r.Peek(1); err != nil {
 			return
@@ -139,7 +153,7 @@
 		if err != nil || typ != 'Q' || len(body) == 0 {
 			return
 		}
-		answer, ok := s.respond(string(body[:len(body)-1]), first)
+		answer, ok := s.respond(conn, string(body[:len(body)-1]), first)
 		if !ok {
 			reset(c)
 			return
@@ -160,7 +174,7 @@
 }
 
 // respond runs a statement. ok is false if the connection is to be reset in place of an answer.
-func (s *store) respond(sql string, first time.Time) (answer []byte, ok bool) {
+func (s *store) respond(conn *session, sql string, first time.Time) (answer []byte, ok bool) {
 	switch strings.TrimSpace(sql) {
 	case "":
 		return append(message('I', nil), ready()...), true
@@ -192,8 +206,16 @@
 		}
 	}
 	time.Sleep(s.group.work)
+	if f := temporaryPattern.FindStringSubmatch(sql); f != nil {
+		conn.temporary[strings.ToLower(f[1])] = true
+		s.group.rec.printf("store %s makes a temporary table %s on the connection of id=%s", s.name, f[1], id)
+		return append(message('C', cstrings("CREATE TABLE")), s.status()...), true
+	}
 	run := 0
-	if change {
+	switch {
+	case change && conn.hides(sql):
+		s.group.rec.printf("store %s puts the row of id=%s into a temporary table of its connection", s.name, id)
+	case change:
 		run = s.group.apply(id)
 		s.group.rec.printf("store %s has applied id=%s (run %d)", s.name, id, run)
 	}
