--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -36,9 +36,21 @@
 	index   int64
 	entries []entry
 	changes []list
+	life    int           // rises when the service is set up anew
 	changed chan struct{} // closed and replaced at each change
 }
 
+// setUpAnew ends all watches, as a service that is replaced by a new one with the same list, which counts its versions from its own start.
+func (d *discovery) setUpAnew() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index, d.changes = 1, nil
+	d.life++
+	close(d.changed)
+	d.changed = make(chan struct{})
+	d.rec.printf("discovery is set up anew and has index %d", d.index)
+}
+
 func newDiscovery(rec *record, groups ...*group) *discovery {
 	d := &discovery{rec: rec, index: 41, changed: make(chan struct{})}
 	for id, g := range groups {
@@ -116,10 +128,20 @@
 	if json.Unmarshal([]byte(r.URL.Query().Get("after")), &after) != nil {
 		after = 0
 	}
+	a.d.mu.Lock()
+	life := a.d.life
+	a.d.mu.Unlock()
 	for {
 		a.d.mu.Lock()
 		changed := a.d.changed
+		if life != a.d.life {
+			a.d.mu.Unlock()
+			return
+		}
 		var due []list
+		if after > a.d.index { // a version of an earlier service: the whole list
+			due = append(due, list{a.d.index, true, append([]entry{}, a.d.entries...)})
+		}
 		for _, c := range a.d.changes {
 			if c.Index > after {
 				due = append(due, c)
