--- a/review/standin-2/case_fleet.go
+++ b/review/standin-2/case_fleet.go
@@ -130,8 +130,10 @@
 	time.Sleep(4 * time.Second) // a quiet time, in which all fronts take the list from its leaseholder
 	stop, done := make(chan struct{}), &sync.WaitGroup{}
 	for _, f := range fl.fronts {
-		done.Add(1)
-		go r.browser(f, 15*time.Millisecond, stop, done)
+		for range 4 { // one client at a time would leave all of a front's reads at one replica
+			done.Add(1)
+			go r.browser(f, 15*time.Millisecond, stop, done)
+		}
 	}
 	time.Sleep(time.Second)
 	if r.trouble {
